--- /dev/null
+++ b/forklift/entry.py
@@ -0,0 +1,465 @@
+"""The entry: picks a target for each request and decides on retries.
+
+It knows the targets of its services from the directory, their load from the
+answers it passes on, and judges its own path to each guard.
+"""
+
+import dataclasses
+import math
+import random
+from collections.abc import Iterable
+
+from forklift import health
+from forklift import invariants
+from forklift import messages
+from forklift import overlay
+from forklift import policy
+from forklift import retries
+from forklift import spread
+
+State = messages.TargetState
+Outcome = messages.Outcome
+Reason = messages.Reason
+
+# Targets of one service that this entry sends to.
+SUBSET = 48
+# Candidates that one pick looks at.
+SAMPLE = 16
+LEAST_WEIGHT = 0.02
+AVOID_FIRST = 0.5
+AVOID_MOST = 8.0
+# Seconds without a sign of a guard, while it owes one, that condemn the path.
+SILENCE = 0.6
+LOAD_FADES = 1.0
+# Refusals cost the targets nothing; this bounds the walk all the same.
+MAX_REFUSALS = 4
+_OUT = (State.EJECTED, State.DRAINING, State.LEFT)
+_DOUBTFUL = (State.SUSPECT, State.TRIAL)
+
+
+@dataclasses.dataclass(frozen=True)
+class Wish:
+    """What a request needs of a target.
+
+    Attributes:
+        service: Name of the service.
+        method: HTTP method.
+        repeatable: Whether a second run does no harm.
+        deadline: Monotonic seconds.
+    """
+
+    service: str
+    method: str
+    repeatable: bool
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """A picked target.
+
+    Attributes:
+        target: Its name.
+        process: Name of the process beside it.
+    """
+
+    target: str
+    process: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Ending:
+    """How one attempt ended.
+
+    Attributes:
+        outcome: What became of it.
+        reason: Why, where it was not answered.
+        status: HTTP status, 0 where it was not answered.
+        retry_after: Hint of the guard, seconds.
+    """
+
+    outcome: Outcome
+    reason: Reason | None = None
+    status: int = 0
+    retry_after: float = 0.0
+
+
+class _View:
+    """What the entry knows of one target."""
+
+    def __init__(
+        self,
+        info: messages.TargetInfo,
+        process: messages.ProcessInfo,
+        near: bool,
+    ):
+        self.process = process.name
+        self.boot = process.boot
+        self.near = near
+        self.in_flight = 0
+        self.picked = 0
+        self.reported = 0.0
+        self.reported_at = float("-inf")
+        self.avoided_until = 0.0
+        self.info = info
+        self.state = info.state
+        self.weight = info.weight
+        self.version = info.version
+        self.latency = info.latency
+        self.failures = info.failures
+
+    def follow(self, info: messages.TargetInfo) -> None:
+        self.info = info
+        if info.version >= self.version:
+            self.state = info.state
+            self.weight = info.weight
+            self.version = info.version
+            self.latency = info.latency
+            self.failures = info.failures
+
+    def report(self, load: messages.Load, now: float) -> None:
+        if load.version < self.version:
+            return
+        self.version = load.version
+        self.state = load.state
+        self.weight = load.weight
+        self.latency = load.latency
+        self.failures = load.failures
+        # What others have on it; our own part is counted here exactly.
+        others = load.in_flight + load.queued - self.in_flight
+        self.reported = max(0, others)
+        self.reported_at = now
+
+    def load(self, now: float) -> float:
+        """Own requests plus those of others, which fade with age."""
+        age = now - self.reported_at
+        return self.in_flight + self.reported * math.exp(-age / LOAD_FADES)
+
+
+class _Path:
+    """What the entry knows of its path to one process."""
+
+    def __init__(self):
+        self.failures = 0
+        self.avoid_until = 0.0
+        self.owed_since: float | None = None
+        self.cause = ""
+
+
+class _Group:
+    """One service as the entry sees it."""
+
+    def __init__(self, program: policy.Service):
+        self.program = program
+        self.view_by_target: dict[str, _View] = {}
+        self.subset: list[str] = []
+        self.budget = retries.Budget(program.retry_share)
+        self.known = 0
+
+
+class Entry:
+    """Picks targets and decides on retries, for one process."""
+
+    def __init__(self, name: str, domain: str, rng: random.Random):
+        self.name = name
+        self.domain = domain
+        self._rng = rng
+        self._group_by_service: dict[str, _Group] = {}
+        self._path_by_process: dict[str, _Path] = {}
+        self.picks = 0
+
+    # What is known.
+
+    def follow(self, programs: dict[str, policy.Service]) -> None:
+        """Takes the programs of a new configuration."""
+        for service in list(self._group_by_service):
+            if service not in programs:
+                del self._group_by_service[service]
+        for service, program in programs.items():
+            group = self._group_by_service.get(service)
+            if group is None:
+                self._group_by_service[service] = _Group(program)
+            else:
+                group.program = program
+                group.budget.share = program.retry_share
+
+    def learn(self, infos: Iterable[messages.ProcessInfo]) -> None:
+        """Takes the usable processes of the directory in."""
+        seen: dict[str, set[str]] = {s: set() for s in self._group_by_service}
+        for info in infos:
+            for target in info.targets:
+                group = self._group_by_service.get(target.service)
+                if group is None or target.state is State.LEFT:
+                    continue
+                seen[target.service].add(target.name)
+                self._learn_target(group, target, info)
+        for service, names in seen.items():
+            self._settle(self._group_by_service[service], names)
+        processes = {info.name for info in infos}
+        for process in list(self._path_by_process):
+            if process not in processes:
+                del self._path_by_process[process]
+
+    def knows(self, service: str) -> bool:
+        """Whether a target of a service is known."""
+        group = self._group_by_service.get(service)
+        return group is not None and bool(group.view_by_target)
+
+    def program(self, service: str) -> policy.Service | None:
+        """The program of a service."""
+        group = self._group_by_service.get(service)
+        return group.program if group else None
+
+    def retries_refused(self, service: str) -> int:
+        """Retries of a service that the budget refused here."""
+        group = self._group_by_service.get(service)
+        return group.budget.refused if group else 0
+
+    def normal(self, service: str) -> health.Reference:
+        """What is normal for a service, from what guards report."""
+        group = self._group_by_service.get(service)
+        if group is None:
+            return health.UNKNOWN
+        views = [
+            view
+            for view in group.view_by_target.values()
+            if view.state is not State.EJECTED
+        ]
+        return health.reference(
+            [view.latency for view in views],
+            [view.failures for view in views],
+        )
+
+    # Picks.
+
+    def choose(
+        self, wish: Wish, tried: frozenset[str], now: float
+    ) -> Choice | None:
+        """Picks a target, other than those tried; None when none is left."""
+        group = self._group_by_service.get(wish.service)
+        if group is None or not group.subset:
+            return None
+        names = group.subset
+        if len(names) > SAMPLE:
+            names = self._rng.sample(names, SAMPLE)
+        candidates = self._candidates(group, names, wish, tried, now)
+        if not candidates and len(names) < len(group.view_by_target):
+            names = list(group.view_by_target)
+            candidates = self._candidates(group, names, wish, tried, now)
+        if not candidates:
+            return None
+        pick = spread.picker_by_name[group.program.spread]
+        name = pick(candidates, self._rng).name
+        view = group.view_by_target[name]
+        view.in_flight += 1
+        view.picked += 1
+        self.picks += 1
+        return Choice(name, view.process)
+
+    def ended(
+        self,
+        wish: Wish,
+        choice: Choice,
+        load: messages.Load | None,
+        now: float,
+    ) -> None:
+        """An attempt ended, with or without a report of the target's load."""
+        group = self._group_by_service.get(wish.service)
+        view = group.view_by_target.get(choice.target) if group else None
+        if view is None:
+            return
+        view.in_flight = max(0, view.in_flight - 1)
+        if load is not None:
+            view.report(load, now)
+
+    def refused_route(self, wish: Wish, choice: Choice, now: float) -> None:
+        """A target in service refused the request's route."""
+        group = self._group_by_service.get(wish.service)
+        view = group.view_by_target.get(choice.target) if group else None
+        if view is not None:
+            view.avoided_until = now + AVOID_FIRST
+
+    def first(self, wish: Wish) -> None:
+        """The first attempt of a request is made: it earns retries."""
+        group = self._group_by_service.get(wish.service)
+        if group is not None:
+            group.budget.earn()
+
+    def retry(
+        self,
+        wish: Wish,
+        ending: Ending,
+        attempt: int,
+        refusals: int,
+        now: float,
+    ) -> bool:
+        """Whether another target is tried.
+
+        Args:
+            wish: The request.
+            ending: How the last attempt ended.
+            attempt: Attempts that may have reached a target, this one too.
+            refusals: Attempts that guards refused.
+            now: Monotonic seconds.
+        """
+        group = self._group_by_service.get(wish.service)
+        if group is None or now >= wish.deadline:
+            return False
+        not_run = ending.outcome is Outcome.NOT_RUN
+        if not not_run and not wish.repeatable:
+            # Past the point of no return nobody sends it again.
+            return False
+        program = group.program
+        allowed = program.retry.evaluate(
+            attempt=max(1, attempt),
+            status=ending.status,
+            outcome=str(ending.outcome),
+            reason=str(ending.reason or ""),
+            repeatable=wish.repeatable,
+            method=wish.method,
+            remaining=wish.deadline - now,
+        )
+        if not allowed:
+            return False
+        if not_run:
+            return refusals < MAX_REFUSALS
+        return attempt < program.attempts and group.budget.spend()
+
+    # Paths.
+
+    def sent(self, process: str, now: float) -> None:
+        """Something was sent that the guard owes a sign for."""
+        path = self._path_by_process.setdefault(process, _Path())
+        if path.owed_since is None:
+            path.owed_since = now
+
+    def heard(self, process: str) -> None:
+        """A sign of the guard arrived."""
+        path = self._path_by_process.get(process)
+        if path is not None:
+            path.owed_since = None
+            path.failures = 0
+            path.avoid_until = 0.0
+
+    def settled(self, process: str) -> None:
+        """Nothing is owed any more, as no request is in flight."""
+        path = self._path_by_process.get(process)
+        if path is not None:
+            path.owed_since = None
+
+    def path_failed(self, process: str, cause: str, now: float) -> None:
+        """The path to a guard failed; it is avoided for a while."""
+        path = self._path_by_process.setdefault(process, _Path())
+        path.failures += 1
+        wait = AVOID_FIRST * 2 ** min(path.failures - 1, 8)
+        path.avoid_until = now + min(AVOID_MOST, wait)
+        path.owed_since = None
+        path.cause = cause
+
+    def silent(self, now: float) -> list[str]:
+        """Names of processes whose sign is overdue; their paths failed."""
+        silent = [
+            process
+            for process, path in self._path_by_process.items()
+            if path.owed_since is not None and now - path.owed_since >= SILENCE
+        ]
+        for process in silent:
+            self.path_failed(process, "silent", now)
+        return silent
+
+    def avoided(self, now: float) -> dict[str, str]:
+        """Processes whose paths are avoided now, with the cause."""
+        return {
+            process: path.cause
+            for process, path in self._path_by_process.items()
+            if now < path.avoid_until
+        }
+
+    def _candidates(
+        self,
+        group: _Group,
+        names: list[str],
+        wish: Wish,
+        tried: frozenset[str],
+        now: float,
+    ) -> list[spread.Candidate]:
+        sound: list[spread.Candidate] = []
+        doubtful: list[spread.Candidate] = []
+        avoided: list[spread.Candidate] = []
+        in_service = 0
+        for name in names:
+            view = group.view_by_target[name]
+            if view.state in _OUT:
+                continue
+            in_service += 1
+            if name in tried:
+                continue
+            candidate = self._candidate(group.program, name, view, now)
+            path = self._path_by_process.get(view.process)
+            path_bad = path is not None and now < path.avoid_until
+            if path_bad or now < view.avoided_until:
+                avoided.append(candidate)
+            elif view.state in _DOUBTFUL and not wish.repeatable:
+                doubtful.append(candidate)
+            else:
+                sound.append(candidate)
+        floor = self._share_of_floor(group, len(names))
+        kept = in_service - len(avoided)
+        if avoided and kept < floor:
+            # In doubt a target is kept, at lower weight.
+            sound += [
+                dataclasses.replace(c, weight=LEAST_WEIGHT) for c in avoided
+            ]
+            kept = in_service
+        invariants.floor_kept(wish.service, kept, floor, in_service)
+        return sound or doubtful or avoided
+
+    def _candidate(
+        self, program: policy.Service, name: str, view: _View, now: float
+    ) -> spread.Candidate:
+        load = view.load(now)
+        weight = view.weight
+        if program.weight.text != "1.0":
+            weight *= program.weight.evaluate(
+                load=load,
+                slots=view.info.slots,
+                same_domain=view.near,
+                state=str(view.state),
+            )
+        return spread.Candidate(
+            name,
+            load,
+            view.info.slots,
+            max(LEAST_WEIGHT, weight),
+            view.near,
+            view.picked,
+        )
+
+    def _share_of_floor(self, group: _Group, looked_at: int) -> int:
+        """The floor, scaled to the targets that one pick looks at."""
+        if group.known <= 0:
+            return 0
+        return math.ceil(group.program.floor * looked_at / group.known)
+
+    def _learn_target(
+        self,
+        group: _Group,
+        target: messages.TargetInfo,
+        info: messages.ProcessInfo,
+    ) -> None:
+        view = group.view_by_target.get(target.name)
+        if view is None or view.boot != info.boot:
+            near = target.domain == self.domain
+            view = _View(target, info, near)
+            group.view_by_target[target.name] = view
+            return
+        view.follow(target)
+
+    def _settle(self, group: _Group, names: set[str]) -> None:
+        for name in list(group.view_by_target):
+            if name not in names:
+                del group.view_by_target[name]
+        group.known = len(names)
+        group.subset = sorted(names)
+        if len(names) > SUBSET:
+            group.subset = overlay.pick(self.name, names, SUBSET)
--- /dev/null
+++ b/forklift/errors.py
@@ -0,0 +1,100 @@
+"""The tree of errors; every message names its remedy."""
+
+import dataclasses
+
+
+class ForkliftError(Exception):
+    """Root of every error that forklift raises on purpose."""
+
+
+class UserError(ForkliftError):
+    """A mistake of an operator, shown as one line."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """One mistake in a file.
+
+    Attributes:
+        file: Path or name of the file.
+        section: INI section, empty when the file as a whole is meant.
+        key: INI key, empty when the section as a whole is meant.
+        message: What is wrong.
+        remedy: What to do about it.
+    """
+
+    file: str
+    section: str
+    key: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}: [{self.section}]"
+        if self.key:
+            place = f"{place} {self.key}"
+        return f"{place}: {self.message}; {self.remedy}"
+
+
+class FileProblems(UserError):
+    """A settings or policy file holds mistakes; all are listed."""
+
+    def __init__(self, problems: tuple[Problem, ...]):
+        self.problems = problems
+        super().__init__("\n".join(str(problem) for problem in problems))
+
+
+class PublishConflict(UserError):
+    """Another publication won the version this one built on."""
+
+    def __init__(self, winner: str, version: int):
+        self.winner = winner
+        self.version = version
+        super().__init__(
+            f"rejected: {winner} published version {version} first; "
+            "read it with 'forklift status', merge, and publish again"
+        )
+
+
+class LogUnavailable(ForkliftError):
+    """The log service did not answer; the append may have taken effect."""
+
+    def __init__(self, detail: str):
+        super().__init__(
+            f"the log service did not answer ({detail}); "
+            "check [log] address and the service, then try again"
+        )
+
+
+class PeerUnreachable(ForkliftError):
+    """A peer could not be spoken to; nothing was sent to it."""
+
+    def __init__(self, name: str, detail: str):
+        super().__init__(
+            f"peer {name} is unreachable ({detail}); "
+            "check its process and the network path to it"
+        )
+
+
+class BadRequest(ForkliftError):
+    """A caller's bytes can't be forwarded safely.
+
+    Attributes:
+        status: The HTTP status to answer with.
+    """
+
+    def __init__(self, message: str, remedy: str, status: int = 400):
+        self.status = status
+        self.remedy = remedy
+        super().__init__(f"{message}; {remedy}")
+
+
+class InvariantBroken(ForkliftError):
+    """A promise was seen broken inside the program."""
+
+    def __init__(self, promise: str, detail: str):
+        self.promise = promise
+        super().__init__(
+            f"invariant {promise} is broken: {detail}; "
+            "keep the state dump and report it as a defect"
+        )
--- /dev/null
+++ b/forklift/fences.py
@@ -0,0 +1,70 @@
+"""What a guard knows for certain of starts: the base of 'not run'.
+
+A request is named by the boot and number that its sender gave it. Once it is
+fenced it never starts; once it has started it is never reported as not run.
+"""
+
+import collections
+import dataclasses
+from typing import TypeAlias
+
+from forklift import invariants
+
+REMEMBERED_FOR = 150.0
+Identity: TypeAlias = tuple[int, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Mark:
+    until: float
+    started: bool
+
+
+class Fences:
+    """Starts and fences of a guard, each remembered past any deadline."""
+
+    def __init__(self):
+        self._mark_by_id: collections.OrderedDict[Identity, _Mark] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._mark_by_id)
+
+    def may_start(self, request: Identity) -> bool:
+        """Whether it was neither started nor fenced."""
+        return request not in self._mark_by_id
+
+    def started(self, request: Identity) -> bool:
+        """Whether it passed the point of no return here."""
+        mark = self._mark_by_id.get(request)
+        return mark is not None and mark.started
+
+    def start(self, request: Identity, now: float) -> bool:
+        """Marks the point of no return; False when it must not start."""
+        self._expire(now)
+        if not self.may_start(request):
+            return False
+        self._mark_by_id[request] = _Mark(now + REMEMBERED_FOR, True)
+        return True
+
+    def fence(self, request: Identity, now: float) -> bool:
+        """Forbids a start; False when it has started already."""
+        self._expire(now)
+        mark = self._mark_by_id.get(request)
+        if mark is None:
+            self._mark_by_id[request] = _Mark(now + REMEMBERED_FOR, False)
+            return True
+        return not mark.started
+
+    def check_not_run(self, request: Identity) -> bool:
+        """Asserts that a request which is reported as not run isn't."""
+        started = self.started(request)
+        return invariants.not_run_is_true(started, f"{request}")
+
+    def _expire(self, now: float) -> None:
+        while self._mark_by_id:
+            first = next(iter(self._mark_by_id))
+            if self._mark_by_id[first].until > now:
+                return
+            del self._mark_by_id[first]
--- /dev/null
+++ b/forklift/membership.py
@@ -0,0 +1,454 @@
+"""Who is there: processes and their targets, with incarnations.
+
+News spreads as rumors (Das, Gupta and Motivala, "SWIM", 2002): a process that
+is suspected anywhere hears of it and refutes it with a higher incarnation, so
+that a one-way cut between two processes takes nobody out. Each process talks
+to a bounded set of peers only.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+
+import xxhash
+
+from forklift import messages
+from forklift import overlay
+
+Liveness = messages.Liveness
+
+PEERS = 48
+PING_PERIOD = 0.5
+PONG_WAIT = 1.0
+MISSES = 2
+SUSPECT_FOR = 3.0
+FORGET_AFTER = 600.0
+RUMORS_A_PING = 6
+FAN_OUT = 3
+SPREAD_FACTOR = 2
+SYNC_PERIOD = 5.0
+# Processes remembered of a service that has no target here.
+GATEWAYS = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """What is known of one process.
+
+    Attributes:
+        info: Its latest description.
+        liveness: How it is seen.
+        since: Monotonic seconds of the last change of `liveness`.
+    """
+
+    info: messages.ProcessInfo
+    liveness: Liveness
+    since: float
+
+    @property
+    def usable(self) -> bool:
+        """Whether requests may be sent to it."""
+        return self.liveness <= Liveness.SUSPECT
+
+
+def services(info: messages.ProcessInfo) -> frozenset[str]:
+    """Names of the services that a process has targets of."""
+    return frozenset(target.service for target in info.targets)
+
+
+def _newer(info: messages.ProcessInfo, than: messages.ProcessInfo) -> bool:
+    if info.boot != than.boot:
+        return (info.started, info.boot) > (than.started, than.boot)
+    return (info.incarnation, info.version) > (than.incarnation, than.version)
+
+
+class Directory:
+    """The processes known here; a set of rules for what overrides what.
+
+    Those that share a service with this process are all kept. Of any other
+    service a few are kept, to hand requests on to. A process that has no
+    target yet keeps a few of every service.
+    """
+
+    def __init__(self, own: messages.ProcessInfo):
+        self.own = own
+        self.member_by_name: dict[str, Member] = {}
+        self.generation = 0
+        self._digest = 0
+
+    def update_own(self, **changes: object) -> messages.ProcessInfo:
+        """Describes this process anew."""
+        version = self.own.version + 1
+        fields = {
+            name: getattr(self.own, name) for name in self.own.__struct_fields__
+        }
+        fields.update(changes, version=version)
+        before = services(self.own)
+        self.own = messages.ProcessInfo(**fields)
+        self.generation += 1
+        if services(self.own) != before:
+            self._rescope()
+        return self.own
+
+    def apply(self, rumor: messages.Rumor, now: float) -> bool:
+        """Takes news in; True when it is worth telling others.
+
+        Figures that every heartbeat renews are taken in, and not told on.
+        """
+        info = rumor.info
+        if info.name == self.own.name:
+            return self._refute(rumor)
+        before = self.member_by_name.get(info.name)
+        if not self._apply_other(rumor, now):
+            return False
+        after = self.member_by_name[info.name]
+        if before is None:
+            return True
+        return _hash(before.liveness, before.info) != _hash(
+            after.liveness, after.info
+        )
+
+    def _apply_other(self, rumor: messages.Rumor, now: float) -> bool:
+        info = rumor.info
+        known = self.member_by_name.get(info.name)
+        if known is None:
+            if rumor.liveness >= Liveness.DEAD or not self._wanted(info):
+                return False
+            self._set(Member(info, rumor.liveness, now))
+            return True
+        if info.boot != known.info.boot:
+            if not _newer(info, known.info):
+                return False
+            self._set(Member(info, rumor.liveness, now))
+            return True
+        return self._apply_same_boot(known, rumor, now)
+
+    def hear(self, info: messages.ProcessInfo, now: float) -> bool:
+        """A process spoke to us itself, which is news as any other."""
+        return self.apply(messages.Rumor(Liveness.ALIVE, info), now)
+
+    def judge(self, name: str, liveness: Liveness, now: float) -> bool:
+        """This process sees another one so; True when that is news."""
+        known = self.member_by_name.get(name)
+        if known is None or liveness <= known.liveness:
+            return False
+        self._set(Member(known.info, liveness, now))
+        return True
+
+    def expire(self, now: float) -> list[messages.Rumor]:
+        """Turns old suspicions into deaths and forgets old deaths."""
+        news = []
+        for name, member in list(self.member_by_name.items()):
+            age = now - member.since
+            if member.liveness is Liveness.SUSPECT and age >= SUSPECT_FOR:
+                self._set(Member(member.info, Liveness.DEAD, now))
+                news.append(messages.Rumor(Liveness.DEAD, member.info))
+            elif member.liveness >= Liveness.DEAD and age >= FORGET_AFTER:
+                self._forget(name)
+        return news
+
+    def rumor(self, name: str) -> messages.Rumor | None:
+        """What is known of a process, as news for others."""
+        if name == self.own.name:
+            return messages.Rumor(Liveness.ALIVE, self.own)
+        member = self.member_by_name.get(name)
+        if member is None:
+            return None
+        return messages.Rumor(member.liveness, member.info)
+
+    def usable(self) -> list[messages.ProcessInfo]:
+        """This process and all others that requests may be sent to."""
+        others = [m.info for m in self.member_by_name.values() if m.usable]
+        return [self.own, *others]
+
+    def alive(self) -> list[str]:
+        """Names of others that are not suspected, in order."""
+        return sorted(
+            name
+            for name, member in self.member_by_name.items()
+            if member.liveness is Liveness.ALIVE
+        )
+
+    def digest(self) -> int:
+        """Equal on two processes that know the same."""
+        return self._digest ^ _hash(Liveness.ALIVE, self.own)
+
+    def shares(self, info: messages.ProcessInfo) -> bool:
+        """Whether a process is told news of, and tells ours."""
+        own = services(self.own)
+        return not own or not own.isdisjoint(services(info))
+
+    def _wanted(self, info: messages.ProcessInfo) -> bool:
+        own = services(self.own)
+        if not own.isdisjoint(services(info)):
+            return True
+        for service in services(info):
+            gateways = sum(
+                1
+                for member in self.member_by_name.values()
+                if member.usable and service in services(member.info)
+            )
+            if gateways < GATEWAYS:
+                return True
+        return False
+
+    def _apply_same_boot(
+        self, known: Member, rumor: messages.Rumor, now: float
+    ) -> bool:
+        info = known.info
+        if _newer(rumor.info, known.info):
+            info = rumor.info
+        liveness = known.liveness
+        if known.liveness is not Liveness.LEFT:
+            if rumor.info.incarnation > known.info.incarnation:
+                liveness = rumor.liveness
+            elif rumor.info.incarnation == known.info.incarnation:
+                liveness = max(liveness, rumor.liveness)
+        if info is known.info and liveness is known.liveness:
+            return False
+        since = known.since if liveness is known.liveness else now
+        self._set(Member(info, Liveness(liveness), since))
+        return True
+
+    def _refute(self, rumor: messages.Rumor) -> bool:
+        same_boot = rumor.info.boot == self.own.boot
+        if rumor.liveness is Liveness.ALIVE or not same_boot:
+            return False
+        if rumor.info.incarnation < self.own.incarnation:
+            return False
+        self.update_own(incarnation=rumor.info.incarnation + 1)
+        return True
+
+    def _set(self, member: Member) -> None:
+        self._forget(member.info.name)
+        self.member_by_name[member.info.name] = member
+        self._digest ^= self._part(member)
+
+    def _forget(self, name: str) -> None:
+        old = self.member_by_name.pop(name, None)
+        if old is not None:
+            self._digest ^= self._part(old)
+        self.generation += 1
+
+    def _part(self, member: Member) -> int:
+        if services(self.own).isdisjoint(services(member.info)):
+            return 0
+        return _hash(member.liveness, member.info)
+
+    def _rescope(self) -> None:
+        """The own services changed: the digest covers other members now."""
+        self._digest = 0
+        for member in self.member_by_name.values():
+            self._digest ^= self._part(member)
+
+
+def _hash(liveness: Liveness, info: messages.ProcessInfo) -> int:
+    # Figures that every heartbeat renews are no difference worth a sync.
+    states = sum(target.version for target in info.targets)
+    parts = (info.name, info.boot, info.incarnation, states, int(liveness))
+    text = str(parts)
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """A control message to be sent.
+
+    Attributes:
+        address: Control address of the receiver.
+        message: The message.
+    """
+
+    address: str
+    message: messages.Control
+
+
+class Gossip:
+    """Decides whom to tell what: pings, rumors, syncs."""
+
+    def __init__(self, directory: Directory, rng: random.Random):
+        self.directory = directory
+        self._rng = rng
+        self._number = 0
+        self._round: list[str] = []
+        self._waiting_by_number: dict[int, tuple[str, float]] = {}
+        self._misses_by_name: collections.Counter[str] = collections.Counter()
+        self._tellings_by_name: dict[str, int] = {}
+        self._next_ping = 0.0
+        self._next_sync = 0.0
+        self._peers: list[str] = []
+        self._peers_of = -1
+
+    def peers(self) -> list[str]:
+        """Names of the bounded set of peers that are pinged."""
+        if self._peers_of != self.directory.generation:
+            names = [
+                name
+                for name, member in self.directory.member_by_name.items()
+                if member.usable and self.directory.shares(member.info)
+            ]
+            self._peers = names
+            if len(names) > PEERS:
+                own = self.directory.own.name
+                self._peers = overlay.pick(own, names, PEERS)
+            self._peers_of = self.directory.generation
+        return self._peers
+
+    def unheard(self) -> tuple[str, ...]:
+        """Names of peers whose answers are missing."""
+        return tuple(
+            sorted(n for n, m in self._misses_by_name.items() if m >= MISSES)
+        )
+
+    def tick(self, now: float) -> list[Send]:
+        """Lets time pass."""
+        news = self._count_misses(now)
+        news += self.directory.expire(now)
+        sends: list[Send] = []
+        for rumor in news:
+            sends += self.spread(rumor.info.name)
+        if now >= self._next_ping:
+            self._next_ping = now + PING_PERIOD
+            sends += self._ping_next(now)
+        return sends
+
+    def spread(self, name: str) -> list[Send]:
+        """Tells a few peers at once, and others with the next pings."""
+        members = len(self.directory.member_by_name) + 2
+        tellings = math.ceil(SPREAD_FACTOR * math.log2(members))
+        self._tellings_by_name[name] = tellings
+        peers = self.peers()
+        chosen = self._rng.sample(peers, min(FAN_OUT, len(peers)))
+        return [self._ping(peer, None) for peer in chosen]
+
+    def receive(self, message: messages.Control, now: float) -> list[Send]:
+        """Takes a ping, pong or sync in and answers it."""
+        sends: list[Send] = []
+        if self.directory.hear(message.sender, now):
+            sends += self.spread(message.sender.name)
+        for rumor in getattr(message, "rumors", ()):
+            if self.directory.apply(rumor, now):
+                sends += self.spread(rumor.info.name)
+        back = message.sender.control
+        if isinstance(message, messages.Ping):
+            pong = messages.Pong(
+                self.directory.own,
+                message.number,
+                self.directory.digest(),
+                self._rumors(),
+            )
+            sends.append(Send(back, pong))
+        elif isinstance(message, messages.Pong):
+            self._waiting_by_number.pop(message.number, None)
+            self._misses_by_name.pop(message.sender.name, None)
+            sends += self._sync_if_differs(message, now)
+        elif isinstance(message, messages.SyncRequest):
+            parts = self._everything(services(message.sender))
+            sends += [Send(back, part) for part in parts]
+        return sends
+
+    def join(self, address: str) -> Send:
+        """Asks a process that is known by address only for all it knows."""
+        return Send(address, messages.SyncRequest(self.directory.own))
+
+    def leave(self) -> list[Send]:
+        """Tells peers that this process is leaving for good."""
+        own = self.directory.own
+        rumor = messages.Rumor(Liveness.LEFT, own)
+        sends = []
+        for name in self.peers()[: FAN_OUT * 4]:
+            address = self.directory.member_by_name[name].info.control
+            ping = messages.Ping(own, 0, 0.0, 0, (rumor,))
+            sends.append(Send(address, ping))
+        return sends
+
+    def _count_misses(self, now: float) -> list[messages.Rumor]:
+        news = []
+        for number, (name, until) in list(self._waiting_by_number.items()):
+            if now < until:
+                continue
+            del self._waiting_by_number[number]
+            self._misses_by_name[name] += 1
+            if self._misses_by_name[name] < MISSES:
+                continue
+            if self.directory.judge(name, Liveness.SUSPECT, now):
+                news.append(self.directory.rumor(name))
+        for name in list(self._misses_by_name):
+            member = self.directory.member_by_name.get(name)
+            if member is None or not member.usable:
+                del self._misses_by_name[name]
+        return news
+
+    def _ping_next(self, now: float) -> list[Send]:
+        if not self._round:
+            self._round = list(self.peers())
+            self._rng.shuffle(self._round)
+        while self._round:
+            name = self._round.pop()
+            member = self.directory.member_by_name.get(name)
+            if member is not None and member.usable:
+                return [self._ping(name, now)]
+        return []
+
+    def _ping(self, name: str, now: float | None) -> Send:
+        """A ping; without `now` it only carries news, no answer is due."""
+        self._number += 1
+        if now is not None:
+            waiting = (name, now + PONG_WAIT)
+            self._waiting_by_number[self._number] = waiting
+        ping = messages.Ping(
+            self.directory.own,
+            self._number,
+            now or 0.0,
+            self.directory.digest(),
+            self._rumors(about=name),
+        )
+        return Send(self.directory.member_by_name[name].info.control, ping)
+
+    def _rumors(self, about: str = "") -> tuple[messages.Rumor, ...]:
+        """News that others may lack, and what is held of the receiver."""
+        rumors = []
+        member = self.directory.member_by_name.get(about)
+        if member is not None and member.liveness is not Liveness.ALIVE:
+            rumors.append(self.directory.rumor(about))
+        fresh = sorted(
+            self._tellings_by_name,
+            key=self._tellings_by_name.__getitem__,
+            reverse=True,
+        )
+        for name in fresh[:RUMORS_A_PING]:
+            self._tellings_by_name[name] -= 1
+            if self._tellings_by_name[name] <= 0:
+                del self._tellings_by_name[name]
+            rumor = self.directory.rumor(name)
+            if rumor is not None and name != self.directory.own.name:
+                rumors.append(rumor)
+        return tuple(rumors)
+
+    def _sync_if_differs(
+        self, message: messages.Pong, now: float
+    ) -> list[Send]:
+        same = message.digest == self.directory.digest()
+        own = services(self.directory.own)
+        same = same or services(message.sender) != own
+        if same or now < self._next_sync:
+            return []
+        self._next_sync = now + SYNC_PERIOD
+        request = messages.SyncRequest(self.directory.own)
+        return [Send(message.sender.control, request)]
+
+    def _everything(self, wanted: frozenset[str]) -> list[messages.SyncReply]:
+        """Members that share a wanted service; all where none is named."""
+        own = self.directory.own
+        rumors = [
+            messages.Rumor(member.liveness, member.info)
+            for member in self.directory.member_by_name.values()
+            if member.liveness <= Liveness.SUSPECT
+            and (not wanted or wanted & services(member.info))
+        ]
+        parts = []
+        for start in range(0, max(1, len(rumors)), 100):
+            part = tuple(rumors[start : start + 100])
+            parts.append(messages.SyncReply(own, part))
+        return parts
--- /dev/null
+++ b/forklift/messages.py
@@ -0,0 +1,667 @@
+"""Typed messages: frames between processes, control messages, log records.
+
+All are frozen msgspec structs, encoded as MessagePack arrays. A struct is
+tagged with a small number, so that each union decodes in one pass and an
+unknown or malformed message is refused whole.
+"""
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+from forklift import errors
+
+MAX_FRAME_BYTES = 1 << 20
+MAX_CONTROL_BYTES = 1 << 18
+
+
+class Outcome(enum.StrEnum):
+    """What became of a request; there is no fourth."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why something was refused, broken off or decided."""
+
+    BUSY = "busy"
+    CANCELLED = "cancelled"
+    CONNECT_FAILED = "connect-failed"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    EJECTED = "ejected"
+    FENCED = "fenced"
+    IN_PROGRESS = "in-progress"
+    KEY_MISMATCH = "key-mismatch"
+    KEY_LOST = "key-lost"
+    NO_OWNER = "no-owner"
+    LOG_AWAY = "log-away"
+    NO_TARGET = "no-target"
+    NO_SERVICE = "no-service"
+    OVERLOADED = "overloaded"
+    PEER_LOST = "peer-lost"
+    STALE = "stale"
+    TARGET_BROKE = "target-broke"
+    TIMEOUT = "timeout"
+    TOO_LARGE = "too-large"
+    UNFRAMED = "unframed-answer"
+    UNKNOWN_TARGET = "unknown-target"
+    WRONG_ANSWER = "wrong-answer"
+    BUDGET = "retry-budget"
+    REPLAYED = "replayed"
+    HOPS = "too-many-hops"
+
+
+class TargetState(enum.StrEnum):
+    """Where a target stands in the eyes of its guard."""
+
+    COLD = "cold"
+    IN_SERVICE = "in-service"
+    SUSPECT = "suspect"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+    RAMP = "ramp"
+    DRAINING = "draining"
+    LEFT = "left"
+
+
+class Liveness(enum.IntEnum):
+    """How a process is seen by its peers; a higher one overrides."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class _Wire(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Base of all messages."""
+
+
+class Load(_Wire):
+    """A target's load, carried on what is being sent anyway.
+
+    Attributes:
+        in_flight: Requests that the target is running.
+        queued: Requests that wait at the guard.
+        limit: Requests the guard lets run at once.
+        weight: Share of normal traffic it should get, 0 to 1.
+        state: Where the target stands.
+        version: Counter of the state; higher is newer in one boot.
+        latency: Median of its latency in seconds; 0 when unknown.
+        failures: Share of failures among recent requests, 0 to 1.
+    """
+
+    in_flight: int
+    queued: int
+    limit: int
+    weight: float
+    state: TargetState
+    version: int
+    latency: float
+    failures: float
+
+
+# Frames on the stream between two processes.
+
+
+class Hello(_Wire, tag=1):
+    """Opens a connection; the answer to it is a Hello too.
+
+    Attributes:
+        name: Name of the sending process.
+        boot: Random identity of this run of the process.
+        incarnation: Rises when the process finds that it was paused.
+        nonce: Random bytes that the other side's proof must cover.
+    """
+
+    name: str
+    boot: int
+    incarnation: int
+    nonce: bytes
+
+
+class Proof(_Wire, tag=2):
+    """Shows knowledge of the shared key, over both nonces."""
+
+    digest: bytes
+
+
+class RequestStart(_Wire, tag=3):
+    """A request on its way to a guard, or to another entry.
+
+    Attributes:
+        id: Stream number, never reused on a connection.
+        seq: Number of the request at its sender, never reused in a boot.
+        service: Name of the service.
+        target: Name of the target; empty hands the choice to the receiver.
+        method: HTTP method.
+        path: Request target as the caller sent it.
+        headers: End-to-end headers.
+        request_id: Identity that logs and answers carry.
+        remaining: Seconds left until the deadline, when sent.
+        repeatable: Whether a second run does no harm.
+        key: Idempotency key, or empty.
+        incarnation: Incarnation of the receiver that the sender knows.
+        hops: Entries that handed the request on.
+        length: Length of the body in bytes, -1 when chunked.
+        body: The first bytes of the body.
+        complete: Whether `body` is all of it; else the rest follows once the
+            receiver gives credit.
+        route: Name of the route.
+        caller: Who the key belongs to, empty without a key.
+    """
+
+    id: int
+    seq: int
+    service: str
+    target: str
+    method: bytes
+    path: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    request_id: str
+    remaining: float
+    repeatable: bool
+    key: str
+    incarnation: int
+    hops: int
+    length: int
+    body: bytes
+    complete: bool
+    route: str
+    caller: bytes = b""
+
+
+class Body(_Wire, tag=4):
+    """A piece of a body, either way.
+
+    Attributes:
+        id: Stream number.
+        data: The bytes.
+        end: Whether the body is complete with this piece.
+    """
+
+    id: int
+    data: bytes
+    end: bool
+
+
+class Credit(_Wire, tag=5):
+    """Allows the other side to send more body bytes on a stream."""
+
+    id: int
+    size: int
+
+
+class AnswerStart(_Wire, tag=6):
+    """Head of an answer.
+
+    Attributes:
+        id: Stream number.
+        request_id: Identity of the request that it answers.
+        status: HTTP status.
+        headers: End-to-end headers.
+        length: Declared length of the body, -1 when chunked.
+        target: Name of the target that answered.
+        load: Its load.
+    """
+
+    id: int
+    request_id: str
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    length: int
+    target: str
+    load: Load | None
+
+
+class Failure(_Wire, tag=7):
+    """A request ended without a whole answer.
+
+    Attributes:
+        id: Stream number.
+        outcome: NOT_RUN or UNKNOWN.
+        reason: Why.
+        retry_after: Seconds after which to come back; 0 gives no hint.
+        incarnation: Incarnation of the sender now.
+        target: Name of the target, where one was chosen.
+        load: Its load.
+    """
+
+    id: int
+    outcome: Outcome
+    reason: Reason
+    retry_after: float
+    incarnation: int
+    target: str
+    load: Load | None
+
+
+class Cancel(_Wire, tag=8):
+    """The sender gave up on a stream."""
+
+    id: int
+
+
+class Beat(_Wire, tag=11):
+    """Asks for an echo while a request is in flight.
+
+    Attributes:
+        number: Its number.
+        echo: Whether this is the echo.
+    """
+
+    number: int
+    echo: bool
+
+
+class Fence(_Wire, tag=9):
+    """Asks that a request never starts from now on.
+
+    Attributes:
+        id: Stream number of this question.
+        boot: Boot of the sender of the request.
+        seq: Its number there.
+        to_boot: Boot of the guard that the request was sent to.
+    """
+
+    id: int
+    boot: int
+    seq: int
+    to_boot: int
+
+
+class Fenced(_Wire, tag=10):
+    """Answer to a Fence.
+
+    Attributes:
+        id: Stream number of the question.
+        not_run: Whether the request is proven never to start.
+    """
+
+    id: int
+    not_run: bool
+
+
+Frame: TypeAlias = (
+    Hello
+    | Proof
+    | RequestStart
+    | Body
+    | Credit
+    | AnswerStart
+    | Failure
+    | Cancel
+    | Beat
+    | Fence
+    | Fenced
+)
+
+
+# What is known of processes and targets.
+
+
+class TargetInfo(_Wire):
+    """A target as its guard describes it.
+
+    Attributes:
+        name: Name, unique in its service.
+        service: Name of the service.
+        domain: Failure domain.
+        slots: Requests it runs at once.
+        state: Where it stands.
+        weight: Share of normal traffic it should get, 0 to 1.
+        version: Counter of the description; higher is newer.
+        latency: Median of its latency in seconds; 0 when unknown.
+        failures: Share of failures among recent requests, 0 to 1.
+    """
+
+    name: str
+    service: str
+    domain: str
+    slots: int
+    state: TargetState
+    weight: float
+    version: int
+    latency: float = 0.0
+    failures: float = 0.0
+
+
+class ProcessInfo(_Wire):
+    """A process as it describes itself.
+
+    Attributes:
+        name: Name, unique in the fleet.
+        boot: Random identity of this run.
+        incarnation: Rises when it refutes a suspicion or was paused.
+        domain: Failure domain.
+        peer: Address of its peer listener, "ip:port".
+        control: Address of its control listener, "ip:port".
+        admin: Address of its admin listener, "ip:port".
+        version: Counter of the description; higher is newer in a boot.
+        started: Wall time of its start; a later boot of a name wins.
+        targets: Its targets.
+        config: Sum of the versions of the policies it has in force.
+        unheard: Names of peers it can't hear.
+    """
+
+    name: str
+    boot: int
+    incarnation: int
+    domain: str
+    peer: str
+    control: str
+    admin: str
+    version: int
+    started: float
+    targets: tuple[TargetInfo, ...]
+    config: int
+    unheard: tuple[str, ...] = ()
+
+
+class Rumor(_Wire):
+    """News of one process.
+
+    Attributes:
+        liveness: How it is seen.
+        info: Its own latest description.
+    """
+
+    liveness: Liveness
+    info: ProcessInfo
+
+
+# Records on the log.
+
+
+class Publication(_Wire, tag=20):
+    """An operator's wish for a new policy.
+
+    Attributes:
+        id: Random identity; an append whose answer was lost is found by it.
+        policy: Name of the policy that it replaces.
+        builds_on: Version that the operator had before him.
+        author: Who publishes.
+        text: The policy file.
+    """
+
+    id: str
+    policy: str
+    builds_on: int
+    author: str
+    text: str
+
+
+class Renewal(_Wire, tag=21):
+    """The version in force, appended again before retention takes it.
+
+    Attributes:
+        version: Number of the version.
+        as_of: Offset up to which its writer had decided publications.
+        publication: The publication in force.
+    """
+
+    version: int
+    as_of: int
+    publication: Publication
+
+
+class Announcement(_Wire, tag=22):
+    """A process that can be joined through, and what it serves."""
+
+    info: ProcessInfo
+
+
+class Takeover(_Wire, tag=23):
+    """Claims a lease; the first in log order for an epoch wins.
+
+    Attributes:
+        resource: What is leased.
+        epoch: Epoch it starts; the one before it plus one.
+        holder: Name of the process.
+        boot: Its boot.
+        successors: Processes whose promises stand in for the log.
+        refresh: Whether the holder repeats it, before retention takes it or
+            to name other successors.
+    """
+
+    resource: str
+    epoch: int
+    holder: str
+    boot: int
+    successors: tuple[str, ...]
+    refresh: bool = False
+
+
+class Release(_Wire, tag=24):
+    """Gives a lease up; the next epoch may start at once.
+
+    Attributes:
+        resource: What is leased.
+        epoch: Its epoch.
+        boot: Boot of the holder.
+        known_from: Wall time since when the claims on the log name every
+            key that may have run; seconds since the epoch.
+    """
+
+    resource: str
+    epoch: int
+    boot: int
+    known_from: float
+
+
+class Claim(_Wire):
+    """One idempotency key that is about to run.
+
+    Attributes:
+        key: Hash of service, caller and key.
+        fingerprint: Hash of what the request asks for.
+        at: Wall time at the owner, seconds since the epoch.
+    """
+
+    key: bytes
+    fingerprint: bytes
+    at: float
+
+
+class Claims(_Wire, tag=25):
+    """Claims of one owner, written together before any of them runs."""
+
+    resource: str
+    epoch: int
+    boot: int
+    claims: tuple[Claim, ...]
+
+
+LogRecord: TypeAlias = (
+    Publication | Renewal | Announcement | Takeover | Release | Claims
+)
+
+
+# Control messages between processes, one way each.
+
+
+class Ping(_Wire, tag=40):
+    """A heartbeat with news; the receiver answers with a Pong."""
+
+    sender: ProcessInfo
+    number: int
+    sent: float
+    digest: int
+    rumors: tuple[Rumor, ...]
+
+
+class Pong(_Wire, tag=41):
+    """Answer to a Ping."""
+
+    sender: ProcessInfo
+    number: int
+    digest: int
+    rumors: tuple[Rumor, ...]
+
+
+class SyncRequest(_Wire, tag=42):
+    """Asks for all that the receiver knows of processes."""
+
+    sender: ProcessInfo
+
+
+class SyncReply(_Wire, tag=43):
+    """All that the sender knows of processes, in parts."""
+
+    sender: ProcessInfo
+    rumors: tuple[Rumor, ...]
+
+
+class VersionOffer(_Wire, tag=44):
+    """The version in force, for one that is behind."""
+
+    sender: ProcessInfo
+    renewal: Renewal
+
+
+class PromiseRequest(_Wire, tag=45):
+    """Asks a successor not to take a lease over for a while.
+
+    Attributes:
+        sender: The holder.
+        resource: What is leased.
+        epoch: Its epoch.
+        number: Number of the request; its send time is kept by the sender.
+    """
+
+    sender: ProcessInfo
+    resource: str
+    epoch: int
+    number: int
+
+
+class Promise(_Wire, tag=46):
+    """A successor's word that it has not started to take over."""
+
+    sender: ProcessInfo
+    resource: str
+    epoch: int
+    number: int
+
+
+class PermitRequest(_Wire, tag=47):
+    """A guard asks to eject a target, or to keep it ejected.
+
+    Attributes:
+        sender: The guard's process.
+        service: Name of the service.
+        target: Name of the target.
+        held: Whether a permit is held already.
+        slow: Whether the evidence is slowness alone.
+        number: Number of the request.
+    """
+
+    sender: ProcessInfo
+    service: str
+    target: str
+    held: bool
+    slow: bool
+    number: int
+
+
+class PermitReply(_Wire, tag=48):
+    """The floor owner's answer; absent or late means no.
+
+    Attributes:
+        sender: The floor owner's process.
+        target: Name of the target.
+        number: Number of the request.
+        granted: Whether it may be ejected.
+        lease: Seconds from the sending of the request that it holds.
+        cause: Why, in a few words.
+    """
+
+    sender: ProcessInfo
+    target: str
+    number: int
+    granted: bool
+    lease: float
+    cause: str
+
+
+class PermitReturn(_Wire, tag=49):
+    """A guard gives a permit back: the target takes requests again."""
+
+    sender: ProcessInfo
+    service: str
+    target: str
+
+
+Control: TypeAlias = (
+    Ping
+    | Pong
+    | SyncRequest
+    | SyncReply
+    | VersionOffer
+    | PromiseRequest
+    | Promise
+    | PermitRequest
+    | PermitReply
+    | PermitReturn
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_frames = msgspec.msgpack.Decoder(Frame)
+_records = msgspec.msgpack.Decoder(LogRecord)
+_controls = msgspec.msgpack.Decoder(Control)
+
+
+class Malformed(errors.ForkliftError):
+    """Bytes that are no message of ours."""
+
+    def __init__(self, detail: str):
+        super().__init__(
+            f"malformed message ({detail}); run one version on both sides"
+        )
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Encodes any message.
+
+    >>> decode_frame(encode(Cancel(7)))
+    Cancel(id=7)
+    """
+    return _encoder.encode(message)
+
+
+def decode_frame(data: bytes | memoryview) -> Frame:
+    """Decodes a frame between processes.
+
+    Raises:
+        Malformed: The bytes are no frame.
+    """
+    return _decode(_frames, data)
+
+
+def decode_record(data: bytes) -> LogRecord:
+    """Decodes a record of the log.
+
+    Raises:
+        Malformed: The bytes are no record.
+    """
+    return _decode(_records, data)
+
+
+def decode_control(data: bytes) -> Control:
+    """Decodes a control message.
+
+    Raises:
+        Malformed: The bytes are no control message.
+    """
+    return _decode(_controls, data)
+
+
+def _decode(decoder: msgspec.msgpack.Decoder, data: bytes | memoryview):
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise Malformed(str(error)) from error
--- /dev/null
+++ b/forklift/overlay.py
@@ -0,0 +1,29 @@
+"""Bounded, stable choices among many names, the same on every process.
+
+Rendezvous hashing (Thaler and Ravishankar, 1998): each name gets a score with
+the chooser's salt, the highest win, and a change of one name moves only that
+name's share.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def score(salt: str, name: str) -> int:
+    """A score that every process computes alike."""
+    return xxhash.xxh3_64_intdigest(f"{salt}\0{name}".encode())
+
+
+def rank(salt: str, names: Iterable[str]) -> list[str]:
+    """Names from the highest score to the lowest.
+
+    >>> rank("r", ["a", "b"]) == rank("r", ["b", "a"])
+    True
+    """
+    return sorted(names, key=lambda name: (-score(salt, name), name))
+
+
+def pick(salt: str, names: Iterable[str], most: int) -> list[str]:
+    """At most `most` names."""
+    return rank(salt, names)[:most]
--- /dev/null
+++ b/forklift/ports.py
@@ -0,0 +1,91 @@
+"""The four ports between the decisions and the world.
+
+Each has a contract test that the real adapter and the stand-in both pass.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Protocol
+
+from forklift import messages
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """One record of a stream.
+
+    Attributes:
+        stream: Name of the stream.
+        offset: Position in the stream, from 0, never reused.
+        data: The bytes as appended.
+    """
+
+    stream: str
+    offset: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Batch:
+    """What a read of one stream gave.
+
+    Attributes:
+        stream: Name of the stream.
+        first: Lowest offset that is still retained.
+        next: Offset to read from next.
+        records: The records in order of offset.
+    """
+
+    stream: str
+    first: int
+    next: int
+    records: tuple[Record, ...]
+
+
+class Log(Protocol):
+    """The platform's append-only log with offsets."""
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Appends and returns the offset.
+
+        Raises:
+            errors.LogUnavailable: No answer; the append may have happened.
+        """
+
+    async def read(
+        self, next_by_stream: Mapping[str, int], wait: float
+    ) -> Sequence[Batch]:
+        """Reads from given offsets; waits up to `wait` seconds for news.
+
+        Raises:
+            errors.LogUnavailable: No answer.
+        """
+
+
+class Clock(Protocol):
+    """Time, handed in wherever a decision needs it."""
+
+    def monotonic(self) -> float:
+        """Seconds that never go back; compared within one process only."""
+
+    def wall(self) -> float:
+        """Seconds since the epoch; compared between processes with care."""
+
+
+class Transport(Protocol):
+    """One-way control messages between processes."""
+
+    def send(self, address: str, message: messages.Control) -> bool:
+        """Hands a message to the network; False when it was dropped."""
+
+
+class Target(Protocol):
+    """A server behind its guard."""
+
+    async def connect(self) -> object:
+        """Opens a connection to the target.
+
+        Raises:
+            OSError: Refused or unreachable; nothing was sent.
+        """
--- /dev/null
+++ b/forklift/shell/__init__.py
@@ -0,0 +1,1 @@
+"""The asyncio shell around the decisions: sockets and time."""
--- /dev/null
+++ b/forklift/shell/admin.py
@@ -0,0 +1,220 @@
+"""The admin address: targets announce, operators ask, scrapers read.
+
+A small HTTP server over h11. What it can do is a registry of handlers.
+"""
+
+import dataclasses
+import hmac
+import urllib.parse
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from forklift import errors
+from forklift import report
+from forklift.shell import http
+from forklift.shell import publish
+from forklift.shell import reports
+from forklift.shell import server
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One request to the admin address.
+
+    Attributes:
+        name: Last part of the path, for handlers that take one.
+        query: Parameters of the query.
+        body: The body.
+    """
+
+    name: str
+    query: dict[str, str]
+    body: bytes
+
+
+Handler = Callable[["Admin", Call], Awaitable[server.Response]]
+handler_by_route: dict[tuple[str, str], Handler] = {}
+# Read by scrapers and health checks that hold no key.
+_OPEN = ("healthz", "readyz", "metrics")
+
+
+def handles(method: str, path: str) -> Callable[[Handler], Handler]:
+    """Registers a handler; a path that ends in / takes a name."""
+
+    def register(handler: Handler) -> Handler:
+        handler_by_route[(method, path)] = handler
+        return handler
+
+    return register
+
+
+class Admin:
+    """The admin server of one process."""
+
+    def __init__(self, node):
+        self.node = node
+        self.publisher = publish.Publisher(node)
+        self.on_drain_all: Callable[[], None] = lambda: None
+        self._server = server.Server(self._answer)
+        self._key = node.settings.process.key.encode()
+        self.refused = 0
+
+    async def open(self) -> None:
+        """Listens.
+
+        Raises:
+            errors.UserError: The address is taken.
+        """
+        address = self.node.settings.process.admin
+        try:
+            await self._server.open(address)
+        except OSError as error:
+            raise errors.UserError(
+                f"can't listen on {address} ({error}); check [process] admin"
+            ) from error
+
+    def close(self) -> None:
+        """Stops listening."""
+        self._server.close()
+
+    async def _answer(self, request: server.Request) -> server.Response:
+        method = request.method
+        target = urllib.parse.urlsplit(request.target)
+        path, name = _split(method, target.path)
+        handler = handler_by_route.get((method, path))
+        if handler is None:
+            return problem(404, "no such call; see docs/OPERATIONS.md")
+        if path not in _OPEN and not self._allowed(request):
+            self.refused += 1
+            _log.warning("admin_refused", call=path)
+            return problem(
+                401, "the key is wrong or absent; pass the [process] key"
+            )
+        query = dict(urllib.parse.parse_qsl(target.query))
+        try:
+            return await handler(self, Call(name, query, request.body))
+        except errors.UserError as error:
+            return problem(400, str(error))
+        except msgspec.MsgspecError as error:
+            return problem(400, f"{error}; send the JSON that docs describe")
+
+    def _allowed(self, request: server.Request) -> bool:
+        if not self._key:
+            return True
+        given = http.value(request.headers, b"authorization") or b""
+        return hmac.compare_digest(given, b"Bearer " + self._key)
+
+
+def _split(method: str, path: str) -> tuple[str, str]:
+    """Splits a path into the part of the registry and a name.
+
+    >>> _split("POST", "/targets/releves-1")
+    ('targets/', 'releves-1')
+    """
+    bare = path.strip("/")
+    if (method, bare) in handler_by_route:
+        return bare, ""
+    for registered_method, registered in handler_by_route:
+        head, _, tail = registered.partition("/")
+        if registered_method != method or not _:
+            continue
+        parts = bare.split("/")
+        if parts[0] != head or len(parts) < 2:
+            continue
+        if "/".join(parts[2:]) == tail:
+            return registered, urllib.parse.unquote(parts[1])
+    return bare, ""
+
+
+def json(value: msgspec.Struct, status: int = 200) -> server.Response:
+    """A reply with a report."""
+    return server.Response(status, msgspec.json.encode(value))
+
+
+def problem(status: int, message: str) -> server.Response:
+    """A reply with an error."""
+    return json(report.Problem(message), status)
+
+
+@handles("GET", "healthz")
+async def healthz(admin: Admin, call: Call) -> server.Response:
+    """Whether the process runs."""
+    return server.Response(200, b"ok\n", b"text/plain")
+
+
+@handles("GET", "readyz")
+async def readyz(admin: Admin, call: Call) -> server.Response:
+    """Whether callers should be sent here."""
+    ready = admin.node.ready()
+    body = b"ready\n" if ready else b"not ready\n"
+    return server.Response(200 if ready else 503, body, b"text/plain")
+
+
+@handles("GET", "metrics")
+async def metrics(admin: Admin, call: Call) -> server.Response:
+    """Metrics in the Prometheus text format."""
+    text = admin.node.telemetry.text()
+    return server.Response(200, text, b"text/plain; version=0.0.4")
+
+
+@handles("GET", "status")
+async def status(admin: Admin, call: Call) -> server.Response:
+    """What the process sees of the fleet."""
+    return json(reports.status(admin.node))
+
+
+@handles("GET", "state")
+async def state(admin: Admin, call: Call) -> server.Response:
+    """The full dump of the process."""
+    return json(reports.state(admin.node))
+
+
+@handles("GET", "explain/")
+async def explain(admin: Admin, call: Call) -> server.Response:
+    """The recent decisions about a local target."""
+    found = reports.explain(admin.node, call.name)
+    if found is None:
+        return problem(404, f"no target {call.name} beside this process")
+    return json(found)
+
+
+@handles("POST", "publish")
+async def publish_policy(admin: Admin, call: Call) -> server.Response:
+    """Publishes a policy."""
+    request = msgspec.json.decode(call.body, type=report.PublishRequest)
+    return json(await admin.publisher.publish(request))
+
+
+@handles("POST", "targets/")
+async def announce(admin: Admin, call: Call) -> server.Response:
+    """A target announces itself, or renews."""
+    said = msgspec.json.decode(call.body, type=report.Announce)
+    return json(admin.node.announce(call.name, said))
+
+
+@handles("POST", "targets/drain")
+async def drain(admin: Admin, call: Call) -> server.Response:
+    """A target is to take no new request."""
+    if not admin.node.drain(call.name):
+        return problem(404, f"no target {call.name} beside this process")
+    return json(reports.explain(admin.node, call.name))
+
+
+@handles("DELETE", "targets/")
+async def leave(admin: Admin, call: Call) -> server.Response:
+    """A target is gone."""
+    if not admin.node.leave(call.name):
+        return problem(404, f"no target {call.name} beside this process")
+    return json(reports.explain(admin.node, call.name))
+
+
+@handles("POST", "drain")
+async def drain_all(admin: Admin, call: Call) -> server.Response:
+    """A planned stop of the process."""
+    admin.on_drain_all()
+    return json(reports.status(admin.node))
--- /dev/null
+++ b/forklift/shell/control.py
@@ -0,0 +1,177 @@
+"""Control messages between processes over nng push and pull sockets.
+
+Each message is one way and may be lost, which is how the decisions treat it.
+With a shared key each message carries a code over its receiver, its sender's
+boot, a counter and its bytes, so that none can be forged, sent on to another
+process or played again.
+"""
+
+import asyncio
+import collections
+import hmac
+import struct
+from collections.abc import Callable
+
+import pynng
+import structlog
+
+from forklift import messages
+
+_log = structlog.get_logger(__name__)
+_HEADER = struct.Struct("!QQd")
+_CODE_BYTES = 16
+MAX_SOCKETS = 96
+MAX_AGE = 10.0
+SEND_BUFFER = 64
+
+# One loop on one thread decides; nng's own threads only move bytes. Its
+# defaults start 30 of them, these settings start 6 (docs/DESIGN.md).
+_TASKS, _EXPIRY, _POLLERS, _RESOLVERS = (1, 5), (2, 6), (3, 7), (4,)
+_THREADS = {2: _TASKS, 1: _EXPIRY + _POLLERS + _RESOLVERS}
+for _threads, _parameters in _THREADS.items():
+    for _parameter in _parameters:
+        pynng._nng.lib.nng_init_set_parameter(_parameter, _threads)
+
+
+class Control:
+    """Sends and receives control messages; see `ports.Transport`."""
+
+    def __init__(
+        self,
+        address: str,
+        boot: int,
+        key: bytes,
+        wall: Callable[[], float],
+        on_message: Callable[[messages.Control], None],
+    ):
+        self._address = address
+        self._boot = boot
+        self._key = key
+        self._wall = wall
+        self._on_message = on_message
+        self._counter = 0
+        self._last_by_boot: dict[int, tuple[int, float]] = {}
+        self._socket_by_address: collections.OrderedDict[str, pynng.Push0] = (
+            collections.OrderedDict()
+        )
+        self._pull = pynng.Pull0(recv_max_size=messages.MAX_CONTROL_BYTES)
+        self._task: asyncio.Task | None = None
+        self.sent = 0
+        self.sent_bytes = 0
+        self.dropped = 0
+        self.received = 0
+        self.received_bytes = 0
+        self.refused = 0
+
+    def open(self) -> None:
+        """Listens.
+
+        Raises:
+            pynng.AddressInUse: The address is taken.
+        """
+        self._pull.listen(f"tcp://{self._address}")
+        self._task = asyncio.create_task(self._receive())
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        if self._task is not None:
+            self._task.cancel()
+        self._pull.close()
+        for socket in self._socket_by_address.values():
+            socket.close()
+        self._socket_by_address.clear()
+
+    def send(self, address: str, message: messages.Control) -> bool:
+        """See `ports.Transport`."""
+        data = messages.encode(message)
+        if self._key:
+            data = self._seal(address, data)
+        try:
+            self._socket(address).send(data, block=False)
+        except pynng.NNGException:
+            self.dropped += 1
+            return False
+        self.sent += 1
+        self.sent_bytes += len(data)
+        return True
+
+    def _socket(self, address: str) -> pynng.Push0:
+        socket = self._socket_by_address.pop(address, None)
+        if socket is None:
+            socket = pynng.Push0(
+                send_buffer_size=SEND_BUFFER,
+                reconnect_time_min=50,
+                reconnect_time_max=2000,
+            )
+            socket.dial(f"tcp://{address}", block=False)
+        self._socket_by_address[address] = socket
+        if len(self._socket_by_address) > MAX_SOCKETS:
+            _, oldest = self._socket_by_address.popitem(last=False)
+            oldest.close()
+        return socket
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                data = await self._pull.arecv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                _log.warning("control_receive", detail=str(error))
+                continue
+            self.received += 1
+            self.received_bytes += len(data)
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            if self._key:
+                data = self._unseal(data)
+            message = messages.decode_control(data)
+        except messages.Malformed as error:
+            self.refused += 1
+            _log.warning("control_refused", detail=str(error))
+            return
+        try:
+            self._on_message(message)
+        except Exception:
+            _log.exception("control_failed", kind=type(message).__name__)
+
+    def _seal(self, address: str, data: bytes) -> bytes:
+        self._counter += 1
+        header = _HEADER.pack(self._boot, self._counter, self._wall())
+        return header + self._code(address, header, data) + data
+
+    def _unseal(self, sealed: bytes) -> bytes:
+        start = _HEADER.size + _CODE_BYTES
+        if len(sealed) < start:
+            raise messages.Malformed("too short for its code")
+        header = sealed[: _HEADER.size]
+        code = sealed[_HEADER.size : start]
+        data = sealed[start:]
+        wanted = self._code(self._address, header, data)
+        if not hmac.compare_digest(code, wanted):
+            raise messages.Malformed("the shared key differs")
+        boot, counter, sent = _HEADER.unpack(header)
+        self._check_fresh(boot, counter, sent)
+        return data
+
+    def _check_fresh(self, boot: int, counter: int, sent: float) -> None:
+        now = self._wall()
+        if abs(now - sent) > MAX_AGE:
+            raise messages.Malformed("its time is too far from ours")
+        last, _ = self._last_by_boot.get(boot, (0, 0.0))
+        if counter <= last:
+            raise messages.Malformed("played again")
+        self._last_by_boot[boot] = (counter, now)
+        if len(self._last_by_boot) > 4 * MAX_SOCKETS:
+            # Older than this their times alone refuse them.
+            self._last_by_boot = {
+                known: (number, at)
+                for known, (number, at) in self._last_by_boot.items()
+                if now - at <= 2 * MAX_AGE
+            }
+
+    def _code(self, address: str, header: bytes, data: bytes) -> bytes:
+        text = address.encode() + b"\0" + header + data
+        return hmac.digest(self._key, text, "sha256")[:_CODE_BYTES]
--- /dev/null
+++ b/forklift/shell/exchange.py
@@ -0,0 +1,209 @@
+"""A request and the place its answer goes to, whatever carries them."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from typing import Protocol
+
+from forklift import entry
+from forklift import errors
+from forklift import messages
+from forklift.shell import http
+
+# A body up to this size travels with its request and can be sent again.
+INLINE_BYTES = 16_384
+
+
+class BodyBroken(errors.ForkliftError):
+    """A body ended before it was complete."""
+
+    def __init__(self, detail: str):
+        super().__init__(f"the body broke off ({detail}); send it again")
+
+
+class Body:
+    """A request's body: its first bytes, and a source of the rest."""
+
+    def __init__(
+        self,
+        first: bytes = b"",
+        rest: AsyncIterator[bytes] | None = None,
+    ):
+        self.first = first
+        self._rest = rest
+        self.touched = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether `first` is all of it."""
+        return self._rest is None
+
+    @property
+    def again(self) -> bool:
+        """Whether it can be sent again from its start."""
+        return self.complete or not self.touched
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """The whole body in pieces.
+
+        Raises:
+            BodyBroken: It ended early.
+        """
+        if self.first:
+            yield self.first
+        if self._rest is not None:
+            self.touched = True
+            async for piece in self._rest:
+                yield piece
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A request on its way through this process.
+
+    Attributes:
+        id: Identity that logs and answers carry.
+        seq: Identity that fences know it by.
+        service: Name of the service.
+        route: Name of the route.
+        method: HTTP method.
+        path: Request target as the caller sent it.
+        headers: End-to-end headers.
+        length: Length of the body, -1 when chunked.
+        body: The body.
+        deadline: Monotonic seconds.
+        repeatable: Whether a second run does no harm.
+        key: Idempotency key, or empty.
+        caller: Who the key belongs to.
+        hops: Entries that handed it on.
+    """
+
+    id: str
+    seq: int
+    service: str
+    route: str
+    method: bytes
+    path: bytes
+    headers: http.Headers
+    length: int
+    body: Body
+    deadline: float
+    repeatable: bool
+    key: str
+    caller: bytes
+    hops: int
+
+
+class Sink(Protocol):
+    """Where an answer goes: a caller, or a peer that asked."""
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head was passed on, so that no other may be."""
+
+    async def start(
+        self,
+        status: int,
+        headers: http.Headers,
+        length: int,
+        target: str,
+        load: messages.Load | None,
+    ) -> None:
+        """Passes the head on; a length of -1 is chunked."""
+
+    async def data(self, piece: bytes) -> None:
+        """Passes a piece of the body on."""
+
+    async def end(self) -> None:
+        """The answer is whole."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """How an attempt ended, and what the guard said of the target.
+
+    Attributes:
+        ending: How it ended.
+        load: Load of the target, where it is known.
+        target: Name of the target, empty where none was reached.
+    """
+
+    ending: entry.Ending
+    load: messages.Load | None = None
+    target: str = ""
+
+
+def not_run(
+    reason: messages.Reason,
+    retry_after: float = 0.0,
+    load: messages.Load | None = None,
+) -> Result:
+    """A result that is proven not to have run."""
+    outcome = messages.Outcome.NOT_RUN
+    ending = entry.Ending(outcome, reason, retry_after=retry_after)
+    return Result(ending, load)
+
+
+def unknown(
+    reason: messages.Reason, load: messages.Load | None = None
+) -> Result:
+    """A result that may have run."""
+    ending = entry.Ending(messages.Outcome.UNKNOWN, reason)
+    return Result(ending, load)
+
+
+def answered(
+    status: int, target: str, load: messages.Load | None = None
+) -> Result:
+    """A result that was answered whole."""
+    ending = entry.Ending(messages.Outcome.ANSWERED, None, status)
+    return Result(ending, load, target)
+
+
+class Pieces:
+    """A stream of body pieces between a producer and one consumer.
+
+    The producer is bounded by the credit that `on_taken` gives back.
+    """
+
+    def __init__(self, on_taken: Callable[[int], None]):
+        self._on_taken = on_taken
+        self._pieces: list[bytes] = []
+        self._ended = False
+        self._broken = ""
+        self._news = asyncio.Event()
+        self.held = 0
+
+    def feed(self, piece: bytes, end: bool) -> None:
+        """The producer has a piece."""
+        if piece:
+            self._pieces.append(piece)
+            self.held += len(piece)
+        self._ended = self._ended or end
+        self._news.set()
+
+    def fail(self, detail: str) -> None:
+        """The producer broke off."""
+        if not self._ended:
+            self._broken = detail
+        self._news.set()
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yields the pieces in order.
+
+        Raises:
+            BodyBroken: The producer broke off.
+        """
+        while True:
+            while self._pieces:
+                piece = self._pieces.pop(0)
+                self.held -= len(piece)
+                yield piece
+                self._on_taken(len(piece))
+            if self._ended:
+                return
+            if self._broken:
+                raise BodyBroken(self._broken)
+            self._news.clear()
+            await self._news.wait()
--- /dev/null
+++ b/forklift/shell/links.py
@@ -0,0 +1,90 @@
+"""The open connections to peers, by the name of the process."""
+
+import asyncio
+from collections.abc import Callable
+
+from forklift import entry
+from forklift import errors
+from forklift import membership
+from forklift import messages
+from forklift.shell import peers
+from forklift.shell import wire
+
+
+class Links:
+    """Opens connections on demand and shares them among requests."""
+
+    def __init__(
+        self,
+        directory: membership.Directory,
+        decisions: entry.Entry,
+        hello: Callable[[], messages.Hello],
+        key: bytes,
+        clock,
+    ):
+        self._directory = directory
+        self._entry = decisions
+        self._hello = hello
+        self._key = key
+        self._clock = clock
+        self.link_by_process: dict[str, peers.Link] = {}
+        self._opening_by_process: dict[str, asyncio.Task] = {}
+
+    async def get(self, process: str) -> peers.Link:
+        """The connection to a process, opened where there is none.
+
+        Raises:
+            errors.PeerUnreachable: Nothing was sent.
+        """
+        link = self.link_by_process.get(process)
+        if link is not None and not link.lost:
+            return link
+        opening = self._opening_by_process.get(process)
+        if opening is None:
+            opening = asyncio.create_task(self._open(process))
+            self._opening_by_process[process] = opening
+            opening.add_done_callback(
+                lambda _: self._opening_by_process.pop(process, None)
+            )
+        return await asyncio.shield(opening)
+
+    def tick(self) -> None:
+        """Asks for signs of life where answers are owed; judges paths."""
+        now = self._clock.monotonic()
+        for process, link in list(self.link_by_process.items()):
+            if link.lost:
+                del self.link_by_process[process]
+            elif link.waiting:
+                self._entry.sent(process, now)
+                link.beat()
+            else:
+                self._entry.settled(process)
+        for process in self._entry.silent(now):
+            link = self.link_by_process.get(process)
+            if link is not None:
+                link.give_up_repeatable()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for link in self.link_by_process.values():
+            link.close()
+
+    async def _open(self, process: str) -> peers.Link:
+        member = self._directory.member_by_name.get(process)
+        if member is None:
+            raise errors.PeerUnreachable(process, "not in the directory")
+        now = self._clock.monotonic
+        try:
+            link = await peers.open_link(
+                member.info.peer, self._hello(), self._key
+            )
+        except (OSError, TimeoutError, wire.Lost, peers.Refused) as error:
+            self._entry.path_failed(process, "unreachable", now())
+            detail = str(error) or type(error).__name__
+            raise errors.PeerUnreachable(process, detail) from error
+        if link.peer.name != process:
+            link.close()
+            raise errors.PeerUnreachable(process, "another process answers")
+        link.on_sign = lambda: self._entry.heard(process)
+        self.link_by_process[process] = link
+        return link
--- /dev/null
+++ b/forklift/shell/node.py
@@ -0,0 +1,739 @@
+"""One forklift process: builds the parts, ties them together, stops them."""
+
+import asyncio
+import random
+import secrets
+
+import structlog
+
+from forklift import configuration
+from forklift import effective
+from forklift import entry
+from forklift import errors
+from forklift import guard
+from forklift import ini
+from forklift import invariants
+from forklift import membership
+from forklift import messages
+from forklift import ownership
+from forklift import policy
+from forklift import report
+from forklift import settings
+from forklift.shell import callers
+from forklift.shell import clock as clocks
+from forklift.shell import control
+from forklift.shell import dispatch
+from forklift.shell import exchange
+from forklift.shell import keyed
+from forklift.shell import links
+from forklift.shell import local
+from forklift.shell import logclient
+from forklift.shell import peers
+from forklift.shell import permits
+from forklift.shell import tail
+from forklift.shell import targets
+from forklift.shell import telemetry
+from forklift.shell import wire
+
+_log = structlog.get_logger(__name__)
+State = messages.TargetState
+
+TICK = 0.05
+BEAT_EVERY = 4
+SLOW_EVERY = 10
+TARGET_LEASE = 10.0
+OFFER_PERIOD = 1.0
+OFFER_BYTES = 128_000
+JOIN_PERIOD = 1.0
+ANNOUNCE_SHARE = 1 / 3
+STOP_POLL = 0.02
+READY_AFTER = 3.0
+
+
+class Node:
+    """One process of the fleet, in both its roles."""
+
+    def __init__(self, read: settings.Settings):
+        self.settings = read
+        self.clock = clocks.SystemClock()
+        own = read.process
+        self._key = own.key.encode()
+        self.boot = secrets.randbits(63)
+        info = messages.ProcessInfo(
+            name=own.name,
+            boot=self.boot,
+            incarnation=1,
+            domain=own.domain,
+            peer=own.peer,
+            control=own.control,
+            admin=own.admin,
+            version=1,
+            started=self.clock.wall(),
+            targets=(),
+            config=0,
+        )
+        rng = random.Random(self.boot)
+        self.directory = membership.Directory(info)
+        self.gossip = membership.Gossip(self.directory, rng)
+        self.configuration = configuration.Configuration()
+        self.effective = effective.NOTHING
+        self._policy_by_name: dict[str, policy.Policy] = {}
+        self.entry = entry.Entry(own.name, own.domain, rng)
+        self.guard = guard.Guard()
+        self.owner = ownership.Owner(self.directory, read.log.retention)
+        self.log = logclient.LogClient(read.log.address, read.log.timeout)
+        self.telemetry = telemetry.Telemetry(own.name)
+        self._build_data_path()
+        self._build_control_path()
+        self._renewed_by_target: dict[str, float] = {}
+        self._tasks: list[asyncio.Task] = []
+        self._servers: list[asyncio.Server] = []
+        self._served: set[peers.Served] = set()
+        self._learnt = -1
+        self._announced_at = float("-inf")
+        self._announced_targets: tuple = ()
+        self._offered_at: dict[str, float] = {}
+        self._joined_at = float("-inf")
+        self._started_at = self.clock.monotonic()
+        self.peers_refused = 0
+        self.results_by_outcome: dict[str, int] = {}
+        self.stopping = False
+
+    # Construction.
+
+    def _build_data_path(self) -> None:
+        self.local = local.Local(self.guard, self.clock)
+        self.local.on_actions = self._act
+        self.links = links.Links(
+            self.directory, self.entry, self._hello, self._key, self.clock
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            self.directory, self.entry, self.local, self.links, self.clock
+        )
+        self.keyed = keyed.Keyed(
+            self.owner,
+            self.dispatcher,
+            self.log,
+            self.settings.limits,
+            self.clock,
+            self.directory.own.name,
+        )
+        self.callers = callers.Callers(
+            self.settings.limits,
+            self.find_route,
+            self.handle,
+            self.dispatcher.next_seq,
+            self.clock,
+            self._on_result,
+        )
+
+    def _build_control_path(self) -> None:
+        self.control = control.Control(
+            self.settings.process.control,
+            self.boot,
+            self._key,
+            self.clock.wall,
+            self._on_control,
+        )
+        self.permits = permits.Permits(
+            self.directory,
+            self.owner,
+            self.guard,
+            self.program,
+            self.control.send,
+            self.clock,
+        )
+        self.permits.on_change = self.describe
+        self.permits.on_refused = self.local.settle
+        self.tail = tail.Tail(
+            self.log,
+            self.clock,
+            self.configuration,
+            self._on_config,
+            self._on_lease,
+            self.owner.missed,
+            self.owner.confirmed,
+            self._on_member,
+        )
+
+    # Life.
+
+    async def start(self) -> None:
+        """Listens and begins to work.
+
+        Raises:
+            errors.UserError: An address can't be listened on.
+        """
+        own = self.settings.process
+        try:
+            self.control.open()
+            self._servers.append(
+                await wire.listen(own.caller, self.callers.accept)
+            )
+            self._servers.append(await self._listen_peers(own.peer))
+        except (OSError, control.pynng.NNGException) as error:
+            raise errors.UserError(
+                f"can't listen ({error}); check the addresses in [process]"
+            ) from error
+        self._spawn(self.tail.run())
+        self._spawn(self._tick_for_ever())
+        _log.info("started", process=own.name, boot=self.boot)
+
+    async def stop(self) -> None:
+        """Stops as planned: nothing in flight is cut off."""
+        self.stopping = True
+        self.owner.stopping = True
+        deadline = self.clock.monotonic() + self.settings.limits.stop
+        _log.info("stopping", running=self.running())
+        for name in list(self.guard.target_by_name):
+            self.drain(name)
+        self._servers[0].close()
+        self.callers.stop()
+        while self.running() and self.clock.monotonic() < deadline:
+            await asyncio.sleep(STOP_POLL)
+        passed = self.clock.monotonic() >= deadline
+        invariants.nothing_cut_off(self.running(), passed)
+        await self.keyed.release()
+        self._send(self.gossip.leave())
+        await asyncio.sleep(STOP_POLL)
+        await self.close()
+        _log.info("stopped", cut_off=self.running())
+
+    async def close(self) -> None:
+        """Ends everything at once."""
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for served in list(self._served):
+            served.close()
+        self.links.close()
+        for endpoint in self.local.endpoint_by_target.values():
+            endpoint.pool.close()
+        self.control.close()
+        self.log.close()
+
+    def running(self) -> int:
+        """Requests in flight in any role."""
+        served = sum(1 for served in self._served if served.busy)
+        return (
+            self.callers.running
+            + self.local.running
+            + self.keyed.running
+            + served
+        )
+
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        if self.stopping or not self.effective.services_by_name:
+            return False
+        if self.tail.caught_up:
+            return True
+        age = self.clock.monotonic() - self._started_at
+        return age >= READY_AFTER and bool(self.directory.member_by_name)
+
+    # The request path.
+
+    def find_route(
+        self, host: str, path: str
+    ) -> tuple[str, policy.Service] | None:
+        """The route of a request and the program of its service."""
+        route = self.effective.routes.find(host, path)
+        if route is None:
+            return None
+        program = self.effective.services_by_name.get(route.service)
+        return (route.name, program) if program is not None else None
+
+    def policies(self) -> dict[str, policy.Policy]:
+        """The policies in force, by name."""
+        return self._policy_by_name
+
+    def program(self, service: str) -> policy.Service | None:
+        """The program of a service in force."""
+        return self.effective.services_by_name.get(service)
+
+    async def handle(
+        self, request: exchange.Request, sink: exchange.Sink
+    ) -> exchange.Result:
+        """Runs a request of a caller or a peer in the role of entry."""
+        if not request.key:
+            return await self.dispatcher.run(request, sink)
+        program = self.program(request.service)
+        memory = program.key_memory if program else 0.0
+        memory = min(memory, self.settings.log.retention)
+        if not self.entry.knows(request.service):
+            return await self.dispatcher.hand_on(request, sink)
+        return await self.keyed.run(request, sink, memory)
+
+    async def _serve_peer(
+        self,
+        served: peers.Served,
+        start: messages.RequestStart,
+        body: exchange.Body,
+        answerer: peers.Answerer,
+    ) -> exchange.Result:
+        now = self.clock.monotonic()
+        # A pause may have aged this frame by more than its sender knows.
+        self.local.settle(self.guard.observe(now))
+        request = exchange.Request(
+            start.request_id,
+            start.seq,
+            start.service,
+            start.route,
+            start.method,
+            start.path,
+            start.headers,
+            start.length,
+            body,
+            now + start.remaining,
+            start.repeatable,
+            start.key,
+            start.caller,
+            start.hops,
+        )
+        identity = (served.peer.boot, start.seq)
+        if not start.target:
+            if not self.guard.fences.start(identity, now):
+                return exchange.not_run(messages.Reason.FENCED)
+            return await self.handle(request, answerer)
+        ticket = guard.Ticket(
+            identity,
+            start.target,
+            start.service,
+            start.route,
+            start.repeatable,
+            request.deadline,
+            start.incarnation,
+        )
+        return await self.local.run(ticket, request, answerer)
+
+    def _fence(self, fence: messages.Fence) -> bool:
+        if fence.to_boot != self.boot:
+            # An earlier run of this process may have started it.
+            return False
+        now = self.clock.monotonic()
+        not_run, refused = self.guard.fence((fence.boot, fence.seq), now)
+        if refused is not None:
+            self.local.settle((refused,))
+        return not_run
+
+    async def _listen_peers(self, address: str) -> asyncio.Server:
+        host, port = wire.split_address(address)
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: peers.Frames(self._accept_peer), host, port, backlog=1024
+        )
+
+    def _accept_peer(self, frames: peers.Frames) -> None:
+        served = peers.Served(
+            frames,
+            self._hello,
+            self._key,
+            self._serve_peer,
+            self._fence,
+            self._peer_refused,
+        )
+        lost = frames.on_lost
+
+        def forget() -> None:
+            self._served.discard(served)
+            lost()
+
+        frames.on_lost = forget
+        self._served.add(served)
+
+    def _peer_refused(self) -> None:
+        self.peers_refused += 1
+
+    def _hello(self) -> messages.Hello:
+        return messages.Hello(
+            self.directory.own.name,
+            self.boot,
+            self.guard.incarnation,
+            peers.new_nonce(),
+        )
+
+    def _on_result(
+        self, service: str, result: exchange.Result, seconds: float
+    ) -> None:
+        outcome = str(result.ending.outcome)
+        count = self.results_by_outcome.get(outcome, 0)
+        self.results_by_outcome[outcome] = count + 1
+        self.telemetry.request(service, outcome, seconds)
+
+    # Targets.
+
+    def announce(self, name: str, said: report.Announce) -> report.Announced:
+        """A target announces itself, or renews.
+
+        Raises:
+            errors.UserError: Its service or address is not usable.
+        """
+        program = self.program(said.service)
+        if program is None:
+            raise errors.UserError(
+                f"service {said.service} is not declared; publish a policy "
+                "with it, then announce again"
+            )
+        if self.stopping:
+            raise errors.UserError(
+                "this process is stopping; announce to the next one"
+            )
+        _check_announce(name, said)
+        now = self.clock.monotonic()
+        known = self.guard.target_by_name.get(name)
+        if known is not None and known.standing.state is State.DRAINING:
+            self._renewed_by_target[name] = now
+            return report.Announced(TARGET_LEASE, str(State.DRAINING))
+        self._set_endpoint(name, said)
+        target = self.guard.announce(
+            name, said.service, said.slots, program, now
+        )
+        self._renewed_by_target[name] = now
+        if known is None or known.standing.version == 1:
+            self.describe()
+        return report.Announced(TARGET_LEASE, str(target.standing.state))
+
+    def drain(self, name: str) -> bool:
+        """A target is to take no new request; False when it is not here."""
+        if name not in self.guard.target_by_name:
+            return False
+        now = self.clock.monotonic()
+        self.local.settle(self.guard.drain(name, now))
+        _log.info("target_draining", target=name)
+        self.describe()
+        return True
+
+    def leave(self, name: str) -> bool:
+        """A target is gone; False when it is not here."""
+        if name not in self.guard.target_by_name:
+            return False
+        now = self.clock.monotonic()
+        self.local.settle(self.guard.leave(name, now))
+        self._renewed_by_target.pop(name, None)
+        _log.info("target_left", target=name)
+        self.describe()
+        return True
+
+    def describe(self) -> None:
+        """Tells peers of this process's targets at once."""
+        self._describe()
+        self._send(self.gossip.spread(self.directory.own.name))
+
+    def _describe(self) -> None:
+        now = self.clock.monotonic()
+        infos = tuple(
+            messages.TargetInfo(
+                target.name,
+                target.service,
+                self._domain(target.name),
+                target.slots,
+                target.standing.state,
+                round(target.standing.weight(now), 3),
+                target.standing.version,
+                round(target.judge.latency, 4),
+                round(target.judge.failure_share, 3),
+            )
+            for target in self.guard.target_by_name.values()
+            if target.standing.state is not State.LEFT
+        )
+        before = membership.services(self.directory.own)
+        self.directory.update_own(
+            targets=infos,
+            config=self.configuration.total,
+            unheard=self.gossip.unheard()[:16],
+        )
+        if membership.services(self.directory.own) != before:
+            self._meet()
+
+    def _meet(self) -> None:
+        """Asks a few that share a service now for all they know."""
+        sharing = [
+            member.info.control
+            for member in self.directory.member_by_name.values()
+            if member.usable and self.directory.shares(member.info)
+        ]
+        for address in sharing[: membership.FAN_OUT]:
+            self._send([self.gossip.join(address)])
+
+    def _domain(self, target: str) -> str:
+        endpoint = self.local.endpoint_by_target.get(target)
+        return endpoint.domain if endpoint else self.settings.process.domain
+
+    def _set_endpoint(self, name: str, said: report.Announce) -> None:
+        known = self.local.endpoint_by_target.get(name)
+        if known is not None and known.pool.address == said.address:
+            known.pool.most = said.connections
+            return
+        pool = targets.Pool(
+            said.address, said.connections, self.clock.monotonic
+        )
+        self.local.endpoint_by_target[name] = local.Endpoint(
+            pool, said.health, said.load, said.echo, said.domain
+        )
+
+    def _expire_targets(self, now: float) -> None:
+        for name, renewed in list(self._renewed_by_target.items()):
+            if now - renewed > TARGET_LEASE:
+                _log.warning("target_expired", target=name)
+                self.leave(name)
+
+    # Time.
+
+    async def _tick_for_ever(self) -> None:
+        count = 0
+        while True:
+            await asyncio.sleep(TICK)
+            count += 1
+            try:
+                self._tick(count)
+            except Exception:
+                _log.exception("tick_failed")
+                if invariants.FATAL:
+                    raise
+
+    def _tick(self, count: int) -> None:
+        now = self.clock.monotonic()
+        self.local.settle(self.guard.observe(now))
+        self._learn()
+        before = self._versions()
+        decisions, actions = self.guard.tick(now)
+        self.local.settle(decisions)
+        self._act(actions)
+        if self._versions() != before:
+            self._log_states()
+            self.describe()
+        if count % BEAT_EVERY == 0:
+            self.links.tick()
+        if count % SLOW_EVERY == 0:
+            self._tick_slowly(now)
+        self._send(self.gossip.tick(now))
+
+    def _tick_slowly(self, now: float) -> None:
+        self._describe()
+        self._expire_targets(now)
+        for target in self.guard.target_by_name.values():
+            target.normal = self.entry.normal(target.service)
+        for action in self.owner.tick(self.own_services(), now):
+            if isinstance(action, ownership.Append):
+                self._spawn(self._append(tail.LEASES, action.record))
+            else:
+                self.control.send(action.address, action.message)
+        self._announce_on_log(now)
+        self._renew_policies()
+        self._join(now)
+
+    def _learn(self) -> None:
+        if self._learnt == self.directory.generation:
+            return
+        self._learnt = self.directory.generation
+        self.entry.learn(self.directory.usable())
+
+    def _versions(self) -> int:
+        return sum(
+            target.standing.version
+            for target in self.guard.target_by_name.values()
+        )
+
+    def _log_states(self) -> None:
+        for target in self.guard.target_by_name.values():
+            if not target.standing.changes:
+                continue
+            change = target.standing.changes[-1]
+            if self.clock.monotonic() - change.at < 2 * TICK:
+                _log.info(
+                    "target_state",
+                    target=target.name,
+                    service=target.service,
+                    before=str(change.before),
+                    after=str(change.after),
+                    cause=change.cause,
+                )
+
+    def own_services(self) -> list[str]:
+        """Services that have a target beside this process."""
+        return sorted(membership.services(self.directory.own))
+
+    def _act(self, actions: tuple[guard.Action, ...]) -> None:
+        for action in actions:
+            if isinstance(action, guard.Probe):
+                self._spawn(self._probe(action.target))
+            else:
+                self.permits.act(action)
+
+    async def _probe(self, name: str) -> None:
+        endpoint = self.local.endpoint_by_target[name]
+        if not endpoint.health:
+            return
+        well = await targets.probe(endpoint.pool.address, endpoint.health)
+        if not well:
+            standing = self.guard.target_by_name[name].standing
+            standing.probe_failed(self.clock.monotonic())
+
+    async def _append(self, stream: str, record: messages.LogRecord) -> None:
+        try:
+            await self.log.append(stream, messages.encode(record))
+        except errors.LogUnavailable as error:
+            _log.info("append_failed", stream=stream, detail=str(error))
+
+    def _announce_on_log(self, now: float) -> None:
+        """Keeps a way to join through this process on the log."""
+        names = tuple((t.name, t.service) for t in self.directory.own.targets)
+        changed = names != self._announced_targets
+        period = self.settings.log.retention * ANNOUNCE_SHARE
+        if not changed and now - self._announced_at < period:
+            return
+        if self.stopping:
+            return
+        self._announced_at = now
+        self._announced_targets = names
+        record = messages.Announcement(self.directory.own)
+        self._spawn(self._append(tail.MEMBERS, record))
+
+    def _renew_policies(self) -> None:
+        names = [*self.directory.alive(), self.directory.own.name]
+        own = self.directory.own.name
+        due = self.tail.due(names, own, self.settings.log.retention)
+        for name in due:
+            self.tail.seen_by_policy[name] = self.clock.monotonic()
+            chain = self.configuration.chain_by_policy.get(name)
+            base = chain.base() if chain and chain.certain else None
+            if base is not None:
+                self._spawn(self._append(tail.CONFIG, base))
+
+    def _join(self, now: float) -> None:
+        """Asks the addresses in the settings, while nobody is known."""
+        known = any(
+            self.directory.shares(member.info)
+            for member in self.directory.member_by_name.values()
+            if member.usable
+        )
+        if known or now - self._joined_at < JOIN_PERIOD:
+            return
+        self._joined_at = now
+        own = self.settings.process.control
+        for address in self.settings.process.join:
+            if address != own:
+                self._send([self.gossip.join(address)])
+
+    # News.
+
+    def _on_control(self, message: messages.Control) -> None:
+        now = self.clock.monotonic()
+        if isinstance(message, messages.VersionOffer):
+            if self.configuration.adopt(message.renewal):
+                self._on_config(message.renewal.publication.policy)
+            return
+        if isinstance(message, messages.PromiseRequest):
+            promise = self.owner.promise(message)
+            if promise is not None:
+                self.control.send(message.sender.control, promise)
+            return
+        if isinstance(message, messages.Promise):
+            self.owner.promised(message)
+            return
+        if isinstance(
+            message,
+            (
+                messages.PermitRequest,
+                messages.PermitReply,
+                messages.PermitReturn,
+            ),
+        ):
+            self.permits.receive(message)
+            return
+        self._send(self.gossip.receive(message, now))
+        self._offer_versions(message, now)
+
+    def _offer_versions(self, message: messages.Control, now: float) -> None:
+        """Hands what is in force to a peer that is behind."""
+        sender = message.sender
+        behind = sender.config < self.configuration.total
+        asked = isinstance(message, messages.SyncRequest)
+        last = self._offered_at.get(sender.name, float("-inf"))
+        if not behind or (now - last < OFFER_PERIOD and not asked):
+            return
+        self._offered_at[sender.name] = now
+        left = OFFER_BYTES
+        bases = self.configuration.bases()
+        random.shuffle(bases)
+        for base in bases:
+            left -= len(base.publication.text)
+            if left < 0:
+                return
+            offer = messages.VersionOffer(self.directory.own, base)
+            self.control.send(sender.control, offer)
+
+    def _on_config(self, name: str) -> None:
+        version = self.configuration.version(name)
+        try:
+            read = policy.parse(name, version.publication.text)
+        except errors.FileProblems as error:
+            _log.error("policy_unusable", policy=name, detail=str(error))
+            return
+        self._policy_by_name[name] = read
+        self.effective = effective.merge(self._policy_by_name)
+        programs = self.effective.services_by_name
+        self.entry.follow(programs)
+        self.guard.follow(programs)
+        self.entry.learn(self.directory.usable())
+        _log.info(
+            "policy_in_force",
+            policy=name,
+            version=version.number,
+            author=version.publication.author,
+        )
+        self._describe()
+
+    def _on_lease(self, record: messages.Takeover | messages.Release) -> None:
+        began = self.owner.apply(record, self.clock.monotonic())
+        if began is None:
+            return
+        service = record.resource.rpartition("/")[0]
+        program = self.program(service)
+        memory = program.key_memory if program else 3600.0
+        memory = min(memory, self.settings.log.retention)
+        self.keyed.began(began, memory)
+        _log.info(
+            "lease_taken",
+            lease=record.resource,
+            epoch=record.epoch,
+            starts_in=round(began.holding.starts - self.clock.monotonic(), 2),
+        )
+
+    def _on_member(self, info: messages.ProcessInfo) -> None:
+        if info.boot == self.boot:
+            return
+        known = self.directory.member_by_name.get(info.name)
+        if known is not None and known.info.boot == info.boot:
+            return
+        now = self.clock.monotonic()
+        shares = self.directory.shares(info)
+        if self.directory.hear(info, now) and shares:
+            self._send([self.gossip.join(info.control)])
+
+    def _send(self, sends: list[membership.Send]) -> None:
+        for send in sends:
+            self.control.send(send.address, send.message)
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
+
+
+def _check_announce(name: str, said: report.Announce) -> None:
+    try:
+        ini.name(name)
+        ini.name(said.domain)
+        ini.address(said.address)
+    except ValueError as error:
+        raise errors.UserError(
+            f"the announcement of {name} is not usable; {error}"
+        ) from error
+    if not 1 <= said.slots <= 10_000 or said.connections < 1:
+        raise errors.UserError(
+            f"the announcement of {name} needs slots from 1 to 10000 "
+            "and at least 1 connection"
+        )
--- /dev/null
+++ b/forklift/shell/server.py
@@ -0,0 +1,190 @@
+"""A small HTTP server over h11 for whole requests and whole answers."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import h11
+
+from forklift.shell import http
+from forklift.shell import wire
+
+IDLE = 60.0
+MAX_BODY = 4_500_000
+JSON = b"application/json"
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A whole request.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: Headers, names in lower case.
+        body: The whole body.
+    """
+
+    method: str
+    target: str
+    headers: http.Headers
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        body: The whole body.
+        kind: Its media type.
+        headers: Further headers.
+        sent: Bytes of the body that are sent before the connection breaks;
+            -1 sends all. Stand-ins use it to answer short.
+    """
+
+    status: int
+    body: bytes = b""
+    kind: bytes = JSON
+    headers: http.Headers = ()
+    sent: int = -1
+
+
+Handler = Callable[[Request], Awaitable[Response | None]]
+
+
+class Server:
+    """Serves each connection in a task; a None answer closes it."""
+
+    def __init__(self, handler: Handler, max_body: int = MAX_BODY):
+        self._handler = handler
+        self._max_body = max_body
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+        self.cut_off = 0
+
+    async def open(self, address: str) -> None:
+        """Listens.
+
+        Raises:
+            OSError: The address is taken.
+        """
+        self._server = await wire.listen(address, self._accept)
+
+    def close(self) -> None:
+        """Stops listening; open connections go on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def abort(self) -> None:
+        """Stops listening and ends all connections."""
+        self.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _accept(self, connection: wire.Connection) -> None:
+        task = asyncio.create_task(self._serve(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connection: wire.Connection) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(connection, protocol):
+                protocol.start_next_cycle()
+        except (OSError, TimeoutError, h11.ProtocolError):
+            pass
+        finally:
+            connection.close()
+
+    async def _serve_one(
+        self, connection: wire.Connection, protocol: h11.Connection
+    ) -> bool:
+        event = await _next(connection, protocol)
+        if not isinstance(event, h11.Request):
+            return False
+        body = await self._body(connection, protocol)
+        if body is None:
+            return False
+        headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+        request = Request(
+            event.method.decode("ascii"),
+            event.target.decode("latin-1"),
+            headers,
+            body,
+        )
+        response = await self._watched(connection, request)
+        if response is None:
+            connection.abort()
+            return False
+        return await _answer(connection, protocol, request, response)
+
+    async def _body(
+        self, connection: wire.Connection, protocol: h11.Connection
+    ) -> bytes | None:
+        body = bytearray()
+        while True:
+            piece = await _next(connection, protocol)
+            if isinstance(piece, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(piece, h11.Data):
+                return None
+            body += piece.data
+            if len(body) > self._max_body:
+                return None
+
+    async def _watched(
+        self, connection: wire.Connection, request: Request
+    ) -> Response | None:
+        """A caller that goes away cancels its request."""
+        task = asyncio.ensure_future(self._handler(request))
+        connection.on_lost = task.cancel
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if connection.closed:
+                self.cut_off += 1
+                raise wire.Lost("the caller hung up") from None
+            raise
+        finally:
+            connection.on_lost = None
+
+
+async def _next(connection: wire.Connection, protocol: h11.Connection):
+    while True:
+        event = protocol.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if protocol.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            connection.write(protocol.send(go_on))
+        async with asyncio.timeout(IDLE):
+            protocol.receive_data(await connection.read())
+
+
+async def _answer(
+    connection: wire.Connection,
+    protocol: h11.Connection,
+    request: Request,
+    response: Response,
+) -> bool:
+    headers = [
+        *response.headers,
+        (b"content-type", response.kind),
+        (b"content-length", str(len(response.body)).encode()),
+    ]
+    head = h11.Response(status_code=response.status, headers=headers)
+    data = protocol.send(head)
+    if 0 <= response.sent < len(response.body):
+        connection.write(data + response.body[: response.sent])
+        await connection.drain()
+        return False
+    if request.method != "HEAD":
+        data += protocol.send(h11.Data(response.body))
+    data += protocol.send(h11.EndOfMessage())
+    connection.write(data)
+    await connection.drain()
+    return protocol.our_state is h11.DONE
--- /dev/null
+++ b/forklift/shell/wire.py
@@ -0,0 +1,169 @@
+"""A TCP connection with bounded buffers, read and written by one task."""
+
+import asyncio
+from collections.abc import Callable
+
+READ_LIMIT = 65_536
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits "ip:port".
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Lost(ConnectionError):
+    """The other side closed the connection, or it broke."""
+
+
+class Connection(asyncio.Protocol):
+    """Bytes in and out, with backpressure both ways."""
+
+    def __init__(self, on_made: Callable[["Connection"], None] | None = None):
+        self._on_made = on_made
+        self._buffer = bytearray()
+        self._eof = False
+        self._lost = False
+        self._paused = False
+        self._reader: asyncio.Future[None] | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self.on_lost: Callable[[], None] | None = None
+        self.transport: asyncio.Transport | None = None
+        self.peer = ""
+
+    # Called by the loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See `asyncio.Protocol`."""
+        self.transport = transport
+        name = transport.get_extra_info("peername")
+        self.peer = name[0] if name else ""
+        if self._on_made is not None:
+            self._on_made(self)
+
+    def data_received(self, data: bytes) -> None:
+        """See `asyncio.Protocol`."""
+        self._buffer += data
+        if len(self._buffer) > READ_LIMIT and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """See `asyncio.Protocol`."""
+        self._eof = True
+        self._wake()
+        if self.on_lost is not None:
+            self.on_lost()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """See `asyncio.Protocol`."""
+        self._lost = True
+        self._eof = True
+        self._can_write.set()
+        self._wake()
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def pause_writing(self) -> None:
+        """See `asyncio.Protocol`."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """See `asyncio.Protocol`."""
+        self._can_write.set()
+
+    # Called by the owner.
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more can come or go."""
+        return self._eof or self._lost
+
+    @property
+    def buffered(self) -> int:
+        """Bytes that arrived and were not read."""
+        return len(self._buffer)
+
+    async def read(self) -> bytes:
+        """Returns what arrived; empty at the end of the connection."""
+        while not self._buffer and not self._eof:
+            self._reader = asyncio.get_running_loop().create_future()
+            try:
+                await self._reader
+            finally:
+                self._reader = None
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        if self._paused and not self._lost:
+            self._paused = False
+            self.transport.resume_reading()
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Queues bytes.
+
+        Raises:
+            Lost: The connection is gone.
+        """
+        if self._lost or self.transport is None:
+            raise Lost("connection lost; open another")
+        self.transport.write(data)
+
+    async def drain(self) -> None:
+        """Waits until the other side takes bytes again.
+
+        Raises:
+            Lost: The connection is gone.
+        """
+        if not self._can_write.is_set():
+            await self._can_write.wait()
+        if self._lost:
+            raise Lost("connection lost; open another")
+
+    def close(self) -> None:
+        """Closes after what is queued was sent."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Closes at once; the other side sees a broken connection."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _wake(self) -> None:
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
+
+async def connect(address: str) -> Connection:
+    """Opens a connection to "ip:port".
+
+    Raises:
+        OSError: Refused or unreachable.
+    """
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(Connection, host, port)
+    return connection
+
+
+async def listen(
+    address: str, on_made: Callable[[Connection], None]
+) -> asyncio.Server:
+    """Listens on "ip:port" and hands each connection to `on_made`.
+
+    Raises:
+        OSError: The address is taken or not ours.
+    """
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: Connection(on_made), host, port, backlog=1024
+    )
--- /dev/null
+++ b/forklift/spread.py
@@ -0,0 +1,92 @@
+"""Ways to pick a target, in a registry that policies choose from."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+from collections.abc import Sequence
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that may be picked.
+
+    Attributes:
+        name: Name of the target.
+        load: Requests on it by the last report, plus our own since then.
+        slots: Requests it runs at once.
+        weight: Share of normal traffic it should get, above 0 to 1.
+        same_domain: Whether it is in our failure domain.
+        picked: Counter of our picks of it.
+    """
+
+    name: str
+    load: float
+    slots: int
+    weight: float
+    same_domain: bool
+    picked: int
+
+    @property
+    def pressure(self) -> float:
+        """Load against the slots that its weight grants."""
+        return (self.load + 1) / (self.slots * self.weight)
+
+
+Picker = Callable[[Sequence[Candidate], random.Random], Candidate]
+picker_by_name: dict[str, Picker] = {}
+
+# Above this share of its slots a failure domain spills to the others.
+SPILL_PRESSURE = 1.0
+# Candidates that the power of choices compares.
+CHOICES = 2
+
+
+def picker(name: str) -> Callable[[Picker], Picker]:
+    """Registers a picker under the name that policies use."""
+
+    def register(function: Picker) -> Picker:
+        picker_by_name[name] = function
+        return function
+
+    return register
+
+
+@picker("round-robin")
+def round_robin(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate:
+    """The one picked least often for its weight."""
+    return min(candidates, key=lambda c: (c.picked + 1) / c.weight)
+
+
+@picker("least-loaded")
+def least_loaded(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate:
+    """The one with the least pressure; ties fall at random."""
+    return min(candidates, key=lambda c: (c.pressure, rng.random()))
+
+
+@picker("power-of-two")
+def power_of_two(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate:
+    """The better of two drawn by weight, so that old reports never herd."""
+    if len(candidates) <= CHOICES:
+        return least_loaded(candidates, rng)
+    weights = [candidate.weight for candidate in candidates]
+    first, second = rng.choices(candidates, weights, k=CHOICES)
+    return first if first.pressure <= second.pressure else second
+
+
+@picker("same-domain")
+def same_domain(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate:
+    """Power of two within our failure domain until it is full, then all."""
+    near = [c for c in candidates if c.same_domain]
+    if near:
+        pick = power_of_two(near, rng)
+        if pick.pressure <= SPILL_PRESSURE:
+            return pick
+    return power_of_two(candidates, rng)
--- /dev/null
+++ b/forklift/ui/asking.py
@@ -0,0 +1,99 @@
+"""What commands share: asking a process, options, output."""
+
+import asyncio
+import os
+from typing import TypeVar
+
+import click
+import msgspec
+
+from forklift import errors
+from forklift import report
+from forklift.shell import client
+
+T = TypeVar("T")
+DEFAULT_ADMIN = "127.0.0.1:7004"
+
+admin_option = click.option(
+    "--admin",
+    default=DEFAULT_ADMIN,
+    envvar="FORKLIFT_ADMIN",
+    show_default=True,
+    help="Admin address of any process of the fleet.",
+)
+json_option = click.option(
+    "--json", "as_json", is_flag=True, help="Print JSON for programs."
+)
+FAILED = 400
+TIMEOUT = 15.0
+
+
+def ask(
+    admin: str, method: str, path: str, kind: type[T], body: bytes = b""
+) -> T:
+    """Asks a process and decodes its answer.
+
+    The shared key is taken from the environment variable FORKLIFT_KEY.
+
+    Raises:
+        errors.UserError: It can't be reached, or it refuses.
+    """
+    return asyncio.run(_ask(admin, method, path, kind, body))
+
+
+async def _ask(
+    admin: str, method: str, path: str, kind: type[T], body: bytes
+) -> T:
+    key = os.environ.get("FORKLIFT_KEY", "")
+    headers = (("authorization", f"Bearer {key}"),) if key else ()
+    asker = client.Client(admin)
+    try:
+        response = await asker.request(
+            method, path, body, headers, timeout=TIMEOUT
+        )
+    except (client.Failed, ValueError) as error:
+        raise errors.UserError(
+            f"{admin} does not answer ({error}); give the admin address of a "
+            "running process with --admin"
+        ) from error
+    finally:
+        asker.close()
+    if response.status >= FAILED:
+        raise errors.UserError(_problem(response.body))
+    return msgspec.json.decode(response.body, type=kind)
+
+
+def _problem(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=report.Problem).error
+    except msgspec.MsgspecError:
+        return "the process refused; look at its log"
+
+
+def show_json(value: object) -> None:
+    """Prints a report as indented JSON."""
+    data = msgspec.json.encode(value)
+    click.echo(msgspec.json.format(data, indent=2).decode())
+
+
+def find_target(admin: str, name: str) -> report.Target:
+    """Where a target is.
+
+    Raises:
+        errors.UserError: It is not known.
+    """
+    status = ask(admin, "GET", "/status", report.Status)
+    for target in status.targets:
+        if target.name == name:
+            return target
+    known = ", ".join(sorted(target.name for target in status.targets)[:20])
+    raise errors.UserError(f"no target {name}; known are {known or 'none'}")
+
+
+def admin_of(admin: str, process: str) -> str:
+    """Admin address of a process, as another knows it."""
+    status = ask(admin, "GET", "/status", report.Status)
+    for known in status.processes:
+        if known.name == process:
+            return known.admin
+    return admin
--- /dev/null
+++ b/forklift/ui/run.py
@@ -0,0 +1,22 @@
+"""`forklift run`: runs one process of the fleet."""
+
+import asyncio
+import logging
+
+import click
+
+from forklift import settings
+from forklift.shell import serve
+
+
+@click.command("run")
+@click.argument("file", metavar="SETTINGS.ini")
+@click.option("--verbose", is_flag=True, help="Log more.")
+def command(file: str, verbose: bool) -> None:
+    """Run one process with the settings in SETTINGS.ini.
+
+    SIGTERM stops it as planned: no request in flight is cut off.
+    """
+    read = settings.load(file)
+    serve.configure_logs(logging.DEBUG if verbose else logging.INFO)
+    asyncio.run(serve.serve(read))
--- /dev/null
+++ b/forklift_lab/__init__.py
@@ -0,0 +1,38 @@
+"""Stand-ins, load and experiments for forklift; it never ships."""
+
+import sys
+
+import click
+
+import forklift
+from forklift import errors
+from forklift_lab import demo
+from forklift_lab import loading
+from forklift_lab import logserver
+from forklift_lab import standin
+
+
+@click.group()
+@click.version_option(forklift.VERSION, prog_name="forklift-lab")
+def cli() -> None:
+    """Stand-ins of the platform and targets, load, demo and measurements."""
+
+
+cli.add_command(logserver.command)
+cli.add_command(standin.command)
+cli.add_command(loading.command)
+cli.add_command(demo.command)
+
+
+def main() -> None:
+    """Runs the program; a mistake of the operator is shown as one line."""
+    try:
+        cli(standalone_mode=False)
+    except errors.UserError as error:
+        click.echo(f"forklift-lab: {error}", err=True)
+        sys.exit(1)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except click.Abort:
+        sys.exit(1)
