Measure latency; keep process noise from counting against targets

Cause: at the knee a target of 1 ms median was ejected for 'overdue': 32 requests aged together while the process itself was busy, each with full evidence. Ruled out: failures (0 seen). Change: latencies under 20 ms are noise, requests that hang together count 0.7 of the one before, a gap of 0.15 s between events excuses what was in flight.

--- a/forklift/guard.py
+++ b/forklift/guard.py
@@ -21,6 +21,8 @@
 
 # A gap between two events this long means that the process was paused.
 PAUSE = 1.0
+# One this long means that ages of requests say little of their targets.
+STALL = 0.15
 # Requests that may wait for each that may run.
 QUEUE_FACTOR = 8
 LATENCY_GUESS = 0.1
@@ -362,7 +364,11 @@
         """
         last = self._last_event
         self._last_event = now
-        if last is None or now - last < PAUSE:
+        if last is None or now - last < STALL:
+            return ()
+        for target in self.target_by_name.values():
+            target.judge.excuse(now - last)
+        if now - last < PAUSE:
             return ()
         self.incarnation += 1
         refused: list[Refuse] = []
--- a/forklift/health.py
+++ b/forklift/health.py
@@ -31,6 +31,11 @@
 OVERDUE_SIGMAS = 2.5
 OVERDUE_TAIL = 0.01
 OVERDUE_SICK = 0.3
+# Requests that hang together may have one cause: each counts less than the
+# one before it.
+OVERDUE_SHARE = 0.7
+# Latencies below this are noise of the processes, not of a target, seconds.
+LEAST_LATENCY = 0.02
 # Peers that a comparison of latencies needs.
 MIN_PEERS = 3
 # Successes on other routes that show a failing route to be alone.
@@ -179,6 +184,11 @@
         """A request was sent to the target."""
         self._started_by_id[request] = now
 
+    def excuse(self, seconds: float) -> None:
+        """This process stood still: requests in flight aged unseen."""
+        for request, started in self._started_by_id.items():
+            self._started_by_id[request] = started + seconds
+
     def forget(self, request: object) -> None:
         """A request ended in a way that says nothing of the target."""
         self._started_by_id.pop(request, None)
@@ -253,7 +263,8 @@
         if normal.latency <= 0:
             return -MAX_SLOW_STEP
         shift = math.log(SICK_SLOWDOWN) / self._sigma
-        distance = (logarithm - math.log(normal.latency)) / self._sigma
+        median = max(LEAST_LATENCY, normal.latency)
+        distance = (logarithm - math.log(median)) / self._sigma
         step = shift * distance - shift * shift / 2
         return max(-MAX_SLOW_STEP, min(MAX_SLOW_STEP, step))
 
@@ -261,9 +272,16 @@
         median = normal.latency or self.latency
         if median <= 0:
             return 0.0
+        median = max(LEAST_LATENCY, median)
         total = 0.0
+        share = 1.0
+        # In order of their start, so the oldest count most.
         for started in self._started_by_id.values():
-            total += _overdue_step(now - started, median, self._sigma)
+            step = _overdue_step(now - started, median, self._sigma)
+            if step <= 0:
+                break
+            total += share * step
+            share *= OVERDUE_SHARE
         return total
 
 
--- a/forklift_lab/__init__.py
+++ b/forklift_lab/__init__.py
@@ -9,6 +9,7 @@
 from forklift_lab import demo
 from forklift_lab import loading
 from forklift_lab import logserver
+from forklift_lab import measure
 from forklift_lab import standin
 
 
@@ -22,6 +23,7 @@
 cli.add_command(standin.command)
 cli.add_command(loading.command)
 cli.add_command(demo.command)
+cli.add_command(measure.command)
 
 
 def main() -> None:
--- /dev/null
+++ b/forklift_lab/measure/__init__.py
@@ -0,0 +1,13 @@
+"""`forklift-lab measure`: the figures that the docs quote."""
+
+import click
+
+from forklift_lab.measure import latency
+
+
+@click.group("measure")
+def command() -> None:
+    """Measure latency, decisions and capacity."""
+
+
+command.add_command(latency.command)
