Tie the decisions together without I/O

Cause: an experiment would have had to repeat the wiring that the process has. Change: forklift.decisions holds it; the shell and experiments attach through Effects.

--- a/forklift/shell/permits.py
+++ b/forklift/permits.py
@@ -13,6 +13,11 @@
 State = messages.TargetState
 _GONE = (State.DRAINING, State.LEFT)
 MAX_PENDING = 1024
+MESSAGES = (
+    messages.PermitRequest,
+    messages.PermitReply,
+    messages.PermitReturn,
+)
 
 
 class Permits:
--- a/forklift/shell/node.py
+++ b/forklift/shell/node.py
@@ -6,14 +6,11 @@
 
 import structlog
 
-from forklift import configuration
-from forklift import effective
-from forklift import entry
+from forklift import decisions
 from forklift import errors
 from forklift import guard
 from forklift import ini
 from forklift import invariants
-from forklift import membership
 from forklift import messages
 from forklift import ownership
 from forklift import policy
@@ -29,7 +26,6 @@
 from forklift.shell import local
 from forklift.shell import logclient
 from forklift.shell import peers
-from forklift.shell import permits
 from forklift.shell import tail
 from forklift.shell import targets
 from forklift.shell import telemetry
@@ -42,12 +38,10 @@
 BEAT_EVERY = 4
 SLOW_EVERY = 10
 TARGET_LEASE = 10.0
-OFFER_PERIOD = 1.0
-OFFER_BYTES = 128_000
-JOIN_PERIOD = 1.0
 ANNOUNCE_SHARE = 1 / 3
 STOP_POLL = 0.02
 READY_AFTER = 3.0
+DEFAULT_KEY_MEMORY = 3600.0
 
 
 class Node:
@@ -72,28 +66,42 @@
             targets=(),
             config=0,
         )
-        rng = random.Random(self.boot)
-        self.directory = membership.Directory(info)
-        self.gossip = membership.Gossip(self.directory, rng)
-        self.configuration = configuration.Configuration()
-        self.effective = effective.NOTHING
-        self._policy_by_name: dict[str, policy.Policy] = {}
-        self.entry = entry.Entry(own.name, own.domain, rng)
-        self.guard = guard.Guard()
-        self.owner = ownership.Owner(self.directory, read.log.retention)
+        self._tasks: list[asyncio.Task] = []
+        self._servers: list[asyncio.Server] = []
+        self._served: set[peers.Served] = set()
         self.log = logclient.LogClient(read.log.address, read.log.timeout)
         self.telemetry = telemetry.Telemetry(own.name)
+        self.control = control.Control(
+            own.control,
+            self.boot,
+            self._key,
+            self.clock.wall,
+            lambda message: self.decisions.receive(message),
+        )
+        self.decisions = decisions.Decisions(
+            info,
+            self._effects(),
+            self.clock,
+            random.Random(self.boot),
+            read.log.retention,
+            own.join,
+        )
+        self.directory = self.decisions.directory
+        self.guard = self.decisions.guard
         self._build_data_path()
-        self._build_control_path()
+        self.tail = tail.Tail(
+            self.log,
+            self.clock,
+            self.decisions.configuration,
+            self.decisions.follow,
+            self.decisions.lease,
+            self.decisions.owner.missed,
+            self.decisions.owner.confirmed,
+            self.decisions.member,
+        )
         self._renewed_by_target: dict[str, float] = {}
-        self._tasks: list[asyncio.Task] = []
-        self._servers: list[asyncio.Server] = []
-        self._served: set[peers.Served] = set()
-        self._learnt = -1
         self._announced_at = float("-inf")
         self._announced_targets: tuple = ()
-        self._offered_at: dict[str, float] = {}
-        self._joined_at = float("-inf")
         self._started_at = self.clock.monotonic()
         self.peers_refused = 0
         self.results_by_outcome: dict[str, int] = {}
@@ -101,17 +109,29 @@
 
     # Construction.
 
+    def _effects(self) -> decisions.Effects:
+        return decisions.Effects(
+            send=self.control.send,
+            append=lambda record: self._spawn(
+                self._append(tail.LEASES, record)
+            ),
+            settle=lambda made: self.local.settle(made),
+            probe=lambda name: self._spawn(self._probe(name)),
+            began=lambda began: self._began(began),
+        )
+
     def _build_data_path(self) -> None:
+        chooser = self.decisions.entry
         self.local = local.Local(self.guard, self.clock)
-        self.local.on_actions = self._act
+        self.local.on_actions = self.decisions.act
         self.links = links.Links(
-            self.directory, self.entry, self._hello, self._key, self.clock
+            self.directory, chooser, self._hello, self._key, self.clock
         )
         self.dispatcher = dispatch.Dispatcher(
-            self.directory, self.entry, self.local, self.links, self.clock
+            self.directory, chooser, self.local, self.links, self.clock
         )
         self.keyed = keyed.Keyed(
-            self.owner,
+            self.decisions.owner,
             self.dispatcher,
             self.log,
             self.settings.limits,
@@ -127,35 +147,6 @@
             self._on_result,
         )
 
-    def _build_control_path(self) -> None:
-        self.control = control.Control(
-            self.settings.process.control,
-            self.boot,
-            self._key,
-            self.clock.wall,
-            self._on_control,
-        )
-        self.permits = permits.Permits(
-            self.directory,
-            self.owner,
-            self.guard,
-            self.program,
-            self.control.send,
-            self.clock,
-        )
-        self.permits.on_change = self.describe
-        self.permits.on_refused = self.local.settle
-        self.tail = tail.Tail(
-            self.log,
-            self.clock,
-            self.configuration,
-            self._on_config,
-            self._on_lease,
-            self.owner.missed,
-            self.owner.confirmed,
-            self._on_member,
-        )
-
     # Life.
 
     async def start(self) -> None:
@@ -182,7 +173,7 @@
     async def stop(self) -> None:
         """Stops as planned: nothing in flight is cut off."""
         self.stopping = True
-        self.owner.stopping = True
+        self.decisions.owner.stopping = True
         deadline = self.clock.monotonic() + self.settings.limits.stop
         _log.info("stopping", running=self.running())
         for name in list(self.guard.target_by_name):
@@ -194,7 +185,8 @@
         passed = self.clock.monotonic() >= deadline
         invariants.nothing_cut_off(self.running(), passed)
         await self.keyed.release()
-        self._send(self.gossip.leave())
+        for send in self.decisions.gossip.leave():
+            self.control.send(send.address, send.message)
         await asyncio.sleep(STOP_POLL)
         await self.close()
         _log.info("stopped", cut_off=self.running())
@@ -226,7 +218,7 @@
 
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        if self.stopping or not self.effective.services_by_name:
+        if self.stopping or not self.decisions.effective.services_by_name:
             return False
         if self.tail.caught_up:
             return True
@@ -239,30 +231,22 @@
         self, host: str, path: str
     ) -> tuple[str, policy.Service] | None:
         """The route of a request and the program of its service."""
-        route = self.effective.routes.find(host, path)
+        route = self.decisions.effective.routes.find(host, path)
         if route is None:
             return None
-        program = self.effective.services_by_name.get(route.service)
+        program = self.decisions.effective.services_by_name.get(route.service)
         return (route.name, program) if program is not None else None
 
-    def policies(self) -> dict[str, policy.Policy]:
-        """The policies in force, by name."""
-        return self._policy_by_name
-
-    def program(self, service: str) -> policy.Service | None:
-        """The program of a service in force."""
-        return self.effective.services_by_name.get(service)
-
     async def handle(
         self, request: exchange.Request, sink: exchange.Sink
     ) -> exchange.Result:
         """Runs a request of a caller or a peer in the role of entry."""
         if not request.key:
             return await self.dispatcher.run(request, sink)
-        program = self.program(request.service)
+        program = self.decisions.program(request.service)
         memory = program.key_memory if program else 0.0
         memory = min(memory, self.settings.log.retention)
-        if not self.entry.knows(request.service):
+        if not self.decisions.entry.knows(request.service):
             return await self.dispatcher.hand_on(request, sink)
         return await self.keyed.run(request, sink, memory)
 
@@ -370,97 +354,37 @@
         Raises:
             errors.UserError: Its service or address is not usable.
         """
-        program = self.program(said.service)
-        if program is None:
-            raise errors.UserError(
-                f"service {said.service} is not declared; publish a policy "
-                "with it, then announce again"
-            )
         if self.stopping:
             raise errors.UserError(
                 "this process is stopping; announce to the next one"
             )
         _check_announce(name, said)
-        now = self.clock.monotonic()
-        known = self.guard.target_by_name.get(name)
-        if known is not None and known.standing.state is State.DRAINING:
-            self._renewed_by_target[name] = now
-            return report.Announced(TARGET_LEASE, str(State.DRAINING))
-        self._set_endpoint(name, said)
-        target = self.guard.announce(
-            name, said.service, said.slots, program, now
+        known = name in self.local.endpoint_by_target
+        if not known and self.decisions.program(said.service) is not None:
+            self._set_endpoint(name, said)
+        target = self.decisions.announce(
+            name, said.service, said.domain, said.slots
         )
-        self._renewed_by_target[name] = now
-        if known is None or known.standing.version == 1:
-            self.describe()
+        if not target.standing.leaving:
+            self._set_endpoint(name, said)
+        self._renewed_by_target[name] = self.clock.monotonic()
         return report.Announced(TARGET_LEASE, str(target.standing.state))
 
     def drain(self, name: str) -> bool:
         """A target is to take no new request; False when it is not here."""
         if name not in self.guard.target_by_name:
             return False
-        now = self.clock.monotonic()
-        self.local.settle(self.guard.drain(name, now))
-        _log.info("target_draining", target=name)
-        self.describe()
+        self.decisions.drain(name)
         return True
 
     def leave(self, name: str) -> bool:
         """A target is gone; False when it is not here."""
         if name not in self.guard.target_by_name:
             return False
-        now = self.clock.monotonic()
-        self.local.settle(self.guard.leave(name, now))
         self._renewed_by_target.pop(name, None)
-        _log.info("target_left", target=name)
-        self.describe()
+        self.decisions.leave(name)
         return True
 
-    def describe(self) -> None:
-        """Tells peers of this process's targets at once."""
-        self._describe()
-        self._send(self.gossip.spread(self.directory.own.name))
-
-    def _describe(self) -> None:
-        now = self.clock.monotonic()
-        infos = tuple(
-            messages.TargetInfo(
-                target.name,
-                target.service,
-                self._domain(target.name),
-                target.slots,
-                target.standing.state,
-                round(target.standing.weight(now), 3),
-                target.standing.version,
-                round(target.judge.latency, 4),
-                round(target.judge.failure_share, 3),
-            )
-            for target in self.guard.target_by_name.values()
-            if target.standing.state is not State.LEFT
-        )
-        before = membership.services(self.directory.own)
-        self.directory.update_own(
-            targets=infos,
-            config=self.configuration.total,
-            unheard=self.gossip.unheard()[:16],
-        )
-        if membership.services(self.directory.own) != before:
-            self._meet()
-
-    def _meet(self) -> None:
-        """Asks a few that share a service now for all they know."""
-        sharing = [
-            member.info.control
-            for member in self.directory.member_by_name.values()
-            if member.usable and self.directory.shares(member.info)
-        ]
-        for address in sharing[: membership.FAN_OUT]:
-            self._send([self.gossip.join(address)])
-
-    def _domain(self, target: str) -> str:
-        endpoint = self.local.endpoint_by_target.get(target)
-        return endpoint.domain if endpoint else self.settings.process.domain
-
     def _set_endpoint(self, name: str, said: report.Announce) -> None:
         known = self.local.endpoint_by_target.get(name)
         if known is not None and known.pool.address == said.address:
@@ -494,74 +418,15 @@
                     raise
 
     def _tick(self, count: int) -> None:
-        now = self.clock.monotonic()
-        self.local.settle(self.guard.observe(now))
-        self._learn()
-        before = self._versions()
-        decisions, actions = self.guard.tick(now)
-        self.local.settle(decisions)
-        self._act(actions)
-        if self._versions() != before:
-            self._log_states()
-            self.describe()
+        self.decisions.tick()
         if count % BEAT_EVERY == 0:
             self.links.tick()
         if count % SLOW_EVERY == 0:
-            self._tick_slowly(now)
-        self._send(self.gossip.tick(now))
-
-    def _tick_slowly(self, now: float) -> None:
-        self.telemetry.flush()
-        self._describe()
-        self._expire_targets(now)
-        for target in self.guard.target_by_name.values():
-            target.normal = self.entry.normal(target.service)
-        for action in self.owner.tick(self.own_services(), now):
-            if isinstance(action, ownership.Append):
-                self._spawn(self._append(tail.LEASES, action.record))
-            else:
-                self.control.send(action.address, action.message)
-        self._announce_on_log(now)
-        self._renew_policies()
-        self._join(now)
-
-    def _learn(self) -> None:
-        if self._learnt == self.directory.generation:
-            return
-        self._learnt = self.directory.generation
-        self.entry.learn(self.directory.usable())
-
-    def _versions(self) -> int:
-        return sum(
-            target.standing.version
-            for target in self.guard.target_by_name.values()
-        )
-
-    def _log_states(self) -> None:
-        for target in self.guard.target_by_name.values():
-            if not target.standing.changes:
-                continue
-            change = target.standing.changes[-1]
-            if self.clock.monotonic() - change.at < 2 * TICK:
-                _log.info(
-                    "target_state",
-                    target=target.name,
-                    service=target.service,
-                    before=str(change.before),
-                    after=str(change.after),
-                    cause=change.cause,
-                )
-
-    def own_services(self) -> list[str]:
-        """Services that have a target beside this process."""
-        return sorted(membership.services(self.directory.own))
-
-    def _act(self, actions: tuple[guard.Action, ...]) -> None:
-        for action in actions:
-            if isinstance(action, guard.Probe):
-                self._spawn(self._probe(action.target))
-            else:
-                self.permits.act(action)
+            now = self.clock.monotonic()
+            self.telemetry.flush()
+            self._expire_targets(now)
+            self._announce_on_log(now)
+            self._renew_policies()
 
     async def _probe(self, name: str) -> None:
         endpoint = self.local.endpoint_by_target[name]
@@ -598,126 +463,25 @@
         due = self.tail.due(names, own, self.settings.log.retention)
         for name in due:
             self.tail.seen_by_policy[name] = self.clock.monotonic()
-            chain = self.configuration.chain_by_policy.get(name)
+            chain = self.decisions.configuration.chain_by_policy.get(name)
             base = chain.base() if chain and chain.certain else None
             if base is not None:
                 self._spawn(self._append(tail.CONFIG, base))
 
-    def _join(self, now: float) -> None:
-        """Asks the addresses in the settings, while nobody is known."""
-        known = any(
-            self.directory.shares(member.info)
-            for member in self.directory.member_by_name.values()
-            if member.usable
-        )
-        if known or now - self._joined_at < JOIN_PERIOD:
-            return
-        self._joined_at = now
-        own = self.settings.process.control
-        for address in self.settings.process.join:
-            if address != own:
-                self._send([self.gossip.join(address)])
-
-    # News.
-
-    def _on_control(self, message: messages.Control) -> None:
-        now = self.clock.monotonic()
-        if isinstance(message, messages.VersionOffer):
-            if self.configuration.adopt(message.renewal):
-                self._on_config(message.renewal.publication.policy)
-            return
-        if isinstance(message, messages.PromiseRequest):
-            promise = self.owner.promise(message)
-            if promise is not None:
-                self.control.send(message.sender.control, promise)
-            return
-        if isinstance(message, messages.Promise):
-            self.owner.promised(message)
-            return
-        if isinstance(
-            message,
-            (
-                messages.PermitRequest,
-                messages.PermitReply,
-                messages.PermitReturn,
-            ),
-        ):
-            self.permits.receive(message)
-            return
-        self._send(self.gossip.receive(message, now))
-        self._offer_versions(message, now)
-
-    def _offer_versions(self, message: messages.Control, now: float) -> None:
-        """Hands what is in force to a peer that is behind."""
-        sender = message.sender
-        behind = sender.config < self.configuration.total
-        asked = isinstance(message, messages.SyncRequest)
-        last = self._offered_at.get(sender.name, float("-inf"))
-        if not behind or (now - last < OFFER_PERIOD and not asked):
-            return
-        self._offered_at[sender.name] = now
-        left = OFFER_BYTES
-        bases = self.configuration.bases()
-        random.shuffle(bases)
-        for base in bases:
-            left -= len(base.publication.text)
-            if left < 0:
-                return
-            offer = messages.VersionOffer(self.directory.own, base)
-            self.control.send(sender.control, offer)
-
-    def _on_config(self, name: str) -> None:
-        version = self.configuration.version(name)
-        try:
-            read = policy.parse(name, version.publication.text)
-        except errors.FileProblems as error:
-            _log.error("policy_unusable", policy=name, detail=str(error))
-            return
-        self._policy_by_name[name] = read
-        self.effective = effective.merge(self._policy_by_name)
-        programs = self.effective.services_by_name
-        self.entry.follow(programs)
-        self.guard.follow(programs)
-        self.entry.learn(self.directory.usable())
-        _log.info(
-            "policy_in_force",
-            policy=name,
-            version=version.number,
-            author=version.publication.author,
-        )
-        self._describe()
-
-    def _on_lease(self, record: messages.Takeover | messages.Release) -> None:
-        began = self.owner.apply(record, self.clock.monotonic())
-        if began is None:
-            return
-        service = record.resource.rpartition("/")[0]
-        program = self.program(service)
-        memory = program.key_memory if program else 3600.0
+    def _began(self, began: ownership.Began) -> None:
+        service = began.holding.resource.rpartition("/")[0]
+        program = self.decisions.program(service)
+        memory = program.key_memory if program else DEFAULT_KEY_MEMORY
         memory = min(memory, self.settings.log.retention)
         self.keyed.began(began, memory)
+        starts_in = began.holding.starts - self.clock.monotonic()
         _log.info(
             "lease_taken",
-            lease=record.resource,
-            epoch=record.epoch,
-            starts_in=round(began.holding.starts - self.clock.monotonic(), 2),
+            lease=began.holding.resource,
+            epoch=began.holding.grant.epoch,
+            starts_in=round(max(0.0, starts_in), 2),
         )
 
-    def _on_member(self, info: messages.ProcessInfo) -> None:
-        if info.boot == self.boot:
-            return
-        known = self.directory.member_by_name.get(info.name)
-        if known is not None and known.info.boot == info.boot:
-            return
-        now = self.clock.monotonic()
-        shares = self.directory.shares(info)
-        if self.directory.hear(info, now) and shares:
-            self._send([self.gossip.join(info.control)])
-
-    def _send(self, sends: list[membership.Send]) -> None:
-        for send in sends:
-            self.control.send(send.address, send.message)
-
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
         self._tasks.append(task)
--- a/forklift/shell/publish.py
+++ b/forklift/shell/publish.py
@@ -29,7 +29,7 @@
             errors.UserError: It holds mistakes, or was not decided in time.
         """
         read = policy.parse("policy", request.text)
-        current = self._node.configuration.version(read.name)
+        current = self._node.decisions.configuration.version(read.name)
         builds_on = request.builds_on
         if builds_on < 0:
             builds_on = current.number
@@ -75,7 +75,9 @@
             except errors.LogUnavailable as error:
                 cause = str(error)
             while loop.time() < min(again, ends):
-                decision = self._node.configuration.decision(publication.id)
+                decision = self._node.decisions.configuration.decision(
+                    publication.id
+                )
                 if decision is not None:
                     return decision
                 await asyncio.sleep(POLL)
@@ -86,7 +88,7 @@
         )
 
     def _refuse_clashes(self, read: policy.Policy) -> None:
-        merged = dict(self._node.policies())
+        merged = dict(self._node.decisions.policy_by_name)
         merged[read.name] = read
         clashes = effective.merge(merged).clashes
         own = [c for c in clashes if read.name in (c.kept, c.ignored)]
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -26,7 +26,7 @@
         tuple(
             f"{clash.what}: kept from {clash.kept}, ignored from "
             f"{clash.ignored}"
-            for clash in node.effective.clashes
+            for clash in node.decisions.effective.clashes
         ),
         _services(node, targets),
         targets,
@@ -46,7 +46,7 @@
         node.guard.incarnation,
         node.running(),
         node.callers.connections,
-        node.entry.avoided(now),
+        node.decisions.entry.avoided(now),
         dict(node.tail.next_by_stream),
     )
 
@@ -102,7 +102,7 @@
 
 
 def _targets(node) -> tuple[report.Target, ...]:
-    avoided = node.entry.avoided(node.clock.monotonic())
+    avoided = node.decisions.entry.avoided(node.clock.monotonic())
     return tuple(
         report.Target(
             target.name,
@@ -124,20 +124,20 @@
     node, targets: tuple[report.Target, ...]
 ) -> tuple[report.Service, ...]:
     services = []
-    for name, program in node.effective.services_by_name.items():
+    for name, program in node.decisions.effective.services_by_name.items():
         own = [t for t in targets if t.service == name]
         known = [t for t in own if t.state not in _GONE]
         serving = [t for t in known if t.state not in _OUT]
-        holder = node.owner.holder(ownership.resource(name, 0))
+        holder = node.decisions.owner.holder(ownership.resource(name, 0))
         services.append(
             report.Service(
                 name,
-                node.effective.policy_by_service[name],
+                node.decisions.effective.policy_by_service[name],
                 program.floor,
                 len(known),
                 len(serving),
                 holder or "",
-                node.entry.retries_refused(name),
+                node.decisions.entry.retries_refused(name),
             )
         )
     return tuple(services)
@@ -164,7 +164,7 @@
 
 def _policies(node) -> tuple[report.PolicyVersion, ...]:
     policies = []
-    for name, chain in node.configuration.chain_by_policy.items():
+    for name, chain in node.decisions.configuration.chain_by_policy.items():
         publication = chain.version.publication
         if publication is None:
             continue
@@ -179,8 +179,10 @@
 def _leases(node, now: float) -> tuple[report.Lease, ...]:
     ledgers = node.keyed.ledgers()
     leases = []
-    for name, grant in sorted(node.owner.table.grant_by_resource.items()):
-        holding = node.owner.held(name, now)
+    for name, grant in sorted(
+        node.decisions.owner.table.grant_by_resource.items()
+    ):
+        holding = node.decisions.owner.held(name, now)
         left = holding.until() - now if holding else 0.0
         ledger = ledgers.get(name)
         leases.append(
@@ -211,8 +213,8 @@
         node.control.refused + node.peers_refused,
         node.log.appends,
         node.log.failures,
-        node.permits.granted,
-        node.permits.denied,
+        node.decisions.permits.granted,
+        node.decisions.permits.denied,
         dict(invariants.checks_by_promise),
         dict(expressions.failures_by_expression),
     )
--- a/forklift/shell/serve.py
+++ b/forklift/shell/serve.py
@@ -130,7 +130,7 @@
     meter.gauge(
         "forklift.config.total",
         "Sum of the versions of the policies in force",
-        lambda: [(node.configuration.total, {})],
+        lambda: [(node.decisions.configuration.total, {})],
     )
     meter.gauge(
         "forklift.log.away",
--- a/forklift_lab/measure/latency.py
+++ b/forklift_lab/measure/latency.py
@@ -120,9 +120,7 @@
     way: _Way, load: str, taken: list[float], cpu: float, rate: float
 ) -> Row:
     ordered = sorted(taken)
-    memory = max(
-        (processes.resident_bytes(pid) for pid in way.pids), default=0
-    )
+    memory = max((processes.resident_bytes(pid) for pid in way.pids), default=0)
     return Row(
         way.name,
         load,
@@ -143,9 +141,7 @@
         await running.lab("log", "log", "--listen", log)
         for place in places:
             await running.node(place)
-            spec = (
-                f"{place.name},s,d,{place.target},{place.admin},64,0.000001"
-            )
+            spec = f"{place.name},s,d,{place.target},{place.admin},64,0.000001"
             await running.lab(f"t-{place.name}", "target", "--spec", spec)
         for place in places:
             await fleet.wait_until(lambda p=place: fleet.answers(p.admin))
