--- a/forklift_lab/faults.py
+++ b/forklift_lab/faults.py
@@ -49,6 +49,12 @@
     return NONE
 
 
+@fault("refuse")
+def refuse(rng: random.Random, path: str, now: float) -> Effect:
+    """Refuses connections; its listener is closed, so none gets here."""
+    return Effect(hang=True)
+
+
 @fault("hang")
 def hang(rng: random.Random, path: str, now: float) -> Effect:
     """Accepts and never answers."""
@@ -73,6 +79,12 @@
     return Effect(slower=5.0)
 
 
+@fault("slow-3")
+def slow_three(rng: random.Random, path: str, now: float) -> Effect:
+    """Three times slower."""
+    return Effect(slower=3.0)
+
+
 @fault("slow-2")
 def slow_two(rng: random.Random, path: str, now: float) -> Effect:
     """Two times slower."""
--- a/forklift_lab/measure/__init__.py
+++ b/forklift_lab/measure/__init__.py
@@ -2,6 +2,7 @@
 
 import click
 
+from forklift_lab.measure import deciding
 from forklift_lab.measure import latency
 
 
@@ -11,3 +12,4 @@
 
 
 command.add_command(latency.command)
+command.add_command(deciding.command)
--- a/forklift_lab/standin.py
+++ b/forklift_lab/standin.py
@@ -140,7 +140,6 @@
         if "fault" in wanted:
             self.fault = wanted["fault"]
             if self.fault == "refuse":
-                self.fault = "none"
                 self._server.close()
         said = {
             "runs": self.runs_by_token,
