--- a/forklift/decisions.py
+++ b/forklift/decisions.py
@@ -148,6 +148,7 @@
     def describe(self) -> None:
         """Tells peers of this process's targets at once."""
         self._describe()
+        self._learn()
         self._send(self.gossip.spread(self.directory.own.name))
 
     # Time.
--- a/forklift/entry.py
+++ b/forklift/entry.py
@@ -224,6 +224,11 @@
         group = self._group_by_service.get(service)
         return group is not None and bool(group.view_by_target)
 
+    def targets(self, service: str) -> list[str]:
+        """Names of the targets of a service that are known here."""
+        group = self._group_by_service.get(service)
+        return list(group.view_by_target) if group else []
+
     def program(self, service: str) -> policy.Service | None:
         """The program of a service."""
         group = self._group_by_service.get(service)
--- a/forklift/guard.py
+++ b/forklift/guard.py
@@ -31,6 +31,7 @@
 # follows within some minutes of calls to `compare`.
 SERVICE_SLOWDOWN = 1.6
 USUAL_GAIN = 0.0005
+ALONE_RATIO = 1.5
 # Renewal of a permit, and repetition of a request for one.
 PERMIT_PERIOD = 1.0
 ASK_PERIOD = 0.2
@@ -90,7 +91,18 @@
     outcome: messages.Outcome = messages.Outcome.NOT_RUN
 
 
-Decision = Start | Wait | Refuse
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """A request that runs on an ejected target is not waited for any more.
+
+    It may run twice, so its entry can send it elsewhere now rather than at
+    its deadline.
+    """
+
+    ticket: Ticket
+
+
+Decision = Start | Wait | Refuse | GiveUp
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,11 +189,17 @@
         change = normal.latency - self.usual_latency
         self.usual_latency += USUAL_GAIN * change
 
-    @property
-    def service_slow(self) -> bool:
-        """Whether the whole service is slower than it usually is."""
+    def slow_alone(self, now: float) -> bool:
+        """Whether it is slow against its service, and not with it.
+
+        Both sides of the comparison lag alike, so that load which comes over
+        all targets at once is not taken for one sick target.
+        """
         usual = max(health.LEAST_LATENCY, self.usual_latency)
-        return self.normal.latency > SERVICE_SLOWDOWN * usual
+        if self.normal.latency > SERVICE_SLOWDOWN * usual:
+            return False
+        normal = max(health.LEAST_LATENCY, self.normal.latency)
+        return self.judge.latency_now(now) >= ALONE_RATIO * normal
 
     @property
     def in_flight(self) -> int:
@@ -412,6 +430,7 @@
                 target.judge.clear()
                 actions.append(Probe(target.name))
             actions.extend(self._permits(target, now))
+            decisions.extend(self._hopeless(target, now))
             decisions.extend(self._next(target, now))
         return tuple(decisions), tuple(actions)
 
@@ -450,12 +469,22 @@
         if not (wanted or held) or now - target.last_ask < period:
             return ()
         slow = assessment.failures < threshold
-        if slow and not held and target.service_slow:
+        if slow and not held and not target.slow_alone(now):
             # Load, not a sick target; nobody is ejected for it.
             return ()
         target.last_ask = now
         return (AskPermit(target.service, target.name, held, slow),)
 
+    def _hopeless(self, target: LocalTarget, now: float) -> Iterable[GiveUp]:
+        if target.standing.state is not State.EJECTED:
+            return
+        overdue = target.judge.overdue_requests(target.normal, now)
+        for request in overdue:
+            ticket = target.ticket_by_id.get(request)
+            if ticket is not None and ticket.repeatable:
+                target.judge.forget(request)
+                yield GiveUp(ticket)
+
     def _unfit(
         self, target: LocalTarget | None, ticket: Ticket, now: float
     ) -> Reason | None:
--- a/forklift/health.py
+++ b/forklift/health.py
@@ -22,7 +22,8 @@
 SICK_SLOWDOWN = 2.5
 HARMLESS_FAILURES = 0.01
 MAX_SLOW_STEP = 2.0
-LATENCY_GAIN = 0.05
+LATENCY_GAIN = 0.15
+SIGMA_GAIN = 0.05
 FAILURE_GAIN = 0.02
 MIN_SIGMA = 0.25
 MAX_SIGMA = 1.2
@@ -272,7 +273,7 @@
         # A bounded step follows the median rather than the mean.
         step = max(-1.0, min(1.0, deviation / self._sigma)) * self._sigma
         self._log_latency += LATENCY_GAIN * step
-        sigma = self._sigma + LATENCY_GAIN * (
+        sigma = self._sigma + SIGMA_GAIN * (
             1.2533 * min(abs(deviation), 3 * self._sigma) - self._sigma
         )
         self._sigma = max(MIN_SIGMA, min(MAX_SIGMA, sigma))
@@ -286,11 +287,23 @@
         step = shift * distance - shift * shift / 2
         return max(-MAX_SLOW_STEP, min(MAX_SLOW_STEP, step))
 
-    def _overdue(self, normal: Reference, now: float) -> float:
+    def overdue_requests(self, normal: Reference, now: float) -> list[object]:
+        """Requests in flight that count as overdue, oldest first."""
+        median = self._median(normal)
+        return [
+            request
+            for request, started in self._started_by_id.items()
+            if median and _overdue_step(now - started, median, self._sigma)
+        ]
+
+    def _median(self, normal: Reference) -> float:
         median = normal.latency or self.latency
+        return max(LEAST_LATENCY, median) if median > 0 else 0.0
+
+    def _overdue(self, normal: Reference, now: float) -> float:
+        median = self._median(normal)
         if median <= 0:
             return 0.0
-        median = max(LEAST_LATENCY, median)
         total = 0.0
         share = 1.0
         # In order of their start, so the oldest count most.
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -282,13 +282,18 @@
 
 
 class _Holding:
-    """Holds a small failed answer back until the retry program has spoken."""
+    """Holds a small answer back until it is whole.
+
+    One that breaks off, or that failed, can then be replaced by another
+    target's without the caller seeing it.
+    """
 
     def __init__(self, sink: exchange.Sink, retriable: bool):
         self._sink = sink
         self._retriable = retriable
         self._head: tuple | None = None
         self._body = bytearray()
+        self._whole = False
 
     @property
     def begun(self) -> bool:
@@ -297,8 +302,8 @@
 
     @property
     def holds(self) -> bool:
-        """Whether an answer is held back."""
-        return self._head is not None
+        """Whether a whole answer is held back."""
+        return self._head is not None and self._whole
 
     async def start(
         self,
@@ -309,8 +314,7 @@
         load: messages.Load | None,
     ) -> None:
         """See `exchange.Sink`."""
-        small = 0 <= length <= exchange.INLINE_BYTES
-        if self._retriable and status >= FAILED_STATUS and small:
+        if self._retriable and 0 <= length <= exchange.INLINE_BYTES:
             self._head = (status, headers, length, target, load)
             return
         await self._sink.start(status, headers, length, target, load)
@@ -324,8 +328,11 @@
 
     async def end(self) -> None:
         """See `exchange.Sink`."""
+        self._whole = True
         if self._head is None:
             await self._sink.end()
+        elif self._head[0] < FAILED_STATUS:
+            await self.flush()
 
     async def flush(self) -> exchange.Result:
         """Passes the held answer on after all."""
--- a/forklift/shell/local.py
+++ b/forklift/shell/local.py
@@ -40,6 +40,8 @@
         self._clock = clock
         self.endpoint_by_target: dict[str, Endpoint] = {}
         self._decision_by_id: dict[object, asyncio.Future] = {}
+        self._limit_by_id: dict[object, asyncio.Timeout] = {}
+        self._given_up: set[object] = set()
         self.on_actions = lambda actions: None
         self.running = 0
 
@@ -69,6 +71,9 @@
     def settle(self, decisions: tuple[guard.Decision, ...]) -> None:
         """Wakes the requests that the guard has decided on."""
         for decision in decisions:
+            if isinstance(decision, guard.GiveUp):
+                self._give_up(decision.ticket)
+                continue
             future = self._decision_by_id.pop(decision.ticket.id, None)
             if future is not None and not future.done():
                 future.set_result(decision)
@@ -77,6 +82,12 @@
                 now = self._clock.monotonic()
                 self.settle(self.guard.finish(decision.ticket, None, now))
 
+    def _give_up(self, ticket: guard.Ticket) -> None:
+        limit = self._limit_by_id.get(ticket.id)
+        if limit is not None:
+            self._given_up.add(ticket.id)
+            limit.reschedule(asyncio.get_running_loop().time())
+
     async def _wait(self, ticket: guard.Ticket) -> guard.Decision:
         future = asyncio.get_running_loop().create_future()
         self._decision_by_id[ticket.id] = future
@@ -111,7 +122,8 @@
         result = exchange.unknown(messages.Reason.CANCELLED)
         try:
             remaining = ticket.deadline - self._clock.monotonic()
-            async with asyncio.timeout(max(0.0, remaining)):
+            async with asyncio.timeout(max(0.0, remaining)) as limit:
+                self._limit_by_id[ticket.id] = limit
                 status = await run.go(
                     lambda: self._launch(ticket),
                     lambda: self._load(ticket.target),
@@ -136,12 +148,14 @@
                 detail=str(error),
             )
         except TimeoutError:
-            failed = True
+            failed = None if ticket.id in self._given_up else True
             result = self._timed_out(ticket)
         except asyncio.CancelledError:
             failed = self._seen_failing(ticket, run)
             raise
         finally:
+            self._limit_by_id.pop(ticket.id, None)
+            self._given_up.discard(ticket.id)
             self._finish(ticket, failed)
         return dataclasses.replace(result, load=self._load(ticket.target))
 
@@ -161,6 +175,8 @@
         return target.program.is_failure(run.head.status) or None
 
     def _timed_out(self, ticket: guard.Ticket) -> exchange.Result:
+        if ticket.id in self._given_up:
+            return exchange.unknown(messages.Reason.EJECTED)
         if self.guard.fences.started(ticket.id):
             return exchange.unknown(messages.Reason.TIMEOUT)
         return exchange.not_run(messages.Reason.DEADLINE)
--- a/forklift_lab/measure/carrier.py
+++ b/forklift_lab/measure/carrier.py
@@ -327,6 +327,9 @@
     def settle(self, made: tuple[guard.Decision, ...]) -> None:
         """Carries out decisions on requests that waited."""
         for decision in made:
+            if isinstance(decision, guard.GiveUp):
+                self._give_up(decision.ticket)
+                continue
             attempt = self._waiting.pop(decision.ticket.id, None)
             if attempt is None:
                 continue
@@ -380,6 +383,12 @@
             self._reply(attempt, entry.Ending(
                 Outcome.UNKNOWN, Reason.TIMEOUT))  # fmt: skip
 
+    def _give_up(self, ticket: guard.Ticket) -> None:
+        attempt = self._running.pop(ticket.id, None)
+        if attempt is not None:
+            self._finish(attempt, None)
+            self._reply(attempt, entry.Ending(Outcome.UNKNOWN, Reason.EJECTED))
+
     def _finish(self, attempt: Try, failed: bool | None) -> None:
         now = self.world.now
         waiting = self.guard.finish(attempt.ticket, failed, now)
--- a/forklift_lab/standin.py
+++ b/forklift_lab/standin.py
@@ -40,6 +40,7 @@
         sigma: float = 0.5,
         seed: int = 1,
         connections: int = 330,
+        key: str = "",
     ):
         self.name = name
         self.service = service
@@ -48,6 +49,7 @@
         self.admin = admin
         self.slots = slots
         self.connections = connections
+        self._key = key
         self.fault = "none"
         self.runs_by_token: dict[str, int] = {}
         self.last_real = 0.0
@@ -90,11 +92,16 @@
             "echo": True,
         }
         body = json.dumps(said).encode()
+        headers = (("authorization", f"Bearer {self._key}"),)
         while True:
             period = RETRY_PERIOD
             with contextlib.suppress(client.Failed):
                 response = await asker.request(
-                    "POST", f"/targets/{self.name}", body, timeout=2.0
+                    "POST",
+                    f"/targets/{self.name}",
+                    body,
+                    headers if self._key else (),
+                    timeout=2.0,
                 )
                 if response.status == 200:
                     period = ANNOUNCE_PERIOD
