--- a/forklift/leases.py
+++ b/forklift/leases.py
@@ -105,12 +105,21 @@
 class Holding:
     """A lease that this process took over: may it act on it now?"""
 
-    def __init__(self, resource: str, grant: Grant, starts: float):
+    def __init__(self, resource: str, grant: Grant, read: float, starts: float):
+        """Begins a tenure.
+
+        Args:
+            resource: What is leased.
+            grant: The grant that was read back.
+            read: Monotonic seconds at which it was read back.
+            starts: Monotonic seconds at which it takes effect.
+        """
         self.resource = resource
         self.grant = grant
         self.starts = starts
         self.released = False
-        self._log_confirmed = starts
+        # Not `starts`: while it waits, another may take over unseen.
+        self._log_confirmed = read
         self._promised_by_name: dict[str, float] = {}
         self._sent_by_number: dict[int, tuple[str, float]] = {}
         # Asked as well until a refresh that names others has been read back.
--- a/forklift/ownership.py
+++ b/forklift/ownership.py
@@ -83,7 +83,7 @@
             holding.refreshed(grant)
             return None
         starts = leases.starts_at(before, grant.holder, grant.boot, now)
-        holding = leases.Holding(name, grant, starts)
+        holding = leases.Holding(name, grant, now, starts)
         self.holding_by_resource[name] = holding
         return Began(holding, before)
 
