--- a/forklift/expressions.py
+++ b/forklift/expressions.py
@@ -50,7 +50,8 @@
         try:
             self._program = cel.compile(text)
             value = self._program.execute(dict(sample))
-        except (ValueError, RuntimeError, TypeError, OverflowError) as error:
+        except Exception as error:
+            # The library raises many kinds; all mean an unusable expression.
             first = str(error).splitlines()[0]
             known = ", ".join(sorted(sample))
             raise ExpressionError(
@@ -71,7 +72,7 @@
         """
         try:
             value = self._program.execute(values)
-        except (ValueError, RuntimeError, TypeError, OverflowError):
+        except Exception:
             failures_by_expression[self.text] += 1
             return self._default
         if not self._fits(value):
--- a/forklift/ini.py
+++ b/forklift/ini.py
@@ -135,7 +135,8 @@
             return
         try:
             self._parser.read_string(content)
-        except (configparser.Error, ValueError) as error:
+        except (configparser.Error, ValueError, AttributeError) as error:
+            # The parser itself trips over some lines without a key.
             first = str(error).splitlines()[0]
             self.report("", "", first, "write sections and 'key = value' lines")
 
--- a/forklift/shell/callers.py
+++ b/forklift/shell/callers.py
@@ -210,10 +210,7 @@
         wait = self._limits.idle if not self._head else self._limits.head
         started = self._clock.monotonic()
         while http.END_OF_HEAD not in self._head:
-            if len(self._head) > self._limits.header_bytes:
-                raise errors.BadRequest(
-                    "the head is too large", "send fewer headers", 431
-                )
+            self._check_size(len(self._head))
             if self._callers.stopping and not self._head:
                 return None
             async with asyncio.timeout(wait):
@@ -225,12 +222,19 @@
             gone = self._clock.monotonic() - started
             wait = max(0.001, self._limits.head - min(gone, self._limits.head))
         end = self._head.index(http.END_OF_HEAD) + len(http.END_OF_HEAD)
+        self._check_size(end)
         http.check_head(bytes(self._head[:end]))
         event = self._protocol.next_event()
         if not isinstance(event, h11.Request):
             raise errors.BadRequest("no request", "send one request at a time")
         return event
 
+    def _check_size(self, size: int) -> None:
+        if size > self._limits.header_bytes:
+            raise errors.BadRequest(
+                "the head is too large", "send fewer headers", 431
+            )
+
     async def _serve(self, event: h11.Request) -> None:
         headers = tuple(
             (bytes(name), bytes(found)) for name, found in event.headers
--- a/forklift/spread.py
+++ b/forklift/spread.py
@@ -29,14 +29,19 @@
     @property
     def pressure(self) -> float:
         """Load against the slots that its weight grants."""
-        return (self.load + 1) / (self.slots * self.weight)
+        return self.fill / self.weight
+
+    @property
+    def fill(self) -> float:
+        """Load against all of its slots."""
+        return (self.load + 1) / self.slots
 
 
 Picker = Callable[[Sequence[Candidate], random.Random], Candidate]
 picker_by_name: dict[str, Picker] = {}
 
 # Above this share of its slots a failure domain spills to the others.
-SPILL_PRESSURE = 1.0
+SPILL_FILL = 1.0
 # Candidates that the power of choices compares.
 CHOICES = 2
 
@@ -76,7 +81,8 @@
         return least_loaded(candidates, rng)
     weights = [candidate.weight for candidate in candidates]
     first, second = rng.choices(candidates, weights, k=CHOICES)
-    return first if first.pressure <= second.pressure else second
+    # The draw has weighed them; weighing again would starve the light ones.
+    return first if first.fill <= second.fill else second
 
 
 @picker("same-domain")
@@ -87,6 +93,6 @@
     near = [c for c in candidates if c.same_domain]
     if near:
         pick = power_of_two(near, rng)
-        if pick.pressure <= SPILL_PRESSURE:
+        if pick.fill <= SPILL_FILL:
             return pick
     return power_of_two(candidates, rng)
--- a/forklift/ui/check.py
+++ b/forklift/ui/check.py
@@ -27,6 +27,6 @@
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(content)
-    except (configparser.Error, ValueError):
+    except (configparser.Error, ValueError, AttributeError):
         return "[policy]" in content
     return not any(name in settings.SECTIONS for name in parser.sections())
--- /dev/null
+++ b/test/test_fuzz.py
@@ -0,0 +1,165 @@
+"""Every decoder of outside bytes: no crash, no hang, typed errors only."""
+
+import asyncio
+
+import h11
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from forklift import errors
+from forklift import messages
+from forklift import policy
+from forklift import report
+from forklift import settings
+from forklift.shell import http
+from forklift.shell import logclient
+from test import helper
+from test import test_callers
+from test import test_ui
+
+few = hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+VALID = [
+    messages.encode(messages.Cancel(7)),
+    messages.encode(messages.Beat(1, True)),
+    messages.encode(messages.Ping(helper.info("p", "t"), 1, 0.0, 5, ())),
+    messages.encode(messages.Publication("i", "p", 0, "a", "text")),
+    messages.encode(messages.Takeover("r", 1, "n", 1, ("a",))),
+    messages.encode(messages.Claims("r", 1, 1, ())),
+]
+
+
+@strategies.composite
+def mutated(draw):
+    """Valid messages with some bytes changed, cut or doubled."""
+    data = bytearray(draw(strategies.sampled_from(VALID)))
+    for _ in range(draw(strategies.integers(0, 4))):
+        index = draw(strategies.integers(0, len(data) - 1))
+        data[index] = draw(strategies.integers(0, 255))
+    end = draw(strategies.integers(0, len(data)))
+    return bytes(data[:end]) + draw(strategies.binary(max_size=8))
+
+
+@hypothesis.given(strategies.binary(max_size=400) | mutated())
+@few
+def test_messages(data):
+    for decode in (
+        messages.decode_frame,
+        messages.decode_record,
+        messages.decode_control,
+    ):
+        try:
+            message = decode(data)
+        except messages.Malformed:
+            continue
+        assert decode(messages.encode(message)) == message
+
+
+def test_deeply_nested_message_is_refused():
+    for decode in (messages.decode_frame, messages.decode_control):
+        try:
+            decode(b"\x91" * 100_000)
+        except messages.Malformed:
+            continue
+        raise AssertionError("accepted")
+
+
+@hypothesis.given(strategies.binary(max_size=400))
+@few
+def test_answers_of_the_log(data):
+    for decoder in (logclient._read, logclient._appended):
+        try:
+            decoder.decode(data)
+        except msgspec.MsgspecError:
+            continue
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+@few
+def test_announcements(data):
+    try:
+        msgspec.json.decode(data, type=report.Announce)
+    except msgspec.MsgspecError:
+        return
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+@few
+def test_heads(data):
+    try:
+        http.check_head(data)
+    except errors.BadRequest:
+        return
+    assert b"\0" not in data
+
+
+ini_text = strategies.lists(
+    strategies.sampled_from(
+        (test_ui.PROCESS + test_ui.POLICY).splitlines()
+        + ["[", "=", "[service]", "[route ]", "a", " x", "%(a)s", "floor = -1"]
+    )
+    | strategies.text(max_size=30),
+    max_size=25,
+).map("\n".join)
+
+
+@hypothesis.given(ini_text)
+@few
+def test_files(text):
+    for parse in (settings.parse, policy.parse):
+        try:
+            parse("f", text)
+        except errors.FileProblems as found:
+            assert found.problems
+
+
+@hypothesis.given(strategies.text(max_size=60))
+@few
+def test_expressions(text):
+    try:
+        policy.expressions.Expression(text, {"status": 1}, False)
+    except policy.expressions.ExpressionError:
+        return
+
+
+def test_callers_bytes_mutated_over_a_socket():
+    """Requests with bytes changed at random; the process serves on."""
+    rng = __import__("random").Random(5)
+    whole = test_callers.POST + b"content-length: 2\r\n\r\n{}"
+
+    async def one(address):
+        data = bytearray(whole * rng.choice((1, 2)))
+        for _ in range(rng.randrange(1, 6)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        connection = await test_callers.wire.connect(address)
+        connection.write(bytes(data[: rng.randrange(1, len(data))]))
+        connection.transport.write_eof()
+        while await connection.read():
+            pass
+        connection.abort()
+
+    async def work():
+        async with helper.Fleet(1) as fleet:
+            address = fleet.places[0].caller
+            for _ in range(30):
+                await asyncio.gather(*(one(address) for _ in range(10)))
+            node = fleet.nodes[0]
+            await helper.until(lambda: node.running() == 0)
+            data = test_callers.GET + b"connection: close\r\n\r\n"
+            answer = await test_callers.send(address, data)
+            assert answer.startswith(b"HTTP/1.1 200 ")
+
+    helper.run(work())
+
+
+def test_head_that_h11_accepts_twice_is_one_request():
+    """A folded head is refused before the parser unfolds it."""
+    folded = b"GET / HTTP/1.1\r\nhost: a\r\nx: 1\r\n y: 2\r\n\r\n"
+    parser = h11.Connection(h11.SERVER)
+    parser.receive_data(folded)
+    assert isinstance(parser.next_event(), h11.Request)
+    try:
+        http.check_head(folded)
+    except errors.BadRequest:
+        return
+    raise AssertionError("accepted")
