Refuse a policy or settings file with one section twice as a mistake

Cause: the parser raises in the middle and leaves lists where texts belong; found by fuzzing (300 examples), which failed with AttributeError and passes now.

--- a/forklift/ini.py
+++ b/forklift/ini.py
@@ -139,6 +139,8 @@
             # The parser itself trips over some lines without a key.
             first = str(error).splitlines()[0]
             self.report("", "", first, "write sections and 'key = value' lines")
+            # What was read up to the mistake is in no usable shape.
+            self._parser = configparser.ConfigParser(interpolation=None)
 
     @property
     def sections(self) -> list[str]:
