--- a/forklift/health.py
+++ b/forklift/health.py
@@ -286,6 +286,9 @@
         # A bounded step follows the median rather than the mean.
         step = max(-1.0, min(1.0, deviation / self._sigma)) * self._sigma
         self._log_latency += LATENCY_GAIN * step
+        if distance is not None and abs(distance) > OVERDUE_SIGMAS:
+            # How a sick target scatters says nothing of a healthy one.
+            return
         sigma = self._sigma + SIGMA_GAIN * (
             1.2533 * min(abs(deviation), 3 * self._sigma) - self._sigma
         )
