Load over a whole service ejects nobody

Change: the floor owner counts suspects that gossip tells of as well as those asked for; the usual latency is a plain mean at first.

--- a/forklift/floor.py
+++ b/forklift/floor.py
@@ -24,10 +24,12 @@
     Attributes:
         known: Names of targets that are alive and not leaving.
         floor: Targets that must stay in service.
+        doubtful: Names of those that their own guards suspect.
     """
 
     known: frozenset[str]
     floor: int
+    doubtful: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,7 +117,7 @@
 
     def _slow_alone(self, target: str, capacity: Capacity, now: float) -> bool:
         self._note_look(target, now)
-        asked = len(self._last_look_by_target)
+        asked = len(capacity.doubtful | set(self._last_look_by_target))
         most = max(1, int(len(capacity.known) * ALONE_SHARE))
         waited = now - self._first_look_by_target[target] >= SECOND_LOOK
         return waited and asked <= most
--- a/forklift/guard.py
+++ b/forklift/guard.py
@@ -164,6 +164,7 @@
         self.judge = health.Judge(program.detection)
         self.normal = health.UNKNOWN
         self.usual_latency = 0.0
+        self._compared = 0
         self.ticket_by_id: dict[fences.Identity, Ticket] = {}
         self.waiting_by_id: dict[fences.Identity, Ticket] = {}
         self.mean_latency = LATENCY_GUESS
@@ -184,10 +185,12 @@
     def compare(self, normal: health.Reference) -> None:
         """Takes in what is normal for the service now."""
         self.normal = normal
-        if self.usual_latency == 0.0:
-            self.usual_latency = normal.latency
-        change = normal.latency - self.usual_latency
-        self.usual_latency += USUAL_GAIN * change
+        if normal.latency <= 0.0:
+            return
+        # A plain mean at first, then one that forgets.
+        self._compared += 1
+        gain = max(USUAL_GAIN, 1 / self._compared)
+        self.usual_latency += gain * (normal.latency - self.usual_latency)
 
     def slow_alone(self, now: float) -> bool:
         """Whether it is slow against its service, and not with it.
--- a/forklift/permits.py
+++ b/forklift/permits.py
@@ -141,13 +141,15 @@
         )
 
     def _capacity(self, service: str, least: int) -> floor.Capacity:
-        known = frozenset(
-            target.name
+        targets = [
+            target
             for info in self._directory.usable()
             for target in info.targets
             if target.service == service and target.state not in _GONE
-        )
-        return floor.Capacity(known, least)
+        ]
+        doubtful = [t.name for t in targets if t.state is State.SUSPECT]
+        known = frozenset(target.name for target in targets)
+        return floor.Capacity(known, least, frozenset(doubtful))
 
     def _reply(self, reply: messages.PermitReply) -> None:
         asked = self._asked_by_number.pop(reply.number, None)
