--- a/forklift/shell/control.py
+++ b/forklift/shell/control.py
@@ -72,10 +72,11 @@
         self._pull.listen(f"tcp://{self._address}")
         self._task = asyncio.create_task(self._receive())
 
-    def close(self) -> None:
-        """Closes all sockets."""
+    async def close(self) -> None:
+        """Closes all sockets; nng aborts if a receive outlives them."""
         if self._task is not None:
             self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
         self._pull.close()
         for socket in self._socket_by_address.values():
             socket.close()
--- a/forklift/shell/node.py
+++ b/forklift/shell/node.py
@@ -203,7 +203,7 @@
         self.links.close()
         for endpoint in self.local.endpoint_by_target.values():
             endpoint.pool.close()
-        self.control.close()
+        await self.control.close()
         self.log.close()
 
     def running(self) -> int:
--- a/test/test_leases.py
+++ b/test/test_leases.py
@@ -69,6 +69,16 @@
     assert holding.until() == 1.0 + leases.LEASE
 
 
+def test_no_promise_once_a_takeover_began_or_was_read():
+    promises, table = leases.Promises(), leases.Table()
+    table.apply(takeover(3, 1))
+    assert promises.may("r", 3, table)
+    assert not promises.may("r", 2, table)
+    promises.take("r", 3)
+    assert not promises.may("r", 3, table)
+    assert promises.may("r", 4, table)
+
+
 class Process:
     """A process of the small world: it may lag, stall and be cut off."""
 
--- a/test/test_ports.py
+++ b/test/test_ports.py
@@ -174,7 +174,7 @@
 
     async def __aexit__(self, *_):
         for end in self.ends:
-            end.close()
+            await end.close()
 
 
 def request(number):
