Test that a begun takeover ends promises

Cause: the mutation that drops the check went unseen, as the new holder's wait covers it (it counts from the reading back). Change: a direct test.

--- a/test/test_leases.py
+++ b/test/test_leases.py
@@ -71,6 +71,7 @@
 
 def test_no_promise_once_a_takeover_began_or_was_read():
     promises, table = leases.Promises(), leases.Table()
+    table.missed()
     table.apply(takeover(3, 1))
     assert promises.may("r", 3, table)
     assert not promises.may("r", 2, table)
