--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -50,8 +50,6 @@
     UNFRAMED = "unframed-answer"
     UNKNOWN_TARGET = "unknown-target"
     WRONG_ANSWER = "wrong-answer"
-    BUDGET = "retry-budget"
-    REPLAYED = "replayed"
     HOPS = "too-many-hops"
 
 
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -122,9 +122,11 @@
         log_away: Seconds since the log last answered.
         policies: Policies in force.
         clashes: Declarations that don't count.
-        services: Services it knows.
-        targets: Targets it knows.
+        services: Services it knows in full.
+        targets: Their targets.
         processes: Processes it knows.
+        gateways: Admin address of a process that knows a service in full,
+            for each other service.
         broken: Broken invariants by promise.
     """
 
@@ -137,6 +139,7 @@
     services: tuple[Service, ...]
     targets: tuple[Target, ...]
     processes: tuple[Process, ...]
+    gateways: dict[str, str]
     broken: dict[str, int]
 
 
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -31,6 +31,7 @@
         _services(node, targets),
         targets,
         _processes(node),
+        _gateways(node),
         dict(invariants.broken_by_promise),
     )
 
@@ -103,6 +104,7 @@
 
 def _targets(node) -> tuple[report.Target, ...]:
     avoided = node.decisions.entry.avoided()
+    own = node.decisions.own_services()
     return tuple(
         report.Target(
             target.name,
@@ -117,14 +119,28 @@
         )
         for info in node.directory.usable()
         for target in info.targets
+        if target.service in own
     )
 
 
+def _gateways(node) -> dict[str, str]:
+    own = node.decisions.own_services()
+    return {
+        target.service: info.admin
+        for info in node.directory.usable()
+        for target in info.targets
+        if target.service not in own
+    }
+
+
 def _services(
     node, targets: tuple[report.Target, ...]
 ) -> tuple[report.Service, ...]:
     services = []
-    for name, program in node.decisions.effective.services_by_name.items():
+    for name in node.decisions.own_services():
+        program = node.decisions.program(name)
+        if program is None:
+            continue
         own = [t for t in targets if t.service == name]
         known = [t for t in own if t.state not in _GONE]
         serving = [t for t in known if t.state not in _OUT]
--- a/forklift/ui/asking.py
+++ b/forklift/ui/asking.py
@@ -76,24 +76,47 @@
     click.echo(msgspec.json.format(data, indent=2).decode())
 
 
-def find_target(admin: str, name: str) -> report.Target:
-    """Where a target is.
+def whole_status(admin: str) -> report.Status:
+    """The status of one process, with the services that others know.
 
     Raises:
-        errors.UserError: It is not known.
+        errors.UserError: The process can't be reached.
     """
     status = ask(admin, "GET", "/status", report.Status)
+    services = {s.name: s for s in status.services}
+    targets = {t.name: t for t in status.targets}
+    processes = {p.name: p for p in status.processes}
+    for service, gateway in status.gateways.items():
+        if service in services:
+            continue
+        try:
+            other = ask(gateway, "GET", "/status", report.Status)
+        except errors.UserError:
+            continue
+        for found in other.services:
+            services.setdefault(found.name, found)
+        for target in other.targets:
+            targets.setdefault(target.name, target)
+        # It hears its own peers, the first process only knows of some.
+        processes.update({p.name: p for p in other.processes})
+    return msgspec.structs.replace(
+        status,
+        services=tuple(services.values()),
+        targets=tuple(targets.values()),
+        processes=tuple(sorted(processes.values(), key=lambda p: p.name)),
+    )
+
+
+def find_target(admin: str, name: str) -> str:
+    """Admin address of the process beside a target.
+
+    Raises:
+        errors.UserError: It is not known.
+    """
+    status = whole_status(admin)
+    admin_by_process = {p.name: p.admin for p in status.processes}
     for target in status.targets:
         if target.name == name:
-            return target
+            return admin_by_process.get(target.process, admin)
     known = ", ".join(sorted(target.name for target in status.targets)[:20])
     raise errors.UserError(f"no target {name}; known are {known or 'none'}")
-
-
-def admin_of(admin: str, process: str) -> str:
-    """Admin address of a process, as another knows it."""
-    status = ask(admin, "GET", "/status", report.Status)
-    for known in status.processes:
-        if known.name == process:
-            return known.admin
-    return admin
--- a/forklift/ui/drain.py
+++ b/forklift/ui/drain.py
@@ -23,8 +23,7 @@
         status = asking.ask(admin, "POST", "/drain", report.Status)
         click.echo(f"process {status.process} stops as planned")
         return
-    found = asking.find_target(admin, target)
-    beside = asking.admin_of(admin, found.process)
+    beside = asking.find_target(admin, target)
     path = f"/targets/{target}/drain"
     drained = asking.ask(beside, "POST", path, report.Explanation)
     click.echo(
--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -14,8 +14,7 @@
 @asking.json_option
 def command(target: str, admin: str, as_json: bool) -> None:
     """Show the recent decisions about TARGET, with the evidence then."""
-    found = asking.find_target(admin, target)
-    beside = asking.admin_of(admin, found.process)
+    beside = asking.find_target(admin, target)
     path = f"/explain/{target}"
     told = asking.ask(beside, "GET", path, report.Explanation)
     if as_json:
--- a/forklift/ui/status.py
+++ b/forklift/ui/status.py
@@ -30,7 +30,7 @@
     """Show services, targets and processes as one process sees them."""
     out = console.Console()
     while True:
-        status = asking.ask(admin, "GET", "/status", report.Status)
+        status = asking.whole_status(admin)
         if as_json:
             asking.show_json(status)
         else:
