--- a/forklift_lab/measure/__init__.py
+++ b/forklift_lab/measure/__init__.py
@@ -5,6 +5,7 @@
 from forklift_lab.measure import capacity
 from forklift_lab.measure import deciding
 from forklift_lab.measure import latency
+from forklift_lab.measure import tradeoff
 
 
 @click.group("measure")
@@ -15,3 +16,4 @@
 command.add_command(latency.command)
 command.add_command(deciding.command)
 command.add_command(capacity.command)
+command.add_command(tradeoff.command)
--- a/forklift_lab/measure/deciding.py
+++ b/forklift_lab/measure/deciding.py
@@ -40,7 +40,7 @@
     strategy: str,
     fault: str,
     seed: int,
-    detection: float = 0.0,
+    changes: tuple[str, ...] = (),
     end: float = scenarios.END,
 ) -> figures.Row:
     """Runs one fault with one seed; the same seed gives the same row.
@@ -50,19 +50,12 @@
         strategy: Name of the strategy.
         fault: Name of the scenario.
         seed: Seed of all randomness.
-        detection: Evidence that ejects, instead of the policy's; 0 keeps it.
+        changes: Lines "key = value" put in place of the policy's.
         end: Virtual second at which the run ends.
     """
     structlog.configure(processors=[_quiet])
     found = scenarios.deployments()[deployment]
-    if detection:
-        text = "".join(
-            f"detection = {detection:g}\n"
-            if line.startswith("detection")
-            else line
-            for line in found.policy.splitlines(keepends=True)
-        )
-        found = dataclasses.replace(found, policy=text)
+    found = dataclasses.replace(found, policy=changed(found.policy, changes))
     row = scenarios.scenario_by_name[fault]
     broken_before = sum(invariants.broken_by_promise.values())
     make = baselines.process_by_strategy[strategy]
@@ -85,6 +78,22 @@
     )
 
 
+def changed(text: str, changes: tuple[str, ...]) -> str:
+    """A policy with some keys of all its services changed.
+
+    >>> changed("[service s]\\nfloor = 1\\n", ("floor = 2",))
+    '[service s]\\nfloor = 2\\n'
+    """
+    keys = {change.partition("=")[0].strip() for change in changes}
+    lines = []
+    for line in text.splitlines():
+        if line.partition("=")[0].strip() not in keys:
+            lines.append(line)
+        if line.startswith("[service "):
+            lines.extend(changes)
+    return "\n".join(lines) + "\n"
+
+
 def _row(
     world: worlds.World,
     fault: str,
@@ -135,11 +144,15 @@
 
 
 def run_all(
-    deployment: str, strategies: list[str], names: list[str], seeds: int
+    deployment: str,
+    strategies: list[str],
+    names: list[str],
+    seeds: int,
+    changes: tuple[str, ...] = (),
 ) -> list[Result]:
     """Runs all rows on several processes; progress goes to stderr."""
     jobs = [
-        (deployment, strategy, fault, seed)
+        (deployment, strategy, fault, seed, changes)
         for strategy in strategies
         for fault in names
         for seed in range(1, seeds + 1)
@@ -260,6 +273,9 @@
 @click.option("--fault", multiple=True, help="Only this row; repeat it.")
 @click.option("--seeds", default=20, show_default=True)
 @click.option("--strategy", multiple=True, help="Only this one; repeat it.")
+@click.option(
+    "--set", "changes", multiple=True, help='As "queue = lifo"; repeat it.'
+)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @click.option("--out", type=click.Path(path_type=pathlib.Path))
 def command(
@@ -267,6 +283,7 @@
     fault: tuple[str, ...],
     seeds: int,
     strategy: tuple[str, ...],
+    changes: tuple[str, ...],
     as_json: bool,
     out: pathlib.Path | None,
 ) -> None:
@@ -277,7 +294,7 @@
             known = ", ".join(scenarios.scenario_by_name)
             raise click.BadParameter(f"no fault {name}; known are {known}")
     strategies = list(strategy) or list(baselines.process_by_strategy)
-    results = run_all(deployment, strategies, names, seeds)
+    results = run_all(deployment, strategies, names, seeds, changes)
     if as_json:
         sys.stdout.buffer.write(msgspec.json.encode(results) + b"\n")
     else:
