--- a/forklift_lab/measure/deciding.py
+++ b/forklift_lab/measure/deciding.py
@@ -79,10 +79,10 @@
 
 
 def changed(text: str, changes: tuple[str, ...]) -> str:
-    """A policy with some keys of all its services changed.
+    r"""A policy with some keys of all its services changed.
 
-    >>> changed("[service s]\\nfloor = 1\\n", ("floor = 2",))
-    '[service s]\\nfloor = 2\\n'
+    >>> changed("[service s]\nfloor = 1\n", ("floor = 2",))
+    '[service s]\nfloor = 2\n'
     """
     keys = {change.partition("=")[0].strip() for change in changes}
     lines = []
