--- a/forklift/shell/callers.py
+++ b/forklift/shell/callers.py
@@ -47,28 +47,19 @@
         self._unsent = b""
         self.begun = False
         self.status = 0
-        self.target = ""
 
-    async def start(
-        self,
-        status: int,
-        headers: http.Headers,
-        length: int,
-        target: str,
-        load: messages.Load | None,
-    ) -> None:
+    async def start(self, head: exchange.Head) -> None:
         """See `exchange.Sink`."""
-        sent = [*headers, (http.REQUEST_ID, self._request_id.encode())]
-        if length >= 0:
-            sent.append((b"content-length", str(length).encode()))
-        elif self._method != b"HEAD" and status not in (204, 304):
+        sent = [*head.headers, (http.REQUEST_ID, self._request_id.encode())]
+        if head.length >= 0:
+            sent.append((b"content-length", str(head.length).encode()))
+        elif self._method != b"HEAD" and head.status not in (204, 304):
             sent.append((b"transfer-encoding", b"chunked"))
         self.begun = True
-        self.status = status
-        self.target = target
-        response = h11.Response(status_code=status, headers=sent)
+        self.status = head.status
+        response = h11.Response(status_code=head.status, headers=sent)
         self._unsent = self._protocol.send(response)
-        if length < 0:
+        if head.length < 0:
             # The body may take its time.
             self._flush(b"")
 
@@ -390,7 +381,8 @@
         if self._protocol.their_state is not h11.DONE:
             headers.append((b"connection", b"close"))
         body = http.encode_problem(problem)
-        await answer.start(problem.status, tuple(headers), len(body), "", None)
+        head = exchange.Head(problem.status, tuple(headers), len(body))
+        await answer.start(head)
         if answer._method != b"HEAD":
             await answer.data(body)
         await answer.end()
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -15,7 +15,6 @@
 from forklift import overlay
 from forklift import ownership
 from forklift.shell import exchange
-from forklift.shell import http
 from forklift.shell import links
 from forklift.shell import local
 from forklift.shell import peers
@@ -291,7 +290,7 @@
     def __init__(self, sink: exchange.Sink, retriable: bool):
         self._sink = sink
         self._retriable = retriable
-        self._head: tuple | None = None
+        self._head: exchange.Head | None = None
         self._body = bytearray()
         self._whole = False
 
@@ -305,19 +304,12 @@
         """Whether a whole answer is held back."""
         return self._head is not None and self._whole
 
-    async def start(
-        self,
-        status: int,
-        headers: http.Headers,
-        length: int,
-        target: str,
-        load: messages.Load | None,
-    ) -> None:
+    async def start(self, head: exchange.Head) -> None:
         """See `exchange.Sink`."""
-        if self._retriable and 0 <= length <= exchange.INLINE_BYTES:
-            self._head = (status, headers, length, target, load)
+        if self._retriable and 0 <= head.length <= exchange.INLINE_BYTES:
+            self._head = head
             return
-        await self._sink.start(status, headers, length, target, load)
+        await self._sink.start(head)
 
     async def data(self, piece: bytes) -> None:
         """See `exchange.Sink`."""
@@ -331,17 +323,17 @@
         self._whole = True
         if self._head is None:
             await self._sink.end()
-        elif self._head[0] < FAILED_STATUS:
+        elif self._head.status < FAILED_STATUS:
             await self.flush()
 
     async def flush(self) -> exchange.Result:
         """Passes the held answer on after all."""
-        status, headers, length, target, load = self._head
-        await self._sink.start(status, headers, length, target, load)
+        await self._sink.start(self._head)
         if self._body:
             await self._sink.data(bytes(self._body))
         await self._sink.end()
-        return exchange.answered(status, target, load)
+        head = self._head
+        return exchange.answered(head.status, head.target, head.load)
 
 
 def _refuses_route(result: exchange.Result) -> bool:
--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -95,6 +95,25 @@
     hops: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Head of an answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers.
+        length: Declared length of the body, -1 when chunked.
+        target: Name of the target, empty for an answer of ours.
+        load: Its load, where it is known.
+    """
+
+    status: int
+    headers: http.Headers
+    length: int
+    target: str = ""
+    load: messages.Load | None = None
+
+
 class Sink(Protocol):
     """Where an answer goes: a caller, or a peer that asked."""
 
@@ -102,15 +121,8 @@
     def begun(self) -> bool:
         """Whether the head was passed on, so that no other may be."""
 
-    async def start(
-        self,
-        status: int,
-        headers: http.Headers,
-        length: int,
-        target: str,
-        load: messages.Load | None,
-    ) -> None:
-        """Passes the head on; a length of -1 is chunked."""
+    async def start(self, head: Head) -> None:
+        """Passes the head on."""
 
     async def data(self, piece: bytes) -> None:
         """Passes a piece of the body on."""
--- /dev/null
+++ b/forklift/shell/framing.py
@@ -0,0 +1,161 @@
+"""Frames between two processes: cut out of bytes, bounded by credit.
+
+A frame is a length-prefixed message. A large body moves only as far as the
+other side gave credit, so that memory stays bounded.
+"""
+
+import asyncio
+import hmac
+import secrets
+import struct
+from collections.abc import Callable
+
+import structlog
+
+from forklift import messages
+from forklift.shell import wire
+
+_log = structlog.get_logger(__name__)
+_PREFIX = struct.Struct("!I")
+WINDOW = 262_144
+NONCE_BYTES = 16
+
+
+class Frames(asyncio.Protocol):
+    """Splits bytes into frames; hands each on at once."""
+
+    def __init__(self, on_made: Callable[["Frames"], None] | None = None):
+        self._on_made = on_made
+        self._buffer = bytearray()
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self.transport: asyncio.Transport | None = None
+        self.on_frame: Callable[[messages.Frame], None] = lambda frame: None
+        self.on_batch: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[], None] = lambda: None
+        self.lost = False
+        self.peer = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See `asyncio.Protocol`."""
+        self.transport = transport
+        name = transport.get_extra_info("peername")
+        self.peer = f"{name[0]}:{name[1]}" if name else ""
+        if self._on_made is not None:
+            self._on_made(self)
+
+    def data_received(self, data: bytes) -> None:
+        """See `asyncio.Protocol`."""
+        self._buffer += data
+        self.on_batch()
+        try:
+            self._split()
+        except messages.Malformed as error:
+            _log.warning("peer_malformed", peer=self.peer, detail=str(error))
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """See `asyncio.Protocol`."""
+        self.lost = True
+        self._can_write.set()
+        self.on_lost()
+
+    def pause_writing(self) -> None:
+        """See `asyncio.Protocol`."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """See `asyncio.Protocol`."""
+        self._can_write.set()
+
+    def send(self, frame: messages.Frame) -> None:
+        """Queues a frame.
+
+        Raises:
+            wire.Lost: The connection is gone.
+        """
+        if self.lost or self.transport is None:
+            raise wire.Lost("peer connection lost")
+        data = messages.encode(frame)
+        self.transport.write(_PREFIX.pack(len(data)) + data)
+
+    async def drain(self) -> None:
+        """Waits until the other side takes bytes again.
+
+        Raises:
+            wire.Lost: The connection is gone.
+        """
+        await self._can_write.wait()
+        if self.lost:
+            raise wire.Lost("peer connection lost")
+
+    def _split(self) -> None:
+        start = 0
+        while len(self._buffer) - start >= _PREFIX.size:
+            (size,) = _PREFIX.unpack_from(self._buffer, start)
+            if size > messages.MAX_FRAME_BYTES:
+                raise messages.Malformed(f"a frame of {size} bytes")
+            end = start + _PREFIX.size + size
+            if len(self._buffer) < end:
+                break
+            data = bytes(self._buffer[start + _PREFIX.size : end])
+            start = end
+            self.on_frame(messages.decode_frame(data))
+        del self._buffer[:start]
+
+
+class Sending:
+    """The credit of one stream's body on its way out."""
+
+    def __init__(self, credit: int):
+        self._credit = credit
+        self._news = asyncio.Event()
+        self.lost = False
+
+    def give(self, size: int) -> None:
+        """The other side took some."""
+        self._credit += size
+        self._news.set()
+
+    def fail(self) -> None:
+        """The stream is gone."""
+        self.lost = True
+        self._news.set()
+
+    async def take(self, most: int) -> int:
+        """Waits for credit and takes up to `most` of it.
+
+        Raises:
+            wire.Lost: The stream is gone.
+        """
+        while self._credit <= 0 and not self.lost:
+            self._news.clear()
+            await self._news.wait()
+        if self.lost:
+            raise wire.Lost("stream lost")
+        size = min(most, self._credit)
+        self._credit -= size
+        return size
+
+
+async def send_pieces(
+    frames: Frames, sending: Sending, stream: int, piece: bytes
+) -> None:
+    """Sends bytes of a body within the credit of its stream."""
+    start = 0
+    while start < len(piece):
+        size = await sending.take(min(len(piece) - start, WINDOW))
+        part = piece[start : start + size]
+        frames.send(messages.Body(stream, part, False))
+        await frames.drain()
+        start += size
+
+
+def prove(key: bytes, nonce: bytes, other: bytes) -> bytes:
+    """Proof of the key for a pair of nonces, ours and the other side's."""
+    return hmac.digest(key, b"forklift" + nonce + other, "sha256")
+
+
+def new_nonce() -> bytes:
+    """Random bytes for one connection."""
+    return secrets.token_bytes(NONCE_BYTES)
--- a/forklift/shell/keyed.py
+++ b/forklift/shell/keyed.py
@@ -17,7 +17,6 @@
 from forklift import ownership
 from forklift.shell import dispatch
 from forklift.shell import exchange
-from forklift.shell import http
 from forklift.shell import wire
 
 _log = structlog.get_logger(__name__)
@@ -51,7 +50,7 @@
     def __init__(self, sink: exchange.Sink, most: int):
         self._sink = sink
         self._most = most
-        self._head: tuple[int, http.Headers] | None = None
+        self._head: exchange.Head | None = None
         self._body: bytearray | None = bytearray()
         self._gone = False
 
@@ -60,19 +59,10 @@
         """See `exchange.Sink`."""
         return self._sink.begun
 
-    async def start(
-        self,
-        status: int,
-        headers: http.Headers,
-        length: int,
-        target: str,
-        load: messages.Load | None,
-    ) -> None:
+    async def start(self, head: exchange.Head) -> None:
         """See `exchange.Sink`."""
-        self._head = (status, headers)
-        await self._pass(
-            self._sink.start(status, headers, length, target, load)
-        )
+        self._head = head
+        await self._pass(self._sink.start(head))
 
     async def data(self, piece: bytes) -> None:
         """See `exchange.Sink`."""
@@ -94,8 +84,8 @@
         """The whole answer; None where it was too large to keep."""
         if self._head is None or self._body is None:
             return None
-        status, headers = self._head
-        return keys.Answer(status, headers, bytes(self._body))
+        head = self._head
+        return keys.Answer(head.status, head.headers, bytes(self._body))
 
     async def _pass(self, step) -> None:
         if self._gone:
@@ -399,7 +389,8 @@
 
 async def _replay(answer: keys.Answer, sink: exchange.Sink) -> exchange.Result:
     replayed = (*answer.headers, (b"idempotency-replayed", b"true"))
-    await sink.start(answer.status, replayed, len(answer.body), "", None)
+    head = exchange.Head(answer.status, replayed, len(answer.body))
+    await sink.start(head)
     if answer.body:
         await sink.data(answer.body)
     await sink.end()
--- a/forklift/shell/node.py
+++ b/forklift/shell/node.py
@@ -21,11 +21,12 @@
 from forklift.shell import control
 from forklift.shell import dispatch
 from forklift.shell import exchange
+from forklift.shell import framing
 from forklift.shell import keyed
 from forklift.shell import links
 from forklift.shell import local
 from forklift.shell import logclient
-from forklift.shell import peers
+from forklift.shell import served as serving
 from forklift.shell import tail
 from forklift.shell import targets
 from forklift.shell import telemetry
@@ -68,7 +69,7 @@
         )
         self._tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
-        self._served: set[peers.Served] = set()
+        self._served: set[serving.Served] = set()
         self.log = logclient.LogClient(read.log.address, read.log.timeout)
         self.telemetry = telemetry.Telemetry(own.name)
         self.control = control.Control(
@@ -252,10 +253,10 @@
 
     async def _serve_peer(
         self,
-        served: peers.Served,
+        served: serving.Served,
         start: messages.RequestStart,
         body: exchange.Body,
-        answerer: peers.Answerer,
+        answerer: serving.Answerer,
     ) -> exchange.Result:
         now = self.clock.monotonic()
         # A pause may have aged this frame by more than its sender knows.
@@ -306,11 +307,11 @@
         host, port = wire.split_address(address)
         loop = asyncio.get_running_loop()
         return await loop.create_server(
-            lambda: peers.Frames(self._accept_peer), host, port, backlog=1024
+            lambda: framing.Frames(self._accept_peer), host, port, backlog=1024
         )
 
-    def _accept_peer(self, frames: peers.Frames) -> None:
-        served = peers.Served(
+    def _accept_peer(self, frames: framing.Frames) -> None:
+        served = serving.Served(
             frames,
             self._hello,
             self._key,
@@ -335,7 +336,7 @@
             self.directory.own.name,
             self.boot,
             self.guard.incarnation,
-            peers.new_nonce(),
+            framing.new_nonce(),
         )
 
     def _on_result(
--- /dev/null
+++ b/forklift/shell/served.py
@@ -0,0 +1,196 @@
+"""The side of a connection between processes that answers."""
+
+import asyncio
+import hmac
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from forklift import messages
+from forklift.shell import exchange
+from forklift.shell import framing
+from forklift.shell import wire
+
+Handler = Callable[
+    ["Served", messages.RequestStart, exchange.Body, "Answerer"],
+    Awaitable[exchange.Result],
+]
+
+
+class Answerer:
+    """The sink of an answer that goes back to the peer that asked."""
+
+    def __init__(self, frames: framing.Frames, stream: int, request_id: str):
+        self._frames = frames
+        self._stream = stream
+        self._request_id = request_id
+        self.sending = framing.Sending(framing.WINDOW)
+        self.begun = False
+
+    async def start(self, head: exchange.Head) -> None:
+        """See `exchange.Sink`."""
+        self.begun = True
+        start = messages.AnswerStart(
+            self._stream,
+            self._request_id,
+            head.status,
+            head.headers,
+            head.length,
+            head.target,
+            head.load,
+        )
+        self._frames.send(start)
+
+    async def data(self, piece: bytes) -> None:
+        """See `exchange.Sink`."""
+        await framing.send_pieces(
+            self._frames, self.sending, self._stream, piece
+        )
+
+    async def end(self) -> None:
+        """See `exchange.Sink`."""
+        self._frames.send(messages.Body(self._stream, b"", True))
+
+
+class Served:
+    """One connection of a peer that asks us."""
+
+    def __init__(
+        self,
+        frames: framing.Frames,
+        own: Callable[[], messages.Hello],
+        key: bytes,
+        handler: Handler,
+        fence: Callable[[messages.Fence], bool],
+        on_refused: Callable[[], None],
+    ):
+        self._frames = frames
+        self._own = own()
+        self._current = own
+        self._key = key
+        self._handler = handler
+        self._fence = fence
+        self._on_refused = on_refused
+        self._task_by_id: dict[int, asyncio.Task] = {}
+        self._answerer_by_id: dict[int, Answerer] = {}
+        self._pieces_by_id: dict[int, exchange.Pieces] = {}
+        self.peer: messages.Hello | None = None
+        self.proven = False
+        frames.on_frame = self._frame
+        frames.on_lost = self._lost
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request of the peer is in flight."""
+        return bool(self._task_by_id)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._frames.transport.abort()
+
+    def _frame(self, frame: messages.Frame) -> None:
+        if isinstance(frame, messages.Hello):
+            self.peer = frame
+            self._frames.send(self._own)
+            digest = framing.prove(self._key, self._own.nonce, frame.nonce)
+            self._frames.send(messages.Proof(digest))
+        elif isinstance(frame, messages.Proof):
+            self._proof(frame)
+        elif not self.proven:
+            self._on_refused()
+            raise messages.Malformed("a frame before the proof of the key")
+        elif isinstance(frame, messages.RequestStart):
+            self._start(frame)
+        elif isinstance(frame, messages.Body):
+            pieces = self._pieces_by_id.get(frame.id)
+            if pieces is not None:
+                pieces.feed(frame.data, frame.end)
+        elif isinstance(frame, messages.Credit):
+            answerer = self._answerer_by_id.get(frame.id)
+            if answerer is not None:
+                answerer.sending.give(frame.size)
+        elif isinstance(frame, messages.Cancel):
+            task = self._task_by_id.get(frame.id)
+            if task is not None:
+                task.cancel()
+        elif isinstance(frame, messages.Beat) and not frame.echo:
+            self._frames.send(messages.Beat(frame.number, True))
+        elif isinstance(frame, messages.Fence):
+            not_run = self._fence(frame)
+            self._frames.send(messages.Fenced(frame.id, not_run))
+
+    def _proof(self, proof: messages.Proof) -> None:
+        if self.peer is None:
+            raise messages.Malformed("a proof before the hello")
+        wanted = framing.prove(self._key, self.peer.nonce, self._own.nonce)
+        if not hmac.compare_digest(wanted, proof.digest):
+            self._on_refused()
+            raise messages.Malformed("the shared key differs")
+        self.proven = True
+
+    def _start(self, start: messages.RequestStart) -> None:
+        if start.id in self._task_by_id:
+            raise messages.Malformed("a stream number was used again")
+        body = exchange.Body(start.body)
+        if not start.complete:
+            body = exchange.Body(b"", self._rest(start))
+        answerer = Answerer(self._frames, start.id, start.request_id)
+        self._answerer_by_id[start.id] = answerer
+        task = asyncio.get_running_loop().create_task(
+            self._serve(start, body, answerer)
+        )
+        self._task_by_id[start.id] = task
+
+    async def _rest(self, start: messages.RequestStart):
+        pieces = exchange.Pieces(lambda size: self._credit(start.id, size))
+        self._pieces_by_id[start.id] = pieces
+        self._credit(start.id, framing.WINDOW)
+        async for piece in pieces:
+            yield piece
+
+    async def _serve(
+        self,
+        start: messages.RequestStart,
+        body: exchange.Body,
+        answerer: Answerer,
+    ) -> None:
+        try:
+            result = await self._handler(self, start, body, answerer)
+            if result.ending.outcome is not messages.Outcome.ANSWERED:
+                self._fail(start, result)
+        except asyncio.CancelledError:
+            result = exchange.unknown(messages.Reason.CANCELLED)
+            self._fail(start, result)
+        except wire.Lost:
+            pass
+        finally:
+            answerer.sending.fail()
+            self._task_by_id.pop(start.id, None)
+            self._answerer_by_id.pop(start.id, None)
+            self._pieces_by_id.pop(start.id, None)
+
+    def _fail(
+        self, start: messages.RequestStart, result: exchange.Result
+    ) -> None:
+        if self._frames.lost:
+            return
+        ending = result.ending
+        failure = messages.Failure(
+            start.id,
+            ending.outcome,
+            ending.reason or messages.Reason.TARGET_BROKE,
+            ending.retry_after,
+            self._current().incarnation,
+            start.target,
+            result.load,
+        )
+        self._frames.send(failure)
+
+    def _credit(self, stream: int, size: int) -> None:
+        if not self._frames.lost:
+            self._frames.send(messages.Credit(stream, size))
+
+    def _lost(self) -> None:
+        for pieces in self._pieces_by_id.values():
+            pieces.fail("peer lost")
+        for task in list(self._task_by_id.values()):
+            task.cancel()
--- a/forklift/shell/targets.py
+++ b/forklift/shell/targets.py
@@ -275,13 +275,14 @@
             event = await self._next_event(connection, protocol)
             if isinstance(event, h11.Response):
                 self.head = self._check(event)
-                await sink.start(
+                head = exchange.Head(
                     self.head.status,
                     self.head.headers,
                     self.head.length,
                     self._target,
                     load(),
                 )
+                await sink.start(head)
             elif isinstance(event, h11.Data):
                 passed += len(event.data)
                 await sink.data(bytes(event.data))
--- a/test/test_targets.py
+++ b/test/test_targets.py
@@ -23,7 +23,7 @@
         self.ended = False
         self.body = b""
 
-    async def start(self, status, headers, length, target, load):
+    async def start(self, head):
         self.begun = True
 
     async def data(self, piece):
