A failing route is alone only if others go well since it fails

Ruled out: trials counted as requests. Change: a route that begins to fail resets what others did before.

--- a/forklift/health.py
+++ b/forklift/health.py
@@ -149,6 +149,10 @@
             self._make_room(now)
             evidence = _RouteEvidence()
             self._evidence_by_route[route] = evidence
+        if failed and evidence.at(now) < step:
+            # It begins to fail: only what others do from here on counts.
+            for other in self._evidence_by_route.values():
+                other.successes = 0
         total = max(0.0, evidence.at(now) + step)
         evidence.sum = min(MAX_ROUTE_EVIDENCE, total)
         evidence.since = now
--- a/test/test_health.py
+++ b/test/test_health.py
@@ -76,6 +76,18 @@
     assert judge.route_evidence("bad", now + 60) < THRESHOLD
 
 
+def test_successes_of_before_do_not_excuse_a_target_that_fails_all():
+    """Its first failures fall on one route by chance."""
+    judge, now = judged([False] * 10, route="other")
+    for number in range(6):
+        judge.start(("late", number), now)
+        now += 0.05
+        judge.finish(("late", number), True, "r", NORMAL, now)
+    assessment = judge.assess(NORMAL, now)
+    assert assessment.total >= THRESHOLD
+    assert assessment.route == ""
+
+
 def test_pause_of_the_process_is_no_evidence():
     judge, now = judged([False] * 10)
     for number in range(4):
