Close the control receiver without waiting for ever; split two long modules

Cause: awaiting the cancelled receiver could hang, as nng may turn the cancel into an error of its own, which the loop swallowed; seen as a test of the commands that did not end within 60 s, and it would have held up a planned stop. Change: the socket is closed first and the loop ends once closed. gossip.py and localtarget.py leave membership.py and guard.py.

--- a/forklift/decisions.py
+++ b/forklift/decisions.py
@@ -15,7 +15,9 @@
 from forklift import effective
 from forklift import entry
 from forklift import errors
+from forklift import gossip
 from forklift import guard
+from forklift import localtarget
 from forklift import membership
 from forklift import messages
 from forklift import ownership
@@ -70,7 +72,7 @@
         self._rng = rng
         self._join_addresses = join
         self.directory = membership.Directory(info)
-        self.gossip = membership.Gossip(self.directory, rng)
+        self.gossip = gossip.Gossip(self.directory, rng)
         self.configuration = configuration.Configuration()
         self.effective = effective.NOTHING
         self.policy_by_name: dict[str, policy.Policy] = {}
@@ -108,7 +110,7 @@
 
     def announce(
         self, name: str, service: str, domain: str, slots: int
-    ) -> guard.LocalTarget:
+    ) -> localtarget.LocalTarget:
         """A target announces itself, or renews.
 
         Raises:
@@ -268,7 +270,7 @@
             self._meet()
 
     def _info(
-        self, target: guard.LocalTarget, now: float
+        self, target: localtarget.LocalTarget, now: float
     ) -> messages.TargetInfo:
         return messages.TargetInfo(
             target.name,
@@ -289,7 +291,7 @@
             for member in self.directory.member_by_name.values()
             if member.usable and self.directory.shares(member.info)
         ]
-        for address in sharing[: membership.FAN_OUT]:
+        for address in sharing[: gossip.FAN_OUT]:
             self._send([self.gossip.join(address)])
 
     def _learn(self) -> None:
@@ -362,6 +364,6 @@
             offer = messages.VersionOffer(self.directory.own, base)
             self._effects.send(sender.control, offer)
 
-    def _send(self, sends: list[membership.Send]) -> None:
+    def _send(self, sends: list[gossip.Send]) -> None:
         for send in sends:
             self._effects.send(send.address, send.message)
--- /dev/null
+++ b/forklift/gossip.py
@@ -0,0 +1,235 @@
+"""Decides whom to tell what: pings, rumors, syncs.
+
+News spreads as rumors (Das, Gupta and Motivala, "SWIM", 2002): a process that
+is suspected anywhere hears of it and refutes it with a higher incarnation, so
+that a one-way cut between two processes takes nobody out. Each process talks
+to a bounded set of peers only.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+
+from forklift import membership
+from forklift import messages
+from forklift import overlay
+
+Liveness = messages.Liveness
+
+PEERS = 48
+PING_PERIOD = 0.5
+PONG_WAIT = 1.0
+MISSES = 2
+EXPIRY_PERIOD = 0.5
+RUMORS_A_PING = 6
+FAN_OUT = 3
+SPREAD_FACTOR = 2
+SYNC_PERIOD = 5.0
+SYNC_PART = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """A control message to be sent.
+
+    Attributes:
+        address: Control address of the receiver.
+        message: The message.
+    """
+
+    address: str
+    message: messages.Control
+
+
+class Gossip:
+    """Decides whom to tell what: pings, rumors, syncs."""
+
+    def __init__(self, directory: membership.Directory, rng: random.Random):
+        self.directory = directory
+        self._rng = rng
+        self._number = 0
+        self._round: list[str] = []
+        self._waiting_by_number: dict[int, tuple[str, float]] = {}
+        self._misses_by_name: collections.Counter[str] = collections.Counter()
+        self._tellings_by_name: dict[str, int] = {}
+        self._next_ping = 0.0
+        self._next_sync = 0.0
+        self._next_expiry = 0.0
+        self._peers: list[str] = []
+        self._peers_of = -1
+
+    def peers(self) -> list[str]:
+        """Names of the bounded set of peers that are pinged."""
+        if self._peers_of != self.directory.generation:
+            names = [
+                name
+                for name, member in self.directory.member_by_name.items()
+                if member.usable and self.directory.shares(member.info)
+            ]
+            self._peers = names
+            if len(names) > PEERS:
+                own = self.directory.own.name
+                self._peers = overlay.pick(own, names, PEERS)
+            self._peers_of = self.directory.generation
+        return self._peers
+
+    def unheard(self) -> tuple[str, ...]:
+        """Names of peers whose answers are missing."""
+        return tuple(
+            sorted(n for n, m in self._misses_by_name.items() if m >= MISSES)
+        )
+
+    def tick(self, now: float) -> list[Send]:
+        """Lets time pass."""
+        news = self._count_misses(now)
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRY_PERIOD
+            news += self.directory.expire(now)
+        sends: list[Send] = []
+        for rumor in news:
+            sends += self.spread(rumor.info.name)
+        if now >= self._next_ping:
+            self._next_ping = now + PING_PERIOD
+            sends += self._ping_next(now)
+        return sends
+
+    def spread(self, name: str) -> list[Send]:
+        """Tells a few peers at once, and others with the next pings."""
+        members = len(self.directory.member_by_name) + 2
+        tellings = math.ceil(SPREAD_FACTOR * math.log2(members))
+        self._tellings_by_name[name] = tellings
+        peers = self.peers()
+        chosen = self._rng.sample(peers, min(FAN_OUT, len(peers)))
+        return [self._ping(peer, None) for peer in chosen]
+
+    def receive(self, message: messages.Control, now: float) -> list[Send]:
+        """Takes a ping, pong or sync in and answers it."""
+        sends: list[Send] = []
+        if self.directory.hear(message.sender, now):
+            sends += self.spread(message.sender.name)
+        for rumor in getattr(message, "rumors", ()):
+            if self.directory.apply(rumor, now):
+                sends += self.spread(rumor.info.name)
+        back = message.sender.control
+        if isinstance(message, messages.Ping):
+            pong = messages.Pong(
+                self.directory.own,
+                message.number,
+                self.directory.digest(),
+                self._rumors(),
+            )
+            sends.append(Send(back, pong))
+        elif isinstance(message, messages.Pong):
+            self._waiting_by_number.pop(message.number, None)
+            self._misses_by_name.pop(message.sender.name, None)
+            sends += self._sync_if_differs(message, now)
+        elif isinstance(message, messages.SyncRequest):
+            parts = self._everything(membership.services(message.sender))
+            sends += [Send(back, part) for part in parts]
+        return sends
+
+    def join(self, address: str) -> Send:
+        """Asks a process that is known by address only for all it knows."""
+        return Send(address, messages.SyncRequest(self.directory.own))
+
+    def leave(self) -> list[Send]:
+        """Tells peers that this process is leaving for good."""
+        own = self.directory.own
+        rumor = messages.Rumor(Liveness.LEFT, own)
+        sends = []
+        for name in self.peers()[: FAN_OUT * 4]:
+            address = self.directory.member_by_name[name].info.control
+            ping = messages.Ping(own, 0, 0.0, 0, (rumor,))
+            sends.append(Send(address, ping))
+        return sends
+
+    def _count_misses(self, now: float) -> list[messages.Rumor]:
+        news = []
+        for number, (name, until) in list(self._waiting_by_number.items()):
+            if now < until:
+                continue
+            del self._waiting_by_number[number]
+            self._misses_by_name[name] += 1
+            if self._misses_by_name[name] < MISSES:
+                continue
+            if self.directory.judge(name, Liveness.SUSPECT, now):
+                news.append(self.directory.rumor(name))
+        for name in list(self._misses_by_name):
+            member = self.directory.member_by_name.get(name)
+            if member is None or not member.usable:
+                del self._misses_by_name[name]
+        return news
+
+    def _ping_next(self, now: float) -> list[Send]:
+        if not self._round:
+            self._round = list(self.peers())
+            self._rng.shuffle(self._round)
+        while self._round:
+            name = self._round.pop()
+            member = self.directory.member_by_name.get(name)
+            if member is not None and member.usable:
+                return [self._ping(name, now)]
+        return []
+
+    def _ping(self, name: str, now: float | None) -> Send:
+        """A ping; without `now` it only carries news, no answer is due."""
+        self._number += 1
+        if now is not None:
+            waiting = (name, now + PONG_WAIT)
+            self._waiting_by_number[self._number] = waiting
+        ping = messages.Ping(
+            self.directory.own,
+            self._number,
+            now or 0.0,
+            self.directory.digest(),
+            self._rumors(about=name),
+        )
+        return Send(self.directory.member_by_name[name].info.control, ping)
+
+    def _rumors(self, about: str = "") -> tuple[messages.Rumor, ...]:
+        """News that others may lack, and what is held of the receiver."""
+        rumors = []
+        member = self.directory.member_by_name.get(about)
+        if member is not None and member.liveness is not Liveness.ALIVE:
+            rumors.append(self.directory.rumor(about))
+        fresh = sorted(
+            self._tellings_by_name,
+            key=self._tellings_by_name.__getitem__,
+            reverse=True,
+        )
+        for name in fresh[:RUMORS_A_PING]:
+            self._tellings_by_name[name] -= 1
+            if self._tellings_by_name[name] <= 0:
+                del self._tellings_by_name[name]
+            rumor = self.directory.rumor(name)
+            if rumor is not None and name != self.directory.own.name:
+                rumors.append(rumor)
+        return tuple(rumors)
+
+    def _sync_if_differs(
+        self, message: messages.Pong, now: float
+    ) -> list[Send]:
+        same = message.digest == self.directory.digest()
+        own = membership.services(self.directory.own)
+        same = same or membership.services(message.sender) != own
+        if same or now < self._next_sync:
+            return []
+        self._next_sync = now + SYNC_PERIOD
+        request = messages.SyncRequest(self.directory.own)
+        return [Send(message.sender.control, request)]
+
+    def _everything(self, wanted: frozenset[str]) -> list[messages.SyncReply]:
+        """Members that share a wanted service; all where none is named."""
+        own = self.directory.own
+        rumors = [
+            messages.Rumor(member.liveness, member.info)
+            for member in self.directory.member_by_name.values()
+            if member.liveness <= Liveness.SUSPECT
+            and (not wanted or wanted & membership.services(member.info))
+        ]
+        parts = []
+        for start in range(0, max(1, len(rumors)), SYNC_PART):
+            part = tuple(rumors[start : start + SYNC_PART])
+            parts.append(messages.SyncReply(own, part))
+        return parts
--- a/forklift/guard.py
+++ b/forklift/guard.py
@@ -12,9 +12,9 @@
 from forklift import health
 from forklift import invariants
 from forklift import limits
+from forklift import localtarget
 from forklift import messages
 from forklift import policy
-from forklift import standing
 
 Reason = messages.Reason
 State = messages.TargetState
@@ -25,53 +25,23 @@
 STALL = 0.15
 # Requests that may wait for each that may run.
 QUEUE_FACTOR = 8
-LATENCY_GUESS = 0.1
-LATENCY_GAIN = 0.1
-# The whole service is slow from this factor on its usual latency on, which
-# follows within some minutes of calls to `compare`.
-SERVICE_SLOWDOWN = 1.6
-USUAL_GAIN = 0.0005
-ALONE_RATIO = 1.5
 # Renewal of a permit, and repetition of a request for one.
 PERMIT_PERIOD = 1.0
 ASK_PERIOD = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
-    """A request that asks to run.
-
-    Attributes:
-        id: Boot and number given by its sender.
-        target: Name of the target.
-        service: Name of the service.
-        route: Name of the route, for evidence by route.
-        repeatable: Whether a second run does no harm.
-        deadline: Monotonic seconds of this process.
-        incarnation: Incarnation of this guard that the sender knew.
-    """
-
-    id: fences.Identity
-    target: str
-    service: str
-    route: str
-    repeatable: bool
-    deadline: float
-    incarnation: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
     """The request may be sent to the target now."""
 
-    ticket: Ticket
+    ticket: localtarget.Ticket
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
     """The request waits for a slot."""
 
-    ticket: Ticket
+    ticket: localtarget.Ticket
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +55,7 @@
         outcome: NOT_RUN, or UNKNOWN for a copy of one that has started.
     """
 
-    ticket: Ticket
+    ticket: localtarget.Ticket
     reason: Reason
     retry_after: float = 0.0
     outcome: messages.Outcome = messages.Outcome.NOT_RUN
@@ -99,7 +69,7 @@
     its deadline.
     """
 
-    ticket: Ticket
+    ticket: localtarget.Ticket
 
 
 Decision = Start | Wait | Refuse | GiveUp
@@ -133,116 +103,11 @@
 Action = AskPermit | GivePermitBack | Probe
 
 
-@dataclasses.dataclass(frozen=True)
-class Denial:
-    """A refusal of the floor owner, kept to explain it.
-
-    Attributes:
-        at: Monotonic seconds.
-        cause: Why.
-    """
-
-    at: float
-    cause: str
-
-
-class LocalTarget:
-    """One target beside this process: an aggregate with its own rules."""
-
-    def __init__(
-        self,
-        name: str,
-        service: str,
-        slots: int,
-        program: policy.Service,
-        now: float,
-    ):
-        self.name = name
-        self.service = service
-        self.slots = slots
-        self.standing = standing.Standing(now)
-        self.judge = health.Judge(program.detection)
-        self.normal = health.UNKNOWN
-        self.usual_latency = 0.0
-        self._compared = 0
-        self.ticket_by_id: dict[fences.Identity, Ticket] = {}
-        self.waiting_by_id: dict[fences.Identity, Ticket] = {}
-        self.mean_latency = LATENCY_GUESS
-        self.last_ask = -PERMIT_PERIOD
-        self.denial: Denial | None = None
-        self.follow(program)
-
-    def follow(self, program: policy.Service) -> None:
-        """Takes the service's program in force."""
-        self.program = program
-        self.judge.threshold = program.detection
-        self.limit = limits.limit_by_name[program.limit](self.slots)
-        waiting = self.queue.take_all() if hasattr(self, "queue") else []
-        self.queue = limits.queue_by_name[program.queue]()
-        for request in waiting:
-            self.queue.add(request)
-
-    def compare(self, normal: health.Reference) -> None:
-        """Takes in what is normal for the service now."""
-        self.normal = normal
-        if normal.latency <= 0.0:
-            return
-        # A plain mean at first, then one that forgets.
-        self._compared += 1
-        gain = max(USUAL_GAIN, 1 / self._compared)
-        self.usual_latency += gain * (normal.latency - self.usual_latency)
-
-    def slow_alone(self, now: float) -> bool:
-        """Whether it is slow against its service, and not with it.
-
-        Both sides of the comparison lag alike, so that load which comes over
-        all targets at once is not taken for one sick target.
-        """
-        usual = max(health.LEAST_LATENCY, self.usual_latency)
-        if self.normal.latency > SERVICE_SLOWDOWN * usual:
-            return False
-        normal = max(health.LEAST_LATENCY, self.normal.latency)
-        return self.judge.latency_now(now) >= ALONE_RATIO * normal
-
-    @property
-    def in_flight(self) -> int:
-        """Requests that the target is running."""
-        return len(self.ticket_by_id)
-
-    def allowed(self) -> int:
-        """Requests that may run at once now."""
-        if self.standing.state is State.TRIAL:
-            return 1
-        return self.limit.allowed()
-
-    def assess(self, now: float) -> health.Assessment:
-        """The evidence against the target now."""
-        return self.judge.assess(self.normal, now)
-
-    def load(self, now: float) -> messages.Load:
-        """Its load, to travel on answers."""
-        return messages.Load(
-            self.in_flight,
-            len(self.queue),
-            self.allowed(),
-            self.standing.weight(now),
-            self.standing.state,
-            self.standing.version,
-            round(self.judge.latency_now(now), 4),
-            self.judge.failure_share,
-        )
-
-    def expected_wait(self) -> float:
-        """Seconds that a request arriving now would wait."""
-        ahead = len(self.queue) + 1
-        return ahead * self.mean_latency / max(1, self.allowed())
-
-
 class Guard:
     """All targets beside this process."""
 
     def __init__(self):
-        self.target_by_name: dict[str, LocalTarget] = {}
+        self.target_by_name: dict[str, localtarget.LocalTarget] = {}
         self.incarnation = 1
         self.fences = fences.Fences()
         self._last_event: float | None = None
@@ -257,11 +122,11 @@
         slots: int,
         program: policy.Service,
         now: float,
-    ) -> LocalTarget:
+    ) -> localtarget.LocalTarget:
         """A target announced itself; the first time, or anew."""
         target = self.target_by_name.get(name)
         if target is None:
-            target = LocalTarget(name, service, slots, program, now)
+            target = localtarget.LocalTarget(name, service, slots, program, now)
             self.target_by_name[name] = target
         elif target.standing.leaving:
             target.standing.restart(now)
@@ -290,7 +155,7 @@
 
     # Requests.
 
-    def arrive(self, ticket: Ticket, now: float) -> Decision:
+    def arrive(self, ticket: localtarget.Ticket, now: float) -> Decision:
         """Decides on a request."""
         target = self.target_by_name.get(ticket.target)
         reason = self._unfit(target, ticket, now)
@@ -308,7 +173,7 @@
         target.waiting_by_id[ticket.id] = ticket
         return Wait(ticket)
 
-    def launch(self, ticket: Ticket, now: float) -> Reason | None:
+    def launch(self, ticket: localtarget.Ticket, now: float) -> Reason | None:
         """The first byte is about to be sent: the point of no return.
 
         Returns:
@@ -327,7 +192,7 @@
         return None
 
     def finish(
-        self, ticket: Ticket, failed: bool | None, now: float
+        self, ticket: localtarget.Ticket, failed: bool | None, now: float
     ) -> tuple[Decision, ...]:
         """A started request ended.
 
@@ -350,14 +215,11 @@
                 ticket.id, failed, ticket.route, target.normal, now
             )
         if failed is False:
-            latency = now - started
-            gain = LATENCY_GAIN * (latency - target.mean_latency)
-            target.mean_latency += gain
-            target.limit.note(latency, now)
+            target.answered(now - started, now)
         return self._next(target, now)
 
     def tried(
-        self, ticket: Ticket, failed: bool, now: float
+        self, ticket: localtarget.Ticket, failed: bool, now: float
     ) -> tuple[Action, ...]:
         """Lets the end of a request decide on a target in trial."""
         target = self.target_by_name[ticket.target]
@@ -367,7 +229,7 @@
         target.judge.clear()
         return (GivePermitBack(target.service, target.name),)
 
-    def cancel(self, ticket: Ticket) -> bool:
+    def cancel(self, ticket: localtarget.Ticket) -> bool:
         """The sender gave up; True when it is proven not to have run."""
         target = self.target_by_name.get(ticket.target)
         if target is None or ticket.id not in target.waiting_by_id:
@@ -458,12 +320,14 @@
         target = self.target_by_name.get(name)
         if target is None:
             return
-        target.denial = Denial(now, cause)
+        target.denial = localtarget.Denial(now, cause)
         if target.standing.wants_permit:
             target.standing.permitted(now, None, now)
             target.standing.tick(now)
 
-    def _permits(self, target: LocalTarget, now: float) -> Iterable[Action]:
+    def _permits(
+        self, target: localtarget.LocalTarget, now: float
+    ) -> Iterable[Action]:
         assessment = target.assess(now)
         threshold = target.program.detection
         wanted = target.standing.observe(assessment, threshold, now)
@@ -478,7 +342,9 @@
         target.last_ask = now
         return (AskPermit(target.service, target.name, held, slow),)
 
-    def _hopeless(self, target: LocalTarget, now: float) -> Iterable[GiveUp]:
+    def _hopeless(
+        self, target: localtarget.LocalTarget, now: float
+    ) -> Iterable[GiveUp]:
         if target.standing.state is not State.EJECTED:
             return
         overdue = target.judge.overdue_requests(target.normal, now)
@@ -489,7 +355,10 @@
                 yield GiveUp(ticket)
 
     def _unfit(
-        self, target: LocalTarget | None, ticket: Ticket, now: float
+        self,
+        target: localtarget.LocalTarget | None,
+        ticket: localtarget.Ticket,
+        now: float,
     ) -> Reason | None:
         if target is None or target.service != ticket.service:
             return Reason.UNKNOWN_TARGET
@@ -513,7 +382,10 @@
         return None
 
     def _start(
-        self, target: LocalTarget, ticket: Ticket, now: float
+        self,
+        target: localtarget.LocalTarget,
+        ticket: localtarget.Ticket,
+        now: float,
     ) -> Decision:
         if not self.fences.may_start(ticket.id):
             return self._refuse(ticket, Reason.FENCED, 0.0)
@@ -522,7 +394,9 @@
         target.judge.start(ticket.id, now)
         return Start(ticket)
 
-    def _next(self, target: LocalTarget, now: float) -> tuple[Decision, ...]:
+    def _next(
+        self, target: localtarget.LocalTarget, now: float
+    ) -> tuple[Decision, ...]:
         decisions: list[Decision] = []
         for late in target.queue.drop(now, 0.0):
             ticket = target.waiting_by_id.pop(late.id)
@@ -536,7 +410,7 @@
         return tuple(decisions)
 
     def _refuse_waiting(
-        self, target: LocalTarget, reason: Reason
+        self, target: localtarget.LocalTarget, reason: Reason
     ) -> tuple[Refuse, ...]:
         refused = []
         for waiting in target.queue.take_all():
@@ -545,7 +419,7 @@
         return tuple(refused)
 
     def _refuse(
-        self, ticket: Ticket, reason: Reason, retry_after: float
+        self, ticket: localtarget.Ticket, reason: Reason, retry_after: float
     ) -> Refuse:
         count = self.refusals_by_reason.get(reason, 0)
         self.refusals_by_reason[reason] = count + 1
--- a/forklift/ownership.py
+++ b/forklift/ownership.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 
+from forklift import gossip
 from forklift import keys
 from forklift import leases
 from forklift import membership
@@ -139,9 +140,9 @@
 
     def tick(
         self, services: Iterable[str], now: float
-    ) -> list[Append | membership.Send]:
+    ) -> list[Append | gossip.Send]:
         """Lets time pass for the leases of some services."""
-        actions: list[Append | membership.Send] = []
+        actions: list[Append | gossip.Send] = []
         for service in services:
             for name in resources(service):
                 actions += self._seek(name, service, now)
@@ -228,7 +229,7 @@
 
     def _ask_promises(
         self, holding: leases.Holding, now: float
-    ) -> list[membership.Send]:
+    ) -> list[gossip.Send]:
         sends = []
         for name in sorted(holding.successors()):
             member = self._directory.member_by_name.get(name)
@@ -242,7 +243,7 @@
                 holding.grant.epoch,
                 self._number,
             )
-            sends.append(membership.Send(member.info.control, request))
+            sends.append(gossip.Send(member.info.control, request))
         return sends
 
     def _order(
--- a/forklift/permits.py
+++ b/forklift/permits.py
@@ -6,6 +6,7 @@
 
 from forklift import floor
 from forklift import guard
+from forklift import localtarget
 from forklift import messages
 from forklift import ownership
 
@@ -173,7 +174,7 @@
 
     def _log_change(
         self,
-        target: guard.LocalTarget,
+        target: localtarget.LocalTarget,
         before: State,
         reply: messages.PermitReply,
     ) -> None:
--- a/forklift/shell/control.py
+++ b/forklift/shell/control.py
@@ -56,6 +56,7 @@
         )
         self._pull = pynng.Pull0(recv_max_size=messages.MAX_CONTROL_BYTES)
         self._task: asyncio.Task | None = None
+        self._closed = False
         self.sent = 0
         self.sent_bytes = 0
         self.dropped = 0
@@ -74,10 +75,11 @@
 
     async def close(self) -> None:
         """Closes all sockets; nng aborts if a receive outlives them."""
+        self._closed = True
+        self._pull.close()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self._pull.close()
         for socket in self._socket_by_address.values():
             socket.close()
         self._socket_by_address.clear()
@@ -118,6 +120,9 @@
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
+                # A cancel may surface as an error of the library, too.
+                if self._closed:
+                    return
                 _log.warning("control_receive", detail=str(error))
                 continue
             self.received += 1
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -8,8 +8,8 @@
 
 from forklift import entry
 from forklift import errors
-from forklift import guard
 from forklift import invariants
+from forklift import localtarget
 from forklift import membership
 from forklift import messages
 from forklift import overlay
@@ -192,7 +192,7 @@
     ) -> exchange.Result:
         own = self._directory.own
         seq = self.next_seq()
-        ticket = guard.Ticket(
+        ticket = localtarget.Ticket(
             (own.boot, seq),
             choice.target,
             request.service,
--- a/forklift/shell/local.py
+++ b/forklift/shell/local.py
@@ -6,6 +6,7 @@
 import structlog
 
 from forklift import guard
+from forklift import localtarget
 from forklift import messages
 from forklift.shell import exchange
 from forklift.shell import targets
@@ -47,7 +48,7 @@
 
     async def run(
         self,
-        ticket: guard.Ticket,
+        ticket: localtarget.Ticket,
         request: exchange.Request,
         sink: exchange.Sink,
     ) -> exchange.Result:
@@ -82,13 +83,13 @@
                 now = self._clock.monotonic()
                 self.settle(self.guard.finish(decision.ticket, None, now))
 
-    def _give_up(self, ticket: guard.Ticket) -> None:
+    def _give_up(self, ticket: localtarget.Ticket) -> None:
         limit = self._limit_by_id.get(ticket.id)
         if limit is not None:
             self._given_up.add(ticket.id)
             limit.reschedule(asyncio.get_running_loop().time())
 
-    async def _wait(self, ticket: guard.Ticket) -> guard.Decision:
+    async def _wait(self, ticket: localtarget.Ticket) -> guard.Decision:
         future = asyncio.get_running_loop().create_future()
         self._decision_by_id[ticket.id] = future
         try:
@@ -106,7 +107,7 @@
 
     async def _started(
         self,
-        ticket: guard.Ticket,
+        ticket: localtarget.Ticket,
         request: exchange.Request,
         sink: exchange.Sink,
     ) -> exchange.Result:
@@ -159,14 +160,14 @@
             self._finish(ticket, failed)
         return dataclasses.replace(result, load=self._load(ticket.target))
 
-    def _launch(self, ticket: guard.Ticket) -> messages.Reason | None:
+    def _launch(self, ticket: localtarget.Ticket) -> messages.Reason | None:
         now = self._clock.monotonic()
         # A pause between the decision and the first byte makes it stale.
         self.settle(self.guard.observe(now))
         return self.guard.launch(ticket, now)
 
     def _seen_failing(
-        self, ticket: guard.Ticket, run: targets.Run
+        self, ticket: localtarget.Ticket, run: targets.Run
     ) -> bool | None:
         """A cancel hides nothing: a failed head counts all the same."""
         if run.head is None:
@@ -174,14 +175,14 @@
         target = self.guard.target_by_name[ticket.target]
         return target.program.is_failure(run.head.status) or None
 
-    def _timed_out(self, ticket: guard.Ticket) -> exchange.Result:
+    def _timed_out(self, ticket: localtarget.Ticket) -> exchange.Result:
         if ticket.id in self._given_up:
             return exchange.unknown(messages.Reason.EJECTED)
         if self.guard.fences.started(ticket.id):
             return exchange.unknown(messages.Reason.TIMEOUT)
         return exchange.not_run(messages.Reason.DEADLINE)
 
-    def _finish(self, ticket: guard.Ticket, failed: bool | None) -> None:
+    def _finish(self, ticket: localtarget.Ticket, failed: bool | None) -> None:
         now = self._clock.monotonic()
         waiting = self.guard.finish(ticket, failed, now)
         if failed is not None:
--- a/forklift/shell/node.py
+++ b/forklift/shell/node.py
@@ -8,9 +8,9 @@
 
 from forklift import decisions
 from forklift import errors
-from forklift import guard
 from forklift import ini
 from forklift import invariants
+from forklift import localtarget
 from forklift import messages
 from forklift import ownership
 from forklift import policy
@@ -282,7 +282,7 @@
             if not self.guard.fences.start(identity, now):
                 return exchange.not_run(messages.Reason.FENCED)
             return await self.handle(request, answerer)
-        ticket = guard.Ticket(
+        ticket = localtarget.Ticket(
             identity,
             start.target,
             start.service,
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -2,9 +2,9 @@
 
 import forklift
 from forklift import expressions
-from forklift import guard
 from forklift import health
 from forklift import invariants
+from forklift import localtarget
 from forklift import messages
 from forklift import ownership
 from forklift import report
@@ -74,7 +74,7 @@
     )
 
 
-def _denial(target: guard.LocalTarget, now: float) -> str:
+def _denial(target: localtarget.LocalTarget, now: float) -> str:
     if target.denial is None:
         return ""
     return f"{target.denial.cause} ({now - target.denial.at:.1f} s ago)"
--- a/forklift_lab/measure/carrier.py
+++ b/forklift_lab/measure/carrier.py
@@ -12,6 +12,7 @@
 from forklift import decisions
 from forklift import entry
 from forklift import guard
+from forklift import localtarget
 from forklift import messages
 from forklift import ownership
 
@@ -49,7 +50,7 @@
 
     job: Job
     choice: entry.Choice
-    ticket: guard.Ticket
+    ticket: localtarget.Ticket
     over: bool = False
     begun: float = 0.0
 
@@ -235,7 +236,7 @@
         number = next(self._seq)
         other = self.world.process_by_name[choice.process]
         own = self.decisions.directory.own
-        ticket = guard.Ticket(
+        ticket = localtarget.Ticket(
             (own.boot, number),
             choice.target,
             job.service,
@@ -383,7 +384,7 @@
             self._reply(attempt, entry.Ending(
                 Outcome.UNKNOWN, Reason.TIMEOUT))  # fmt: skip
 
-    def _give_up(self, ticket: guard.Ticket) -> None:
+    def _give_up(self, ticket: localtarget.Ticket) -> None:
         attempt = self._running.pop(ticket.id, None)
         if attempt is not None:
             self._finish(attempt, None)
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -5,6 +5,7 @@
 import pytest
 
 from forklift import entry
+from forklift import gossip
 from forklift import membership
 from forklift import messages
 from forklift import overlay
@@ -256,22 +257,22 @@
     rng = random.Random(3)
     names = [f"p{n}" for n in range(30)]
     known = {n: membership.Directory(helper.info(n, f"t{n}")) for n in names}
-    gossip = {n: membership.Gossip(known[n], rng) for n in names}
+    tellers = {n: gossip.Gossip(known[n], rng) for n in names}
     for one in names:
         for other in names:
             known[one].hear(known[other].own, 0.0)
     drained = helper.target_info("t0", state=State.DRAINING, version=2)
     known["p0"].update_own(targets=(drained,))
-    queue = [(s, 0) for s in gossip["p0"].spread("p0")]
+    queue = [(s, 0) for s in tellers["p0"].spread("p0")]
     now = 0.0
     while now < 2.0:
         now += 0.05
         for name in names:
-            queue += [(send, 0) for send in gossip[name].tick(now)]
+            queue += [(send, 0) for send in tellers[name].tick(now)]
         waiting, queue = queue, []
         for send, _ in waiting:
             if rng.random() >= 0.25:
-                replies = gossip[send.address].receive(send.message, now)
+                replies = tellers[send.address].receive(send.message, now)
                 queue += [(reply, 0) for reply in replies]
     for name in names[1:]:
         seen = known[name].member_by_name["p0"].info.targets[0]
--- a/test/test_guard.py
+++ b/test/test_guard.py
@@ -4,6 +4,7 @@
 
 from forklift import guard
 from forklift import limits
+from forklift import localtarget
 from forklift import messages
 from test import helper
 
@@ -20,7 +21,7 @@
 
 
 def ticket(seq, deadline=100.0, incarnation=1, repeatable=True, target="t"):
-    return guard.Ticket(
+    return localtarget.Ticket(
         (7, seq), target, "s", "r", repeatable, deadline, incarnation
     )
 
