--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test format measure clean
+.PHONY: demo test format measure binary clean
 
 $(VENV)/.made: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,17 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/pytest
 
+# One executable file. docs/DESIGN.md weighs the packagers.
+binary: build/forklift
+
+build/forklift: $(VENV)/.made $(wildcard forklift/*.py forklift/*/*.py)
+	$(BIN)/pyinstaller --onefile --name forklift --noconfirm --log-level ERROR \
+	  --collect-all cel --exclude-module IPython --exclude-module matplotlib \
+	  --exclude-module numpy --copy-metadata opentelemetry-sdk \
+	  --copy-metadata opentelemetry-api --collect-submodules opentelemetry \
+	  --distpath build --workpath build/work --specpath build \
+	  forklift/__main__.py
+
 format: $(VENV)/.made
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- a/forklift_lab/fleet.py
+++ b/forklift_lab/fleet.py
@@ -92,14 +92,15 @@
     async def lab(self, name: str, *arguments: str) -> None:
         """Starts a stand-in of this package."""
         code = "import forklift_lab; forklift_lab.main()"
-        await self._start(name, "-c", code, *arguments)
+        await self.start(name, sys.executable, "-c", code, *arguments)
 
     async def node(self, place: Place, join: tuple[str, ...] = ()) -> None:
         """Starts `forklift run` at a place."""
         path = self.folder / f"{place.name}.ini"
         path.write_text(settings_text(place, self.log, join, self.key))
-        code = "import forklift.ui; forklift.ui.main()"
-        await self._start(place.name, "-c", code, "run", str(path))
+        await self.start(
+            place.name, sys.executable, "-m", "forklift", "run", str(path)
+        )
 
     def terminate(self, name: str) -> None:
         """Asks a process to stop as planned."""
@@ -121,10 +122,11 @@
         """What a process has logged."""
         return (self.folder / f"{name}.log").read_text()
 
-    async def _start(self, name: str, *arguments: str) -> None:
+    async def start(self, name: str, *command: str) -> None:
+        """Starts a program; its output goes to a file of its name."""
         with (self.folder / f"{name}.log").open("ab") as out:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, *arguments, stdout=out, stderr=out
+                *command, stdout=out, stderr=out
             )
         self.process_by_name[name] = process
 
