--- a/forklift/health.py
+++ b/forklift/health.py
@@ -43,6 +43,8 @@
 # Requests that hang together may have one cause: each counts less than the
 # one before it.
 OVERDUE_SHARE = 0.7
+# Share of the threshold above which a target's scatter is not learnt from.
+SCATTER_SHARE = 0.1
 # Latencies wander more than the test supposes, so slowness counts for less.
 SLOW_SHARE = 0.8
 # Evidence kept beyond the threshold would outlast its cause.
@@ -291,7 +293,7 @@
         # A bounded step follows the median rather than the mean.
         step = max(-1.0, min(1.0, deviation / self._sigma)) * self._sigma
         self._log_latency += LATENCY_GAIN * step
-        if distance is not None and abs(distance) > OVERDUE_SIGMAS:
+        if self._slowness > SCATTER_SHARE * self.threshold:
             # How a sick target scatters says nothing of a healthy one.
             return
         sigma = self._sigma + SIGMA_GAIN * (
--- a/forklift/localtarget.py
+++ b/forklift/localtarget.py
@@ -15,7 +15,7 @@
 LATENCY_GAIN = 0.1
 # The whole service is slow from this factor on its usual latency on, which
 # follows within some minutes of calls to `compare`.
-SERVICE_SLOWDOWN = 1.6
+SERVICE_SLOWDOWN = 1.3
 USUAL_GAIN = 0.0005
 ALONE_RATIO = 1.5
 # Before the first permit is asked for.
