--- a/forklift/decisions.py
+++ b/forklift/decisions.py
@@ -347,6 +347,8 @@
 
     def _offer_versions(self, message: messages.Control, now: float) -> None:
         """Hands what is in force to a peer that is behind."""
+        if isinstance(message, messages.Pong):
+            return
         sender = message.sender
         behind = sender.config < self.configuration.total
         asked = isinstance(message, messages.SyncRequest)
--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -106,7 +106,8 @@
     def receive(self, message: messages.Control, now: float) -> list[Send]:
         """Takes a ping, pong or sync in and answers it."""
         sends: list[Send] = []
-        if self.directory.hear(message.sender, now):
+        described = isinstance(message.sender, messages.ProcessInfo)
+        if described and self.directory.hear(message.sender, now):
             sends += self.spread(message.sender.name)
         for rumor in getattr(message, "rumors", ()):
             if self.directory.apply(rumor, now):
@@ -114,7 +115,7 @@
         back = message.sender.control
         if isinstance(message, messages.Ping):
             pong = messages.Pong(
-                self.directory.own,
+                messages.sender(self.directory.own),
                 message.number,
                 self.directory.digest(),
                 self._rumors(),
@@ -212,7 +213,10 @@
     ) -> list[Send]:
         same = message.digest == self.directory.digest()
         own = membership.services(self.directory.own)
-        same = same or membership.services(message.sender) != own
+        member = self.directory.member_by_name.get(message.sender.name)
+        # Only those with the same services know the same members.
+        same = same or member is None
+        same = same or membership.services(member.info) != own
         if same or now < self._next_sync:
             return []
         self._next_sync = now + SYNC_PERIOD
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -360,6 +360,18 @@
     unheard: tuple[str, ...] = ()
 
 
+class Sender(_Wire):
+    """Who sends a message that needs no more than an answer.
+
+    Attributes:
+        name: Name of the process.
+        control: Address of its control listener, "ip:port".
+    """
+
+    name: str
+    control: str
+
+
 class Rumor(_Wire):
     """News of one process.
 
@@ -408,7 +420,7 @@
 
 
 class Announcement(_Wire, tag=22):
-    """A process that can be joined through, and what it serves."""
+    """A process that can be joined through, with one target a service."""
 
     info: ProcessInfo
 
@@ -495,7 +507,7 @@
 class Pong(_Wire, tag=41):
     """Answer to a Ping."""
 
-    sender: ProcessInfo
+    sender: Sender
     number: int
     digest: int
     rumors: tuple[Rumor, ...]
@@ -531,7 +543,7 @@
         number: Number of the request; its send time is kept by the sender.
     """
 
-    sender: ProcessInfo
+    sender: Sender
     resource: str
     epoch: int
     number: int
@@ -540,7 +552,7 @@
 class Promise(_Wire, tag=46):
     """A successor's word that it has not started to take over."""
 
-    sender: ProcessInfo
+    sender: Sender
     resource: str
     epoch: int
     number: int
@@ -558,7 +570,7 @@
         number: Number of the request.
     """
 
-    sender: ProcessInfo
+    sender: Sender
     service: str
     target: str
     held: bool
@@ -578,7 +590,7 @@
         cause: Why, in a few words.
     """
 
-    sender: ProcessInfo
+    sender: Sender
     target: str
     number: int
     granted: bool
@@ -589,7 +601,7 @@
 class PermitReturn(_Wire, tag=49):
     """A guard gives a permit back: the target takes requests again."""
 
-    sender: ProcessInfo
+    sender: Sender
     service: str
     target: str
 
@@ -622,6 +634,18 @@
         )
 
 
+def sender(info: ProcessInfo) -> Sender:
+    """The short form of a process's description."""
+    return Sender(info.name, info.control)
+
+
+def announcement(info: ProcessInfo) -> Announcement:
+    """What the log keeps of a process: enough to join through it."""
+    by_service = {target.service: target for target in info.targets}
+    short = msgspec.structs.replace(info, targets=tuple(by_service.values()))
+    return Announcement(short)
+
+
 def encode(message: msgspec.Struct) -> bytes:
     """Encodes any message.
 
--- a/forklift/ownership.py
+++ b/forklift/ownership.py
@@ -108,7 +108,7 @@
         if not allowed:
             return None
         return messages.Promise(
-            self._directory.own,
+            messages.sender(self._directory.own),
             request.resource,
             request.epoch,
             request.number,
@@ -238,7 +238,7 @@
             self._number += 1
             holding.ask(self._number, name, now)
             request = messages.PromiseRequest(
-                self._directory.own,
+                messages.sender(self._directory.own),
                 holding.resource,
                 holding.grant.epoch,
                 self._number,
--- a/forklift/permits.py
+++ b/forklift/permits.py
@@ -55,7 +55,7 @@
         holder = self._owner.holder(name)
         if holder is None:
             return
-        own = self._directory.own
+        own = messages.sender(self._directory.own)
         if isinstance(action, guard.GivePermitBack):
             back = messages.PermitReturn(own, action.service, action.target)
             self._to(holder, back)
@@ -133,7 +133,7 @@
         else:
             self.denied += 1
         return messages.PermitReply(
-            self._directory.own,
+            messages.sender(self._directory.own),
             request.target,
             request.number,
             verdict.granted,
--- a/forklift/shell/node.py
+++ b/forklift/shell/node.py
@@ -455,7 +455,7 @@
             return
         self._announced_at = now
         self._announced_targets = names
-        record = messages.Announcement(self.directory.own)
+        record = messages.announcement(self.directory.own)
         self._spawn(self._append(tail.MEMBERS, record))
 
     def _renew_policies(self) -> None:
--- a/forklift_lab/measure/capacity.py
+++ b/forklift_lab/measure/capacity.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import click
+import msgspec
 import structlog
 
 from forklift import decisions
@@ -118,6 +119,12 @@
     )  # fmt: skip
 
 
+def _node(count: int) -> messages.ProcessInfo:
+    """A process beside several targets."""
+    targets = tuple(_info(number).targets[0] for number in range(count))
+    return msgspec.structs.replace(_info(77), targets=targets)
+
+
 def _program() -> policy.Service:
     return policy.parse("p", _policy_text(0)).services_by_name["s0"]
 
@@ -241,14 +248,20 @@
     claim = messages.Claim(b"k" * 16, b"f" * 16, 1.7e9)
     shown = {
         "ping without news": messages.Ping(info, 1, 0.0, 1 << 62, ()),
+        "ping of a node with 12 targets": messages.Ping(
+            _node(12), 1, 0.0, 1 << 62, ()
+        ),
         "one piece of news": rumor,
-        "announcement on the log": messages.Announcement(info),
+        "pong": messages.Pong(messages.sender(info), 1, 1 << 62, ()),
+        "announcement on the log": messages.announcement(info),
         "takeover on the log": grant,
         "claims of 100 keys": messages.Claims("s/1", 1, 1, (claim,) * 100),
         "permit request": messages.PermitRequest(
-            info, "s", "t77", False, False, 1
+            messages.sender(info), "s", "t77", False, False, 1
+        ),
+        "promise request": messages.PromiseRequest(
+            messages.sender(info), "s/1", 1, 1
         ),
-        "promise request": messages.PromiseRequest(info, "s/1", 1, 1),
         "publication of 15 routes": publication,
     }
     return {name: len(messages.encode(what)) for name, what in shown.items()}
@@ -284,7 +297,10 @@
             number = int(address.split(":")[0].split(".")[2]) * 250
             number += int(address.split(":")[0].split(".")[3])
             pong = messages.Pong(
-                _info(number), message.number, made.directory.digest(), ()
+                messages.sender(_info(number)),
+                message.number,
+                made.directory.digest(),
+                (),
             )
             made.receive(pong)
 
--- a/test/test_ports.py
+++ b/test/test_ports.py
@@ -178,7 +178,7 @@
 
 
 def request(number):
-    return messages.PromiseRequest(helper.info("p"), "r", 1, number)
+    return messages.PromiseRequest(messages.Sender("p", "p"), "r", 1, number)
 
 
 @pytest.mark.parametrize("key", [b"", b"shared"])
