--- a/forklift/entry.py
+++ b/forklift/entry.py
@@ -13,8 +13,8 @@
 from forklift import messages
 from forklift import overlay
 from forklift import policy
-from forklift import retries
 from forklift import spread
+from forklift import views
 
 State = messages.TargetState
 Outcome = messages.Outcome
@@ -31,7 +31,6 @@
 BEAT_MOST = 2.0
 # Seconds without a sign of a guard, while it owes one, that condemn the path.
 SILENCE = 0.6
-LOAD_FADES = 1.0
 # Refusals cost the targets nothing; this bounds the walk all the same.
 MAX_REFUSALS = 4
 _OUT = (State.EJECTED, State.DRAINING, State.LEFT)
@@ -85,84 +84,6 @@
     retry_after: float = 0.0
 
 
-class _View:
-    """What the entry knows of one target."""
-
-    def __init__(
-        self,
-        info: messages.TargetInfo,
-        process: messages.ProcessInfo,
-        near: bool,
-    ):
-        self.process = process.name
-        self.boot = process.boot
-        self.near = near
-        self.in_flight = 0
-        self.picked = 0
-        self.reported = 0.0
-        self.reported_at = float("-inf")
-        self.avoided_until = 0.0
-        self.info = info
-        self.state = info.state
-        self.weight = info.weight
-        self.version = info.version
-        self.latency = info.latency
-        self.failures = info.failures
-
-    def follow(self, info: messages.TargetInfo) -> None:
-        self.info = info
-        if info.version >= self.version:
-            self.state = info.state
-            self.weight = info.weight
-            self.version = info.version
-            self.latency = info.latency
-            self.failures = info.failures
-
-    def report(self, load: messages.Load, now: float) -> None:
-        if load.version < self.version:
-            return
-        self.version = load.version
-        self.state = load.state
-        self.weight = load.weight
-        self.latency = load.latency
-        self.failures = load.failures
-        # What others have on it; our own part is counted here exactly.
-        others = load.in_flight + load.queued - self.in_flight
-        self.reported = max(0, others)
-        self.reported_at = now
-
-    def load(self, now: float) -> float:
-        """Own requests plus those of others, which fade with age."""
-        age = now - self.reported_at
-        return self.in_flight + self.reported * math.exp(-age / LOAD_FADES)
-
-
-class _Path:
-    """What the entry knows of its path to one process.
-
-    A path that failed stays avoided until the process is heard again; beats
-    ask for that, so that no request is spent on finding out.
-    """
-
-    def __init__(self):
-        self.failures = 0
-        self.avoided = False
-        self.next_beat = 0.0
-        self.owed_since: float | None = None
-        self.cause = ""
-
-
-class _Group:
-    """One service as the entry sees it."""
-
-    def __init__(self, program: policy.Service):
-        self.program = program
-        self.view_by_target: dict[str, _View] = {}
-        # None after a change, until the next pick.
-        self.subset: list[str] | None = None
-        self.budget = retries.Budget(program.retry_share)
-
-
 class Entry:
     """Picks targets and decides on retries, for one process."""
 
@@ -170,8 +91,8 @@
         self.name = name
         self.domain = domain
         self._rng = rng
-        self._group_by_service: dict[str, _Group] = {}
-        self._path_by_process: dict[str, _Path] = {}
+        self._group_by_service: dict[str, views.Group] = {}
+        self._path_by_process: dict[str, views.Path] = {}
         self._targets_by_process: dict[str, dict[str, str]] = {}
         self.picks = 0
 
@@ -185,7 +106,7 @@
         for service, program in programs.items():
             group = self._group_by_service.get(service)
             if group is None:
-                self._group_by_service[service] = _Group(program)
+                self._group_by_service[service] = views.Group(program)
             else:
                 group.program = program
                 group.budget.share = program.retry_share
@@ -356,7 +277,7 @@
 
     def sent(self, process: str, now: float) -> None:
         """Something was sent that the guard owes a sign for."""
-        path = self._path_by_process.setdefault(process, _Path())
+        path = self._path_by_process.setdefault(process, views.Path())
         if path.owed_since is None:
             path.owed_since = now
 
@@ -376,7 +297,7 @@
 
     def path_failed(self, process: str, cause: str, now: float) -> None:
         """The path to a guard failed; it is avoided until it is heard."""
-        path = self._path_by_process.setdefault(process, _Path())
+        path = self._path_by_process.setdefault(process, views.Path())
         path.failures += 1
         wait = AVOID_FIRST * 2 ** min(path.failures - 1, 8)
         path.next_beat = now + min(BEAT_MOST, wait)
@@ -414,7 +335,7 @@
 
     def _candidates(
         self,
-        group: _Group,
+        group: views.Group,
         names: list[str],
         wish: Wish,
         tried: frozenset[str],
@@ -452,7 +373,7 @@
         return sound or doubtful or avoided
 
     def _candidate(
-        self, program: policy.Service, name: str, view: _View, now: float
+        self, program: policy.Service, name: str, view: views.View, now: float
     ) -> spread.Candidate:
         load = view.load(now)
         weight = view.weight
@@ -472,7 +393,7 @@
             view.picked,
         )
 
-    def _share_of_floor(self, group: _Group, looked_at: int) -> int:
+    def _share_of_floor(self, group: views.Group, looked_at: int) -> int:
         """The floor, scaled to the targets that one pick looks at."""
         known = len(group.view_by_target)
         return math.ceil(group.program.floor * looked_at / known)
@@ -486,7 +407,7 @@
             view.follow(target)
             return
         near = target.domain == self.domain
-        group.view_by_target[target.name] = _View(target, info, near)
+        group.view_by_target[target.name] = views.View(target, info, near)
         group.subset = None
 
     def _remove(self, service: str, name: str, process: str) -> None:
@@ -496,7 +417,7 @@
             del group.view_by_target[name]
             group.subset = None
 
-    def _subset(self, group: _Group) -> list[str]:
+    def _subset(self, group: views.Group) -> list[str]:
         """The targets that this entry sends to, chosen anew after changes."""
         if group.subset is None:
             names = sorted(group.view_by_target)
