--- a/test/test_callers.py
+++ b/test/test_callers.py
@@ -66,44 +66,45 @@
 
 
 @pytest.fixture(scope="module")
-def fleet_and_loop():
-    loop = asyncio.new_event_loop()
-    fleet = helper.Fleet(1)
-    loop.run_until_complete(fleet.__aenter__())
-    yield fleet, loop
-    loop.run_until_complete(fleet.__aexit__())
-    loop.close()
+def fleet_and_runner():
+    with asyncio.Runner() as runner:
+        fleet = helper.Fleet(1)
+        runner.run(fleet.__aenter__())
+        yield fleet, runner
+        runner.run(fleet.__aexit__())
 
 
 @pytest.mark.parametrize("name", MALFORMED)
-def test_malformed_is_refused_closed_and_never_forwarded(name, fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_malformed_is_refused_closed_and_never_forwarded(
+    name, fleet_and_runner
+):
+    fleet, runner = fleet_and_runner
     data, status = MALFORMED[name]
     begun = fleet.targets[0].begun
-    answer = loop.run_until_complete(send(fleet.places[0].caller, data))
+    answer = runner.run(send(fleet.places[0].caller, data))
     assert answer.startswith(b"HTTP/1.1 %d " % status), answer[:200]
     assert b"application/problem+json" in answer
     assert b'"outcome":"not-run"' in answer
     assert fleet.targets[0].begun == begun
 
 
-def test_pipelined_requests_are_answered_in_order(fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_pipelined_requests_are_answered_in_order(fleet_and_runner):
+    fleet, runner = fleet_and_runner
     parts = [
         b"GET /x HTTP/1.1\r\nhost: s\r\nx-token: t%d\r\n\r\n" % n
         for n in range(3)
     ]
     last = parts[2].replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
     data = parts[0] + parts[1] + last
-    answer = loop.run_until_complete(send(fleet.places[0].caller, data))
+    answer = runner.run(send(fleet.places[0].caller, data))
     places = [answer.index(b'"t%d"' % n) for n in range(3)]
     assert places == sorted(places)
 
 
 @pytest.mark.parametrize("size", [0, 5, 16_384, 16_385, 200_000])
 @pytest.mark.parametrize("chunked", [True, False])
-def test_bodies_of_all_sizes(size, chunked, fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_bodies_of_all_sizes(size, chunked, fleet_and_runner):
+    fleet, runner = fleet_and_runner
     token = f"{size}{chunked}"
     head = POST.replace(b"x-token: t", b"x-token: " + token.encode())
     head += b"connection: close\r\n"
@@ -115,13 +116,13 @@
         body += b"0\r\n\r\n"
     else:
         head += b"content-length: %d\r\n\r\n" % size
-    answer = loop.run_until_complete(send(fleet.places[0].caller, head + body))
+    answer = runner.run(send(fleet.places[0].caller, head + body))
     assert answer.startswith(b"HTTP/1.1 200 ")
     assert fleet.targets[0].runs_by_token[token] == 1
 
 
-def test_expect_100_is_answered_before_the_body(fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_expect_100_is_answered_before_the_body(fleet_and_runner):
+    fleet, runner = fleet_and_runner
 
     async def work():
         connection = await wire.connect(fleet.places[0].caller)
@@ -134,13 +135,13 @@
         connection.abort()
         return answer
 
-    assert loop.run_until_complete(work()).startswith(b"HTTP/1.1 200 ")
+    assert runner.run(work()).startswith(b"HTTP/1.1 200 ")
 
 
-def test_head_has_no_body(fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_head_has_no_body(fleet_and_runner):
+    fleet, runner = fleet_and_runner
     data = GET.replace(b"GET", b"HEAD") + b"connection: close\r\n\r\n"
-    answer = loop.run_until_complete(send(fleet.places[0].caller, data))
+    answer = runner.run(send(fleet.places[0].caller, data))
     assert answer.startswith(b"HTTP/1.1 200 ")
     assert answer.endswith(b"\r\n\r\n")
     assert b"content-length: 5" in answer.lower()
@@ -164,8 +165,8 @@
     helper.run(work())
 
 
-def test_hop_by_hop_headers_go_and_via_stays(fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_hop_by_hop_headers_go_and_via_stays(fleet_and_runner):
+    fleet, runner = fleet_and_runner
     seen = {}
     target = fleet.targets[0]
     answer_of = target._answer
@@ -179,7 +180,7 @@
         b"connection: close, x-hop\r\nx-hop: 1\r\nte: trailers\r\n"
         b"via: 1.0 before\r\nx-request-timeout-ms: 700\r\n\r\n"
     )
-    loop.run_until_complete(send(fleet.places[0].caller, data))
+    runner.run(send(fleet.places[0].caller, data))
     target._answer = answer_of
     assert b"x-hop" not in seen
     assert b"te" not in seen
@@ -188,22 +189,22 @@
     assert 0 < int(seen[b"x-request-timeout-ms"]) <= 700
 
 
-def test_no_route_is_a_404_and_the_connection_lives(fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_no_route_is_a_404_and_the_connection_lives(fleet_and_runner):
+    fleet, runner = fleet_and_runner
     node = fleet.nodes[0]
     kept = node.decisions.effective
     node.decisions.effective = effective.NOTHING
     data = GET + b"\r\n" + GET + b"connection: close\r\n\r\n"
-    answer = loop.run_until_complete(send(fleet.places[0].caller, data))
+    answer = runner.run(send(fleet.places[0].caller, data))
     node.decisions.effective = kept
     assert answer.count(b"HTTP/1.1 404 ") == 2
 
 
-def test_answer_that_breaks_off_is_visibly_broken(fleet_and_loop):
-    fleet, loop = fleet_and_loop
+def test_answer_that_breaks_off_is_visibly_broken(fleet_and_runner):
+    fleet, runner = fleet_and_runner
     fleet.targets[0].fault = "short"
     data = POST + b"content-length: 0\r\nconnection: close\r\n\r\n"
-    answer = loop.run_until_complete(send(fleet.places[0].caller, data))
+    answer = runner.run(send(fleet.places[0].caller, data))
     fleet.targets[0].fault = "none"
     head, _, body = answer.partition(b"\r\n\r\n")
     declared = int(head.lower().partition(b"content-length: ")[2].split()[0])
