Say in status why and since when, and what is retried; measure the key

Cause: status named states without their reasons, and the cost of the shared key was argued, not measured.

--- a/forklift/report.py
+++ b/forklift/report.py
@@ -71,7 +71,8 @@
         known: Targets that are alive and not leaving.
         in_service: Those that take requests.
         floor_owner: Process that grants permits, or empty.
-        retries: Retries refused by the budget here.
+        retried: Requests of the service that this process sent again.
+        retries_refused: Retries that the budget refused here.
     """
 
     name: str
@@ -80,7 +81,8 @@
     known: int
     in_service: int
     floor_owner: str
-    retries: int
+    retried: int
+    retries_refused: int
 
 
 class Process(_Report):
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -47,6 +47,7 @@
         self._seqs = itertools.count(1)
         self.attempts = 0
         self.retries = 0
+        self.retries_by_service: dict[str, int] = {}
 
     def next_seq(self) -> int:
         """A request number never used before in this boot."""
@@ -131,12 +132,17 @@
                 break
             if not self._retry(wish, result.ending, attempt, refusals):
                 break
-            self.retries += 1
+            self._count_retry(request.service)
             self._log_retry(request, choice, result)
         if held is not None and not sink.begun:
             return await held.flush()
         return result
 
+    def _count_retry(self, service: str) -> None:
+        self.retries += 1
+        count = self.retries_by_service.get(service, 0)
+        self.retries_by_service[service] = count + 1
+
     def _log_retry(
         self,
         request: exchange.Request,
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -153,6 +153,7 @@
                 len(known),
                 len(serving),
                 holder or "",
+                node.dispatcher.retries_by_service.get(name, 0),
                 node.decisions.entry.retries_refused(name),
             )
         )
--- a/forklift/ui/status.py
+++ b/forklift/ui/status.py
@@ -1,16 +1,20 @@
 """`forklift status`: the fleet as one process sees it."""
 
+import datetime
 import time
 
 import click
 from rich import console
 from rich import table
 
+from forklift import errors
 from forklift import report
 from forklift.ui import asking
 
 WATCH_PERIOD = 1.0
 LOG_AWAY = 5.0
+MOST_REASONS = 20
+_WELL = ("in-service", "cold", "ramp")
 _STYLE_BY_STATE = {
     "in-service": "green",
     "cold": "cyan",
@@ -36,20 +40,64 @@
         else:
             if watch:
                 out.clear()
-            show(status, out)
+            show(status, _reasons(status, admin), out)
         if not watch:
             return
         time.sleep(WATCH_PERIOD)
 
 
-def show(status: report.Status, out: console.Console) -> None:
-    """Prints a status for people."""
+def show(
+    status: report.Status,
+    reasons: list[report.Explanation],
+    out: console.Console,
+) -> None:
+    """Prints a status for people.
+
+    Args:
+        status: The status.
+        reasons: Explanations of targets that don't take their full share.
+        out: Where to print.
+    """
     _show_head(status, out)
     out.print(_services(status))
+    for told in reasons:
+        _show_reason(told, out)
     out.print(_targets(status))
     out.print(_processes(status))
 
 
+def _reasons(status: report.Status, admin: str) -> list[report.Explanation]:
+    """Why targets are not at full share; at most `MOST_REASONS`."""
+    admin_by_process = {p.name: p.admin for p in status.processes}
+    reasons = []
+    for target in status.targets:
+        if target.state in _WELL or len(reasons) >= MOST_REASONS:
+            continue
+        beside = admin_by_process.get(target.process, admin)
+        path = f"/explain/{target.name}"
+        try:
+            told = asking.ask(beside, "GET", path, report.Explanation)
+        except errors.UserError:
+            continue
+        reasons.append(told)
+    return reasons
+
+
+def _show_reason(told: report.Explanation, out: console.Console) -> None:
+    if not told.changes:
+        return
+    change = told.changes[-1]
+    since = datetime.datetime.fromtimestamp(change.at)
+    evidence = ""
+    if change.evidence is not None:
+        evidence = f" (evidence {change.evidence.total:.1f})"
+    style = _STYLE_BY_STATE.get(told.state, "white")
+    out.print(
+        f"[{style}]{told.target} {told.state}[/] since {since:%H:%M:%S}: "
+        f"{change.cause}{evidence}"
+    )
+
+
 def _show_head(status: report.Status, out: console.Console) -> None:
     ready = "ready" if status.ready else "not ready"
     log = "log up"
@@ -71,7 +119,9 @@
 
 
 def _services(status: report.Status) -> table.Table:
-    shown = _table("service", "policy", "floor", "in service", "known", "")
+    shown = _table(
+        "service", "policy", "floor", "in service", "known", "retried here", ""
+    )
     for service in status.services:
         spare = service.in_service - service.floor
         note = f"{spare} above floor"
@@ -88,6 +138,7 @@
             str(service.floor),
             str(service.in_service),
             str(service.known),
+            f"{service.retried}, {service.retries_refused} refused",
             f"[{style}]{note}[/]",
         )
     return shown
--- a/forklift_lab/demo.py
+++ b/forklift_lab/demo.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -65,11 +66,19 @@
         return wrong == 0 and self.detection >= 0
 
 
+def key_headers() -> tuple[tuple[str, str], ...]:
+    """The shared key from the environment, as the commands send it."""
+    key = os.environ.get("FORKLIFT_KEY", "")
+    return (("authorization", f"Bearer {key}"),) if key else ()
+
+
 async def get(address: str, path: str, kind: type, method: str = "GET"):
     """Asks an admin address for a report."""
     asker = client.Client(address)
     try:
-        response = await asker.request(method, path, timeout=5.0)
+        response = await asker.request(
+            method, path, headers=key_headers(), timeout=5.0
+        )
         return msgspec.json.decode(response.body, type=kind)
     finally:
         asker.close()
@@ -91,7 +100,9 @@
     request = report.PublishRequest(text, "demo")
     body = msgspec.json.encode(request)
     try:
-        response = await asker.request("POST", "/publish", body, timeout=15.0)
+        response = await asker.request(
+            "POST", "/publish", body, key_headers(), timeout=15.0
+        )
         return msgspec.json.decode(response.body, type=report.Published)
     finally:
         asker.close()
--- a/forklift_lab/measure/capacity.py
+++ b/forklift_lab/measure/capacity.py
@@ -25,6 +25,8 @@
 from forklift import policy
 from forklift import report
 from forklift import routing
+from forklift.shell import control
+from forklift.shell import framing
 from forklift_lab import demo
 from forklift_lab import fleet
 from forklift_lab.measure import processes
@@ -281,6 +283,26 @@
         return 1.7e9 + self.now
 
 
+def key_costs() -> dict[str, float]:
+    """Microseconds that the shared key costs.
+
+    The proof is made and checked once a connection; no request pays for it.
+    """
+    key, nonce = b"k" * 32, b"n" * 16
+    wire = control.Control("10.0.0.1:1", 1, key, lambda: 1.7e9, print)
+    data = messages.encode(_info(1))
+
+    def both_ways() -> None:
+        wire._unseal(wire._seal("10.0.0.1:1", data))
+
+    return {
+        "proof of the key, once a connection and side": _microseconds(
+            lambda: framing.prove(key, nonce, nonce)
+        ),
+        "control message sealed and opened": _microseconds(both_ways),
+    }
+
+
 def quiet_process(count: int) -> tuple[float, float]:
     """Processor time and bytes a second of the decisions among n peers.
 
--- a/forklift_lab/measure/latency.py
+++ b/forklift_lab/measure/latency.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import os
 import time
 
 import click
@@ -132,12 +133,12 @@
     )
 
 
-async def measure(seconds: float) -> list[Row]:
+async def measure(seconds: float, key: str = "") -> list[Row]:
     """Runs the measurement."""
     places = fleet.places({"s": 2}, ["d"])
     entry, guard = places
     log = fleet.free_addresses(1)[0]
-    async with fleet.Fleet(log) as running:
+    async with fleet.Fleet(log, key) as running:
         await running.lab("log", "log", "--listen", log)
         for place in places:
             await running.node(place)
@@ -197,6 +198,10 @@
 
 @click.command("latency")
 @click.option("--seconds", default=12.0, show_default=True)
-def command(seconds: float) -> None:
+@click.option("--key", default="", help="Shared key of the processes.")
+def command(seconds: float, key: str) -> None:
     """Measure the latency that forklift adds, and its processor time."""
-    click.echo(show(asyncio.run(measure(seconds))))
+    if key:
+        # The stand-ins, which are processes of their own, need it as well.
+        os.environ["FORKLIFT_KEY"] = key
+    click.echo(show(asyncio.run(measure(seconds, key))))
--- a/forklift_lab/standin.py
+++ b/forklift_lab/standin.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import math
+import os
 import random
 import time
 import urllib.parse
@@ -190,6 +191,7 @@
     name, service, domain, address, admin = parts[:5]
     slots = int(parts[5]) if len(parts) > 5 else 4
     median = float(parts[6]) if len(parts) > 6 else 0.04
+    key = os.environ.get("FORKLIFT_KEY", "")
     return TargetStandIn(
-        name, service, domain, address, admin, slots, median, seed=seed
+        name, service, domain, address, admin, slots, median, seed=seed, key=key
     )
