Name versions only in the lock file

Cause: the lock had taken in the editable checkout with its path, so a fresh clone elsewhere could not install. Test: every line is a name and a version (failed first on that line).

--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -54,3 +54,12 @@
             promise = line.strip().strip('",')
             if promise.replace("-", "").isalpha() and "-" in promise:
                 assert f"`{promise}`" in text, promise
+
+
+def test_lock_file_names_versions_only():
+    lock = (DOCS.parent / "requirements.lock").read_text().splitlines()
+    assert lock
+    for line in lock:
+        name, _, version = line.partition("==")
+        assert name.replace("-", "").replace("_", "").isalnum(), line
+        assert version, line
