A key handed over waits until the claims are read

Ruled out: the release (claims are appended before it). Change: until the claims are loaded, keys older than the own tenure are refused as not run.

--- a/forklift/keys.py
+++ b/forklift/keys.py
@@ -109,16 +109,25 @@
 class Ledger:
     """The keys of one shard, at the holder of its lease."""
 
-    def __init__(self, known_from: float, most: int, recorded_bytes: int):
+    def __init__(
+        self,
+        known_from: float,
+        most: int,
+        recorded_bytes: int,
+        fresh_from: float | None = None,
+    ):
         """Starts a tenure.
 
         Args:
             known_from: Wall time since when every key that may have run is
-                known here.
+                known here, once the claims are loaded.
             most: Keys remembered at once.
             recorded_bytes: Bytes of recorded answers kept at once.
+            fresh_from: Wall time since when no earlier owner can have run a
+                key; `known_from` where it is not given.
         """
         self.known_from = known_from
+        self._fresh_from = known_from if fresh_from is None else fresh_from
         self.loaded = False
         self._most = most
         self._bytes_left = recorded_bytes
@@ -163,6 +172,9 @@
         if in_time and issued > wall - memory + SKEW:
             if issued <= self.known_from:
                 return Verdict.LOST
+            if not self.loaded and issued <= self._fresh_from:
+                # The owner before named it on the log, perhaps.
+                return Verdict.FULL
             self._reserve(key, print_, _State.RUNNING, wall + memory)
             return Verdict.RUN
         if issued is not None and issued <= wall:
--- a/forklift/shell/keyed.py
+++ b/forklift/shell/keyed.py
@@ -185,7 +185,8 @@
         service = holding.resource.rpartition("/")[0]
         now = self._clock.monotonic()
         starts_in = max(0.0, holding.starts - now)
-        known_from = self._clock.wall() + starts_in + 2 * keys.SKEW
+        fresh_from = self._clock.wall() + starts_in + 2 * keys.SKEW
+        known_from = fresh_from
         before = began.before
         if before.released:
             # The one before named all its keys on the log.
@@ -194,6 +195,7 @@
             known_from,
             self._limits.keys,
             self._limits.keys * 1024,
+            fresh_from,
         )
         tenure = _Tenure(holding, ledger)
         self._tenure_by_resource[holding.resource] = tenure
--- a/test/test_keys.py
+++ b/test/test_keys.py
@@ -57,6 +57,16 @@
     assert made.begin(b"k", PRINT, 1000.0, MEMORY, 1001.0) is verdict
 
 
+def test_key_named_by_the_owner_before_waits_for_the_claims():
+    made = keys.Ledger(900.0, 100, 0, fresh_from=1100.0)
+    early = made.begin(b"k", PRINT, 1000.0, MEMORY, 1050.0)
+    assert early is Verdict.FULL
+    made.inherit(messages.Claim(b"k", PRINT, 1010.0), MEMORY)
+    made.loaded = True
+    assert made.begin(b"k", PRINT, 1000.0, MEMORY, 1050.0) is Verdict.LOST
+    assert made.begin(b"l", PRINT, 1000.0, MEMORY, 1050.0) is Verdict.RUN
+
+
 def test_same_key_for_another_request_is_a_mismatch():
     made = ledger()
     made.begin(b"k", PRINT, 1000.0, MEMORY, 1000.0)
