--- /dev/null
+++ b/forklift/catalog.py
@@ -0,0 +1,161 @@
+"""The configuration in force: routes, services and limits of callers.
+
+A catalog is never changed; a newer one replaces it. Which one is in force is
+decided by its version alone, and within one life of a process the version
+only rises.
+"""
+
+import dataclasses
+import random
+
+import structlog
+
+from forklift import invariants
+from forklift import routing
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """One service of a route that is split by weight.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its part, against the sum over the route's shares.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """One route.
+
+    Attributes:
+        name: Name of the route.
+        host: Host, lower case, without port.
+        prefix: Path prefix; it begins and ends with a slash.
+        shares: Services that serve it, by weight.
+        repeatable: Whether a second run of a request does no harm.
+        timeout: Longest time a request may be held, seconds.
+        aim: Time within which an answer has its full worth, seconds.
+        priority: Rank; 0 is the most urgent.
+        attempts: Targets that one request may be sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    shares: tuple[Share, ...]
+    repeatable: bool
+    timeout: float
+    aim: float
+    priority: int
+    attempts: int
+
+    def pick(self, rng: random.Random) -> str:
+        """The service of one request, drawn by weight."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return rng.choices(self.shares, weights)[0].service
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """What a catalog says of one service.
+
+    Attributes:
+        name: Its name.
+        health: Path of the health endpoint of its targets.
+        connections: Connections that a target of it takes.
+    """
+
+    name: str
+    health: str
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    Attributes:
+        header_bytes: Largest head of a request.
+        body_bytes: Largest body of a request.
+        head: Seconds a caller has to send a head.
+        idle: Seconds a connection may stay idle.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    head: float
+    idle: float
+
+
+# Before any catalog is known; the usual bounds of HTTP servers.
+DEFAULT_LIMITS = CallerLimits(32_768, 1 << 26, 10.0, 60.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalog:
+    """One version of the configuration.
+
+    Attributes:
+        version: Its number; versions rise, with gaps.
+        routes: Look-up of routes by host and path.
+        services_by_name: The services.
+        limits: Bounds on callers.
+        source: The record it was decoded from, to hand it to others.
+    """
+
+    version: int
+    routes: routing.Table
+    services_by_name: dict[str, Service]
+    limits: CallerLimits
+    source: bytes = b""
+
+
+NOTHING = Catalog(0, routing.Table(()), {}, DEFAULT_LIMITS)
+
+
+class InForce:
+    """The catalog in force in this process."""
+
+    def __init__(self):
+        self.catalog = NOTHING
+        self.since = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Whether any catalog is in force."""
+        return self.catalog.version > 0
+
+    def offer(self, catalog: Catalog, source: str, now: float) -> bool:
+        """Takes a catalog if it is newer than the one in force.
+
+        Args:
+            catalog: The catalog.
+            source: Where it came from, for the log.
+            now: Monotonic seconds.
+
+        Returns:
+            Whether it is in force now and was not before.
+        """
+        if catalog.version <= self.catalog.version:
+            return False
+        before = self.catalog.version
+        invariants.version_forward(before, catalog.version)
+        self.catalog = catalog
+        self.since = now
+        _log.info(
+            "configuration_in_force",
+            version=catalog.version,
+            before=before,
+            source=source,
+            routes=catalog.routes.size,
+            services=len(catalog.services_by_name),
+        )
+        return True
--- /dev/null
+++ b/forklift/chooser.py
@@ -0,0 +1,334 @@
+"""Picks a target for each request, by what this entry knows of all.
+
+Work that must not repeat goes only to targets that nobody doubts. Work that
+may repeat also tests doubted ones, so that they are back in use soon after
+they are well. Load is known exactly for our own requests and by the last
+answer for those of others, which fades.
+"""
+
+import dataclasses
+import math
+import random
+import statistics
+from collections.abc import Callable
+
+from forklift import budget
+from forklift import messages
+from forklift import overlay
+from forklift import paths
+from forklift import policy
+from forklift import spread
+
+State = messages.TargetState
+_GONE = (State.DRAINING, State.LEFT)
+
+# Targets of one service that this entry sends to at most.
+SUBSET = 64
+# Seconds in which load that others caused fades to a third.
+LOAD_FADES = 1.0
+# Share of repeatable requests that test a doubted target when one is due.
+SCOUT_SHARE = 0.6
+# Seconds between two scouts of this entry to one target.
+SCOUT_GAP = 0.25
+# Targets whose median latency tells what is usual.
+MIN_PEERS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Wish:
+    """What a request needs of a target.
+
+    Attributes:
+        service: Name of the service.
+        repeatable: Whether a second run does no harm.
+        insist: Whether a doubted target will do.
+        scout: Whether it may test a doubted target.
+    """
+
+    service: str
+    repeatable: bool
+    insist: bool = False
+    scout: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """A picked target.
+
+    Attributes:
+        target: Its name.
+        process: Name of the process beside it.
+    """
+
+    target: str
+    process: str
+
+
+@dataclasses.dataclass(frozen=True)
+class BudgetBounds:
+    """Bounds on repeats that all processes keep together.
+
+    Attributes:
+        ratio: Repeats allowed for each request of a service.
+        window: Seconds over which both are counted.
+        reserve: Repeats allowed beside, in each window.
+    """
+
+    ratio: float = 0.1
+    window: float = 10.0
+    reserve: float = 5.0
+
+
+class View:
+    """What the entry knows of one target."""
+
+    def __init__(self, info: messages.TargetInfo, process: str, near: bool):
+        self.name = info.name
+        self.process = process
+        self.near = near
+        self.slots = max(1, info.slots)
+        self.in_flight = 0
+        self.picked = 0
+        self.next_scout = 0.0
+        self.state = info.state
+        self.version = info.version
+        self.latency = info.latency
+        self._others = 0.0
+        self._others_at = float("-inf")
+
+    def follow(self, info: messages.TargetInfo) -> None:
+        """Takes in what its guard tells of it, unless it is old."""
+        if info.version > self.version:
+            self.version = info.version
+            self.state = info.state
+            self.latency = info.latency
+
+    def report(self, load: messages.Load, now: float) -> None:
+        """Takes in the load that an answer or a notice carried."""
+        if load.version < self.version:
+            return
+        self.version = load.version
+        self.state = load.state
+        self.latency = load.latency
+        others = load.in_flight + load.queued - self.in_flight
+        self._others = max(0, others)
+        self._others_at = now
+
+    def load(self, now: float) -> float:
+        """Own requests plus those of others, which fade with age."""
+        age = now - self._others_at
+        return self.in_flight + self._others * math.exp(-age / LOAD_FADES)
+
+
+class _Group:
+    """One service as the entry sees it."""
+
+    def __init__(self, bounds: BudgetBounds):
+        self.view_by_target: dict[str, View] = {}
+        self.subset: list[str] | None = None
+        self.budget = budget.Budget(bounds.ratio, bounds.window, bounds.reserve)
+
+
+class Chooser:
+    """Picks targets for the requests of one process."""
+
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        rng: random.Random,
+        program: Callable[[str], policy.Service],
+        bounds: BudgetBounds,
+    ):
+        self.paths = paths.Paths()
+        self._name = name
+        self._domain = domain
+        self._rng = rng
+        self._program = program
+        self._bounds = bounds
+        self._group_by_service: dict[str, _Group] = {}
+        self._targets_by_process: dict[str, dict[str, str]] = {}
+        self.processes = 1
+        self.picks = 0
+
+    # What is known.
+
+    def learn(self, info: messages.ProcessInfo) -> None:
+        """Takes in what is known of one process and its targets."""
+        before = self._targets_by_process.get(info.name, {})
+        after = {
+            target.name: target.service
+            for target in info.targets
+            if target.state is not State.LEFT
+        }
+        self._targets_by_process[info.name] = after
+        for name, service in before.items():
+            if after.get(name) != service:
+                self._remove(service, name, info.name)
+        for target in info.targets:
+            if target.name in after:
+                self._learn_target(target, info)
+
+    def forget(self, process: str) -> None:
+        """A process is dead, or has left."""
+        for name, service in self._targets_by_process.pop(process, {}).items():
+            self._remove(service, name, process)
+        self.paths.forget(process)
+
+    def knows(self, service: str) -> bool:
+        """Whether a target of a service is known."""
+        group = self._group_by_service.get(service)
+        return group is not None and bool(group.view_by_target)
+
+    def views(self, service: str) -> list[View]:
+        """The targets of a service that are known here."""
+        group = self._group_by_service.get(service)
+        return list(group.view_by_target.values()) if group else []
+
+    def report(self, target: str, load: messages.Load, now: float) -> None:
+        """A guard told of its target unasked."""
+        for group in self._group_by_service.values():
+            view = group.view_by_target.get(target)
+            if view is not None:
+                view.report(load, now)
+
+    def usual_latency(self, service: str) -> float:
+        """Median latency over the targets of a service; 0 when unknown."""
+        known = [v.latency for v in self.views(service) if v.latency > 0]
+        return statistics.median(known) if len(known) >= MIN_PEERS else 0.0
+
+    # Picks.
+
+    def choose(
+        self, wish: Wish, tried: frozenset[str], now: float
+    ) -> Choice | None:
+        """Picks a target, other than those tried; None when none will do."""
+        group = self._group_by_service.get(wish.service)
+        if group is None:
+            return None
+        sound, doubted = self._split(group, tried)
+        pool = sound
+        if wish.repeatable and wish.scout:
+            due = [view for view in doubted if now >= view.next_scout]
+            if due and (not sound or self._rng.random() < SCOUT_SHARE):
+                pool = due
+        if not pool and wish.insist:
+            pool = doubted
+        if not pool:
+            return None
+        view = self._pick(wish.service, pool, now)
+        if view.state is State.SUSPECT:
+            view.next_scout = now + SCOUT_GAP
+        view.in_flight += 1
+        view.picked += 1
+        self.picks += 1
+        return Choice(view.name, view.process)
+
+    def ended(
+        self,
+        service: str,
+        choice: Choice,
+        load: messages.Load | None,
+        now: float,
+    ) -> None:
+        """An attempt ended, with or without a report of the target's load."""
+        group = self._group_by_service.get(service)
+        view = group.view_by_target.get(choice.target) if group else None
+        if view is None:
+            return
+        view.in_flight = max(0, view.in_flight - 1)
+        if load is not None:
+            view.report(load, now)
+
+    # Repeats.
+
+    def request(self, service: str, now: float) -> None:
+        """A request was taken from a caller: it earns a part of a repeat."""
+        self._group(service).budget.request(now)
+
+    def spend(self, service: str, now: float) -> bool:
+        """Takes one repeat from the budget of a service, if it has one."""
+        return self._group(service).budget.spend(now, self.processes)
+
+    def repeats_refused(self, service: str) -> int:
+        """Repeats of a service that the budget refused here."""
+        return self._group(service).budget.refused
+
+    def _group(self, service: str) -> _Group:
+        group = self._group_by_service.get(service)
+        if group is None:
+            group = self._group_by_service[service] = _Group(self._bounds)
+        return group
+
+    def _split(
+        self, group: _Group, tried: frozenset[str]
+    ) -> tuple[list[View], list[View]]:
+        """Targets that may be sent to: those nobody doubts, and the rest."""
+        sound: list[View] = []
+        doubted: list[View] = []
+        for name in self._subset(group):
+            view = group.view_by_target[name]
+            if name in tried or view.state in _GONE:
+                continue
+            if not self.paths.usable(view.process):
+                continue
+            (doubted if view.state is State.SUSPECT else sound).append(view)
+        return sound, doubted
+
+    def _pick(self, service: str, pool: list[View], now: float) -> View:
+        if len(pool) == 1:
+            return pool[0]
+        program = self._program(service)
+        candidates = [self._candidate(program, view, now) for view in pool]
+        picker = spread.picker_by_name[program.spread]
+        name = picker(candidates, self._rng).name
+        return next(view for view in pool if view.name == name)
+
+    def _candidate(
+        self, program: policy.Service, view: View, now: float
+    ) -> spread.Candidate:
+        load = view.load(now)
+        weight = 1.0
+        if program.weight.text != "1.0":
+            weight = program.weight.evaluate(
+                load=load,
+                slots=view.slots,
+                same_domain=view.near,
+                state=str(view.state),
+            )
+        return spread.Candidate(
+            view.name,
+            load,
+            view.slots,
+            max(spread.LEAST_WEIGHT, weight),
+            view.near,
+            view.picked,
+        )
+
+    def _learn_target(
+        self, target: messages.TargetInfo, info: messages.ProcessInfo
+    ) -> None:
+        group = self._group(target.service)
+        view = group.view_by_target.get(target.name)
+        if view is not None and view.process == info.name:
+            view.follow(target)
+            return
+        near = target.domain == self._domain
+        group.view_by_target[target.name] = View(target, info.name, near)
+        group.subset = None
+
+    def _remove(self, service: str, name: str, process: str) -> None:
+        group = self._group_by_service.get(service)
+        view = group.view_by_target.get(name) if group else None
+        if view is not None and view.process == process:
+            del group.view_by_target[name]
+            group.subset = None
+
+    def _subset(self, group: _Group) -> list[str]:
+        """The targets that this entry sends to, chosen anew after changes."""
+        if group.subset is None:
+            names = sorted(group.view_by_target)
+            if len(names) > SUBSET:
+                names = overlay.pick(self._name, names, SUBSET)
+            group.subset = names
+        return group.subset
--- a/forklift/errors.py
+++ b/forklift/errors.py
@@ -66,6 +66,26 @@
         )
 
 
+class RegistryUnavailable(ForkliftError):
+    """The store did not answer; a write may have taken effect."""
+
+    def __init__(self, detail: str):
+        super().__init__(
+            f"the store did not answer ({detail}); "
+            "check [platform] store and the service, then try again"
+        )
+
+
+class RegistryGap(ForkliftError):
+    """Records between what was read and what is kept are gone."""
+
+    def __init__(self):
+        super().__init__(
+            "the store no longer keeps the records after this position; "
+            "read the newest ones instead"
+        )
+
+
 class PeerUnreachable(ForkliftError):
     """A peer could not be spoken to; nothing was sent to it."""
 
--- /dev/null
+++ b/forklift/gate.py
@@ -0,0 +1,304 @@
+"""Admits requests to one target: the only way to it.
+
+The gate stands beside its target and sees every request, so it knows for
+certain what runs there. It keeps to the target's slots, lets urgent requests
+wait ahead of others, refuses at once what can't end in time, and starts
+nothing once the target leaves. All methods are synchronous.
+"""
+
+import bisect
+import dataclasses
+import math
+
+from forklift import doubt
+from forklift import invariants
+from forklift import messages
+
+Reason = messages.Reason
+State = messages.TargetState
+Sign = doubt.Sign
+
+# Before the first answer; a guess between the services we know, seconds.
+LATENCY_GUESS = 0.15
+LATENCY_GAIN = 0.1
+# Times the usual latency of the service after which a request is overdue.
+# Work scatters with a sigma of up to 0.8, and one request in a hundred takes
+# three to five times as long without anything being wrong.
+OVERDUE_FACTOR = 5.0
+# And never before this age: pauses of our own processes are shorter, seconds.
+OVERDUE_LEAST = 0.4
+# Requests that may wait for each slot, whatever their deadlines.
+QUEUE_FACTOR = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that asks to run.
+
+    Attributes:
+        id: Boot and number given by its sender.
+        repeatable: Whether a second run does no harm.
+        priority: Rank; 0 is the most urgent.
+        deadline: Monotonic seconds of this process.
+        insist: Whether it runs on a doubted target as well, as its sender
+            found no better one in time.
+    """
+
+    id: tuple[int, int]
+    repeatable: bool
+    priority: int
+    deadline: float
+    insist: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """The request may be sent to the target now."""
+
+    ticket: Ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """The request waits for a slot."""
+
+    ticket: Ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """The request will not run here.
+
+    Attributes:
+        ticket: The request.
+        reason: Why.
+        retry_after: Seconds after which a slot is likely.
+    """
+
+    ticket: Ticket
+    reason: Reason
+    retry_after: float = 0.0
+
+
+Decision = Start | Wait | Refuse
+
+
+@dataclasses.dataclass
+class _Running:
+    ticket: Ticket
+    started: float
+    overdue: bool = False
+
+
+class Gate:
+    """Slots, queue and doubt of one target."""
+
+    def __init__(self, name: str, service: str, slots: int):
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.state = State.IN_SERVICE
+        self.doubt = doubt.Doubt()
+        self.version = 1
+        self.latency = LATENCY_GUESS
+        # Usual latency of the service's other targets; 0 while unknown.
+        self.usual = 0.0
+        self.refusals_by_reason: dict[Reason, int] = {}
+        self._running_by_id: dict[tuple[int, int], _Running] = {}
+        self._waiting: list[tuple[int, int, Ticket]] = []
+        self._arrivals = 0
+
+    @property
+    def running(self) -> int:
+        """Requests that the target is running."""
+        return len(self._running_by_id)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait here."""
+        return len(self._waiting)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target starts no request any more."""
+        return self.state in (State.DRAINING, State.LEFT)
+
+    def load(self) -> messages.Load:
+        """Its load and state, as others are told."""
+        state = self.state
+        if self.doubt.raised and not self.leaving:
+            state = State.SUSPECT
+        return messages.Load(
+            self.running,
+            self.waiting,
+            self.slots,
+            1.0,
+            state,
+            self.version,
+            round(self.latency, 4),
+            0.0,
+        )
+
+    # Requests.
+
+    def arrive(self, ticket: Ticket, now: float) -> Decision:
+        """Decides on a request."""
+        reason = self._unfit(ticket, now)
+        if reason is not None:
+            return self._refuse(ticket, reason)
+        if self.running < self.slots and not self._waiting:
+            return self._start(ticket, now)
+        ahead = sum(1 for entry in self._waiting if entry[0] <= ticket.priority)
+        wait = (ahead + 1) * self.latency / self.slots
+        late = now + wait + self.latency > ticket.deadline
+        if late or self.waiting >= QUEUE_FACTOR * self.slots:
+            return self._refuse(ticket, Reason.BUSY, wait)
+        self._arrivals += 1
+        bisect.insort(
+            self._waiting,
+            (ticket.priority, self._arrivals, ticket),
+            key=lambda entry: entry[:2],
+        )
+        return Wait(ticket)
+
+    def cancel(self, ticket: Ticket) -> bool:
+        """The sender gave up; True when it waited here and will not run."""
+        before = len(self._waiting)
+        self._waiting = [e for e in self._waiting if e[2].id != ticket.id]
+        return len(self._waiting) < before
+
+    def finish(
+        self, ticket: Ticket, sign: Sign | None, now: float
+    ) -> list[Decision]:
+        """A started request ended.
+
+        Args:
+            ticket: The request.
+            sign: What its end says of the target; None says nothing.
+            now: Monotonic seconds.
+
+        Returns:
+            Decisions on requests that waited.
+        """
+        running = self._running_by_id.pop(ticket.id, None)
+        self.doubt.scouted(ticket.id)
+        if running is None:
+            return []
+        took = now - running.started
+        if sign is Sign.WELL:
+            self._note_latency(took)
+            if took > self._overdue_age():
+                sign = Sign.OVERDUE
+        decisions: list[Decision] = []
+        if sign is not None and not self._known_late(running, sign):
+            decisions += self.note(sign, now)
+        return decisions + self._next(now)
+
+    def note(self, sign: Sign, now: float) -> list[Decision]:
+        """Takes in a sign of the target's condition."""
+        if not self.doubt.note(sign, now):
+            return []
+        self.version += 1
+        if not self.doubt.raised:
+            return []
+        return self._refuse_doubted()
+
+    # Life of the target.
+
+    def drain(self) -> list[Decision]:
+        """The target is leaving: nothing starts any more."""
+        if self.state is State.IN_SERVICE:
+            self.state = State.DRAINING
+            self.version += 1
+        return self._refuse_all(Reason.DRAINING)
+
+    def leave(self) -> list[Decision]:
+        """The target is gone."""
+        if self.state is not State.LEFT:
+            self.state = State.LEFT
+            self.version += 1
+        return self._refuse_all(Reason.DRAINING)
+
+    def tick(self, now: float) -> list[Decision]:
+        """Lets time pass: overdue requests raise doubt, late ones leave."""
+        decisions: list[Decision] = []
+        age = self._overdue_age()
+        for running in list(self._running_by_id.values()):
+            if not running.overdue and now - running.started > age:
+                running.overdue = True
+                decisions += self.note(Sign.OVERDUE, now)
+        if self.doubt.fade(now):
+            self.version += 1
+        decisions += self._expire(now)
+        return decisions + self._next(now)
+
+    def excuse(self, seconds: float) -> None:
+        """This process stood still: requests in flight aged unseen."""
+        for running in self._running_by_id.values():
+            running.started += seconds
+
+    def _known_late(self, running: _Running, sign: Sign) -> bool:
+        """Its lateness was counted while it ran; the end adds nothing."""
+        return sign is Sign.OVERDUE and running.overdue
+
+    def _overdue_age(self) -> float:
+        usual = self.usual or self.latency
+        return max(OVERDUE_LEAST, OVERDUE_FACTOR * usual)
+
+    def _note_latency(self, seconds: float) -> None:
+        # In logarithms, so that one slow answer weighs no more than a fast one.
+        step = LATENCY_GAIN * math.log(max(seconds, 1e-3) / self.latency)
+        self.latency *= math.exp(step)
+
+    def _unfit(self, ticket: Ticket, now: float) -> Reason | None:
+        if self.leaving:
+            return Reason.DRAINING
+        if ticket.deadline <= now:
+            return Reason.DEADLINE
+        if not self.doubt.raised or ticket.insist:
+            return None
+        if not ticket.repeatable or not self.doubt.may_scout(now):
+            return Reason.DOUBTED
+        return None
+
+    def _start(self, ticket: Ticket, now: float) -> Start:
+        invariants.no_new_work(self.leaving, self.name)
+        self._running_by_id[ticket.id] = _Running(ticket, now)
+        if self.doubt.raised:
+            self.doubt.scout(ticket.id, now)
+        return Start(ticket)
+
+    def _next(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self._waiting and self.running < self.slots:
+            ticket = self._waiting.pop(0)[2]
+            reason = self._unfit(ticket, now)
+            if reason is not None:
+                decisions.append(self._refuse(ticket, reason))
+            else:
+                decisions.append(self._start(ticket, now))
+        return decisions
+
+    def _expire(self, now: float) -> list[Decision]:
+        late = [e[2] for e in self._waiting if e[2].deadline <= now]
+        self._waiting = [e for e in self._waiting if e[2].deadline > now]
+        return [self._refuse(ticket, Reason.DEADLINE) for ticket in late]
+
+    def _refuse_doubted(self) -> list[Decision]:
+        """Those that wait go elsewhere; none of them has run."""
+        staying = [e for e in self._waiting if e[2].insist]
+        leaving = [e[2] for e in self._waiting if not e[2].insist]
+        self._waiting = staying
+        return [self._refuse(ticket, Reason.DOUBTED) for ticket in leaving]
+
+    def _refuse_all(self, reason: Reason) -> list[Decision]:
+        tickets = [entry[2] for entry in self._waiting]
+        self._waiting = []
+        return [self._refuse(ticket, reason) for ticket in tickets]
+
+    def _refuse(
+        self, ticket: Ticket, reason: Reason, retry_after: float = 0.0
+    ) -> Refuse:
+        count = self.refusals_by_reason.get(reason, 0)
+        self.refusals_by_reason[reason] = count + 1
+        return Refuse(ticket, reason, retry_after)
--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -214,9 +214,10 @@
         same = message.digest == self.directory.digest()
         own = membership.services(self.directory.own)
         member = self.directory.member_by_name.get(message.sender.name)
-        # Only those with the same services know the same members.
-        same = same or member is None
-        same = same or membership.services(member.info) != own
+        if not self.directory.unscoped:
+            # Only those with the same services know the same members.
+            same = same or member is None
+            same = same or membership.services(member.info) != own
         if same or now < self._next_sync:
             return []
         self._next_sync = now + SYNC_PERIOD
@@ -230,7 +231,11 @@
             messages.Rumor(member.liveness, member.info)
             for member in self.directory.member_by_name.values()
             if member.liveness <= Liveness.SUSPECT
-            and (not wanted or wanted & membership.services(member.info))
+            and (
+                not wanted
+                or self.directory.unscoped
+                or wanted & membership.services(member.info)
+            )
         ]
         parts = []
         for start in range(0, max(1, len(rumors)), SYNC_PART):
--- a/forklift/membership.py
+++ b/forklift/membership.py
@@ -12,6 +12,9 @@
 FORGET_AFTER = 600.0
 # Processes remembered of a service that has no target here.
 GATEWAYS = 8
+# Up to this many processes all are kept, whatever services they share: their
+# descriptions are a few hundred bytes each.
+KEEP_ALL = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,8 +56,9 @@
     target yet keeps a few of every service.
     """
 
-    def __init__(self, own: messages.ProcessInfo):
+    def __init__(self, own: messages.ProcessInfo, keep_all: int = 0):
         self.own = own
+        self._keep_all = keep_all
         self.member_by_name: dict[str, Member] = {}
         # Rises when somebody comes, goes, or changes services.
         self.generation = 0
@@ -161,10 +165,19 @@
 
     def shares(self, info: messages.ProcessInfo) -> bool:
         """Whether a process is told news of, and tells ours."""
+        if self.unscoped:
+            return True
         own = services(self.own)
         return not own or not own.isdisjoint(services(info))
 
+    @property
+    def unscoped(self) -> bool:
+        """Whether all processes are kept, as there are few."""
+        return len(self.member_by_name) < self._keep_all
+
     def _wanted(self, info: messages.ProcessInfo) -> bool:
+        if self.unscoped:
+            return True
         own = services(self.own)
         if not own.isdisjoint(services(info)):
             return True
@@ -235,7 +248,9 @@
         self.generation += 1
 
     def _part(self, member: Member) -> int:
-        if services(self.own).isdisjoint(services(member.info)):
+        if self._keep_all == 0 and services(self.own).isdisjoint(
+            services(member.info)
+        ):
             return 0
         return _hash(member.liveness, member.info)
 
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -31,18 +31,22 @@
     CANCELLED = "cancelled"
     CONNECT_FAILED = "connect-failed"
     DEADLINE = "deadline"
+    DOUBTED = "doubted"
     DRAINING = "draining"
     EJECTED = "ejected"
     FENCED = "fenced"
     IN_PROGRESS = "in-progress"
     KEY_MISMATCH = "key-mismatch"
     KEY_LOST = "key-lost"
+    MISDIRECTED = "misdirected"
+    NO_CONFIGURATION = "no-configuration"
     NO_OWNER = "no-owner"
     LOG_AWAY = "log-away"
     NO_TARGET = "no-target"
     NO_SERVICE = "no-service"
     OVERLOADED = "overloaded"
     PEER_LOST = "peer-lost"
+    SHED = "shed"
     STALE = "stale"
     TARGET_BROKE = "target-broke"
     TIMEOUT = "timeout"
@@ -151,6 +155,9 @@
             receiver gives credit.
         route: Name of the route.
         caller: Who the key belongs to, empty without a key.
+        origin: Service on the instance where the request began.
+        priority: Rank; 0 is the most urgent.
+        insist: Whether it runs on a doubted target as well.
     """
 
     id: int
@@ -171,6 +178,9 @@
     complete: bool
     route: str
     caller: bytes = b""
+    origin: str = ""
+    priority: int = 0
+    insist: bool = False
 
 
 class Body(_Wire, tag=4):
@@ -284,6 +294,18 @@
     not_run: bool
 
 
+class Standing(_Wire, tag=12):
+    """A guard tells unasked how its target stands now.
+
+    Attributes:
+        target: Name of the target.
+        load: Its load and state.
+    """
+
+    target: str
+    load: Load
+
+
 Frame: TypeAlias = (
     Hello
     | Proof
@@ -296,6 +318,7 @@
     | Beat
     | Fence
     | Fenced
+    | Standing
 )
 
 
@@ -533,6 +556,20 @@
     renewal: Renewal
 
 
+class CatalogOffer(_Wire, tag=50):
+    """The configuration in force, for a process that is behind.
+
+    Attributes:
+        sender: Who offers it.
+        version: Its version.
+        packed: The record it was decoded from, compressed.
+    """
+
+    sender: Sender
+    version: int
+    packed: bytes
+
+
 class PromiseRequest(_Wire, tag=45):
     """Asks a successor not to take a lease over for a while.
 
@@ -617,6 +654,7 @@
     | PermitRequest
     | PermitReply
     | PermitReturn
+    | CatalogOffer
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/forklift/platform/configuration.py
@@ -0,0 +1,135 @@
+"""Decodes the operator's record into a catalog of the product."""
+
+import msgspec
+
+from forklift import catalog
+from forklift import errors
+from forklift import routing
+
+_REPEATABLE = "idempotent"
+MILLI = 1000
+# Targets that one request may be sent to where the record names no number.
+DEFAULT_ATTEMPTS = 2
+# Seconds that a request may be held where its route names no time; callers
+# name their own, which is less.
+DEFAULT_TIMEOUT = 60.0
+DEFAULT_AIM = 1.0
+DEFAULT_PRIORITY = 1
+
+
+class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
+    """Base of what the record holds; unknown fields are passed over."""
+
+
+class _Part(_Wire):
+    service: str
+    weight: float
+
+
+class _Route(_Wire):
+    host: str
+    path_prefix: str
+    # Whether a request may run twice, as a word.
+    kind: str
+    service: str = ""
+    # Services by weight, in place of the one service.
+    weighted_clusters: tuple[_Part, ...] = ()
+    # How long a request may be held in all.
+    timeout_ms: float = DEFAULT_TIMEOUT * MILLI
+    # Time for the full worth of an answer; no limit of any kind.
+    target_latency_ms: float = DEFAULT_AIM * MILLI
+    # Targets for one request in all, the first one too.
+    retry_attempts: int = DEFAULT_ATTEMPTS
+    priority: int = DEFAULT_PRIORITY
+
+
+class _Service(_Wire):
+    # Path of the health endpoint.
+    health_check: str = ""
+    # Connections that one target takes.
+    max_connections: int = 100
+
+
+class _Limits(_Wire):
+    max_header_bytes: int = catalog.DEFAULT_LIMITS.header_bytes
+    max_body_bytes: int = catalog.DEFAULT_LIMITS.body_bytes
+    header_timeout_ms: float = catalog.DEFAULT_LIMITS.head * MILLI
+    idle_timeout_ms: float = catalog.DEFAULT_LIMITS.idle * MILLI
+
+
+class _Record(_Wire):
+    version: int
+    routes: dict[str, _Route]
+    services: dict[str, _Service]
+    limits: _Limits = _Limits()
+
+
+_decoder = msgspec.json.Decoder(_Record)
+
+
+class Unusable(errors.ForkliftError):
+    """The operator's record can't be used; the one in force stays."""
+
+    def __init__(self, detail: str):
+        super().__init__(
+            f"the configuration record is unusable ({detail}); "
+            "the version in force stays, write a valid one"
+        )
+
+
+def decode(data: bytes) -> catalog.Catalog:
+    """Decodes the operator's record.
+
+    Raises:
+        Unusable: With what is wrong.
+    """
+    try:
+        record = _decoder.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise Unusable(str(error)) from error
+    services = {
+        name: catalog.Service(name, found.health_check, found.max_connections)
+        for name, found in record.services.items()
+    }
+    routes = [
+        _route(name, found, services) for name, found in record.routes.items()
+    ]
+    limits = catalog.CallerLimits(
+        record.limits.max_header_bytes,
+        record.limits.max_body_bytes,
+        record.limits.header_timeout_ms / MILLI,
+        record.limits.idle_timeout_ms / MILLI,
+    )
+    if record.version <= 0:
+        raise Unusable(f"version {record.version} is not above 0")
+    table = routing.Table(routes, literal=True)
+    return catalog.Catalog(record.version, table, services, limits, data)
+
+
+def _route(
+    name: str, found: _Route, services: dict[str, catalog.Service]
+) -> catalog.Route:
+    shares = tuple(
+        catalog.Share(part.service, part.weight)
+        for part in found.weighted_clusters
+    )
+    if found.service:
+        shares = (catalog.Share(found.service, 1.0),)
+    if not shares or sum(share.weight for share in shares) <= 0:
+        raise Unusable(f"route {name} leads to no service")
+    for share in shares:
+        if share.service not in services:
+            raise Unusable(f"route {name} names no service {share.service}")
+    if not found.path_prefix.startswith("/"):
+        raise Unusable(f"the prefix of route {name} is no path")
+    return catalog.Route(
+        name=name,
+        host=found.host.lower(),
+        prefix=found.path_prefix,
+        shares=shares,
+        repeatable=found.kind == _REPEATABLE,
+        timeout=found.timeout_ms / MILLI,
+        aim=found.target_latency_ms / MILLI,
+        priority=found.priority,
+        attempts=found.retry_attempts,
+    )
--- /dev/null
+++ b/forklift/platform/names.py
@@ -0,0 +1,14 @@
+"""The platform's names of header fields, as the product's dialect."""
+
+from forklift import dialect
+
+DIALECT = dialect.Dialect(
+    request_id=b"forklift-attempt-id",
+    deadline=b"forklift-deadline-ms",
+    origin=b"forklift-caller-service",
+    expected=b"forklift-expected-instance",
+    not_run=b"forklift-not-executed",
+    signature=b"forklift-response-signature",
+    target=b"forklift-instance-id",
+    load=b"forklift-server-load",
+)
--- /dev/null
+++ b/forklift/platform/store.py
@@ -0,0 +1,174 @@
+"""The platform's log store, as the product's registry.
+
+The store keeps records by topic. A topic whose name starts with `keyed.`
+keeps the newest record of each key for good; the operator's record and the
+addresses of our processes lie in two such topics.
+"""
+
+import base64
+import struct
+import urllib.parse
+
+import msgspec
+import structlog
+
+from forklift import errors
+from forklift import ports
+from forklift.platform import configuration
+from forklift.shell import client
+
+_log = structlog.get_logger(__name__)
+
+# The operator's topic and the key of the configuration in it.
+_OPERATOR = "keyed.op"
+_CONFIGURATION = "config"
+# Our own topic: addresses of processes by name.
+_MEMBERS = "keyed.forklift-members"
+_PART = 0
+
+_LENGTH = struct.Struct("!I")
+# A read begins with the end of the partition and the first offset kept.
+_BOUNDS = struct.Struct("!QQ")
+_OK = 200
+_GONE = 410
+# Seconds to wait for an answer that the store does not hold back by itself.
+TIMEOUT = 2.0
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct, frozen=True, rename="kebab"):
+    items: tuple[_Item, ...]
+    end: int
+    # Whether a further page follows, after the last key of this one.
+    has_more: bool = False
+
+
+class Store:
+    """The platform's store; see `ports.Registry`."""
+
+    def __init__(self, address: str):
+        self._client = client.Client(address)
+        self.calls = 0
+        self.failures = 0
+
+    async def configuration(self) -> ports.Found:
+        """See `ports.Registry`."""
+        newest = await self._newest(_OPERATOR, TIMEOUT)
+        for item in newest.items:
+            if item.key == _CONFIGURATION:
+                data = base64.b64decode(item.value)
+                return ports.Found(data, newest.end)
+        return ports.Found(None, newest.end)
+
+    async def next_configuration(
+        self, position: int, wait: float
+    ) -> ports.Found:
+        """See `ports.Registry`."""
+        query = {
+            "topic": _OPERATOR,
+            "part": _PART,
+            "from": position,
+            "wait-ms": int(wait * 1000),
+        }
+        body = await self._ask("GET", "/log-read", query, wait + TIMEOUT)
+        end, _, records = _split(body)
+        found = None
+        for key, value in map(_keyed, records):
+            if key == _CONFIGURATION:
+                found = value
+        # A read may be bounded in size, so what was read tells how far it is.
+        after = position + len(records) if records else max(position, end)
+        return ports.Found(found, after)
+
+    async def members(self) -> dict[str, bytes]:
+        """See `ports.Registry`."""
+        members: dict[str, bytes] = {}
+        after = ""
+        while True:
+            page = await self._newest(_MEMBERS, TIMEOUT, after)
+            for item in page.items:
+                members[item.key] = base64.b64decode(item.value)
+            if not page.has_more or not page.items:
+                return members
+            after = page.items[-1].key
+
+    async def announce(self, name: str, data: bytes) -> None:
+        """See `ports.Registry`."""
+        key = name.encode()
+        record = bytes((len(key),)) + key + data
+        body = _LENGTH.pack(len(record)) + record
+        query = {"topic": _MEMBERS, "part": _PART}
+        await self._ask("POST", "/log-append", query, TIMEOUT, body)
+
+    def close(self) -> None:
+        """Closes connections."""
+        self._client.close()
+
+    async def _newest(
+        self, topic: str, timeout: float, after: str = ""
+    ) -> _Newest:
+        query: dict[str, object] = {"topic": topic, "part": _PART}
+        if after:
+            query["after"] = after
+        body = await self._ask("GET", "/log-newest", query, timeout)
+        try:
+            return msgspec.json.decode(body, type=_Newest)
+        except msgspec.MsgspecError as error:
+            raise errors.RegistryUnavailable(f"malformed: {error}") from error
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, object],
+        timeout: float,
+        body: bytes = b"",
+    ) -> bytes:
+        self.calls += 1
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        try:
+            response = await self._client.request(
+                method, target, body, timeout=timeout
+            )
+        except client.Failed as error:
+            self.failures += 1
+            raise errors.RegistryUnavailable(str(error)) from error
+        if response.status == _GONE:
+            raise errors.RegistryGap()
+        if response.status != _OK:
+            self.failures += 1
+            raise errors.RegistryUnavailable(f"status {response.status}")
+        return response.body
+
+
+def _split(body: bytes) -> tuple[int, int, list[bytes]]:
+    """Splits the answer to a read into its bounds and whole records."""
+    if len(body) < _BOUNDS.size:
+        raise errors.RegistryUnavailable("a read was cut short")
+    end, first = _BOUNDS.unpack_from(body)
+    records = []
+    start = _BOUNDS.size
+    while start + _LENGTH.size <= len(body):
+        (size,) = _LENGTH.unpack_from(body, start)
+        start += _LENGTH.size
+        if start + size > len(body):
+            raise errors.RegistryUnavailable("a record was cut short")
+        records.append(body[start : start + size])
+        start += size
+    return end, first, records
+
+
+def _keyed(record: bytes) -> tuple[str, bytes]:
+    """Splits a record of a keyed topic into key and value."""
+    if not record or len(record) < 1 + record[0]:
+        raise errors.RegistryUnavailable("a record has no whole key")
+    end = 1 + record[0]
+    return record[1:end].decode("utf-8", "replace"), record[end:]
+
+
+decode = configuration.decode
--- a/forklift/policy.py
+++ b/forklift/policy.py
@@ -92,7 +92,11 @@
     )
     spread: str = ini.key(
         ini.one_of(
-            "round-robin", "least-loaded", "power-of-two", "same-domain"
+            "round-robin",
+            "least-loaded",
+            "power-of-two",
+            "same-domain",
+            "nearest-free",
         ),
         "how a target is picked",
         "power-of-two",
@@ -192,6 +196,11 @@
     routes: tuple[routing.Route, ...]
 
 
+def default(name: str) -> Service:
+    """The program of a service that no policy names."""
+    return Service(name, floor=0, spread="nearest-free")
+
+
 def parse(file: str, content: str) -> Policy:
     """Reads and checks a policy.
 
--- a/forklift/ports.py
+++ b/forklift/ports.py
@@ -63,6 +63,56 @@
         """
 
 
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """What a look for the configuration found.
+
+    Attributes:
+        record: The newest record; None where there was none.
+        position: Where to look on for the next one.
+    """
+
+    record: bytes | None
+    position: int
+
+
+class Registry(Protocol):
+    """The platform's store: the configuration, and who may be joined."""
+
+    async def configuration(self) -> Found:
+        """The newest configuration.
+
+        Raises:
+            errors.RegistryUnavailable: No answer.
+        """
+
+    async def next_configuration(self, position: int, wait: float) -> Found:
+        """The newest configuration after a position; waits for one.
+
+        Args:
+            position: As found before.
+            wait: Seconds to wait at most.
+
+        Raises:
+            errors.RegistryUnavailable: No answer.
+            errors.RegistryGap: The records there are gone.
+        """
+
+    async def members(self) -> dict[str, bytes]:
+        """What processes announced, by name.
+
+        Raises:
+            errors.RegistryUnavailable: No answer.
+        """
+
+    async def announce(self, name: str, data: bytes) -> None:
+        """Announces a process, in place of what it announced before.
+
+        Raises:
+            errors.RegistryUnavailable: No answer; it may have happened.
+        """
+
+
 class Clock(Protocol):
     """Time, handed in wherever a decision needs it."""
 
--- a/forklift/routing.py
+++ b/forklift/routing.py
@@ -7,7 +7,11 @@
 
 import dataclasses
 from collections.abc import Iterable
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
 
+P = TypeVar("P", bound="Place")
 ANY_HOST = "*"
 MAX_DEPTH = 32
 
@@ -40,18 +44,32 @@
     return prefix.rstrip("/")
 
 
-class Table:
-    """Routes, looked up by host and path."""
+class Place(Protocol):
+    """What a table holds: anything with a host and a path prefix."""
 
-    def __init__(self, routes: Iterable[Route]):
-        self._by_prefix_by_host: dict[str, dict[str, Route]] = {}
+    host: str
+    prefix: str
+
+
+class Table(Generic[P]):
+    """Routes, looked up by host and path.
+
+    A prefix stands for whole segments, so a slash at its end says nothing,
+    unless prefixes are literal: then it holds only for paths that have it.
+    """
+
+    def __init__(self, routes: Iterable[P], literal: bool = False):
+        self._by_prefix_by_host: dict[str, dict[str, P]] = {}
         self.size = 0
         for route in routes:
             by_prefix = self._by_prefix_by_host.setdefault(route.host, {})
-            by_prefix[normalise_prefix(route.prefix)] = route
+            prefix = route.prefix
+            if not literal:
+                prefix = normalise_prefix(prefix) or "/"
+            by_prefix[prefix] = route
             self.size += 1
 
-    def find(self, host: str, path: str) -> Route | None:
+    def find(self, host: str, path: str) -> P | None:
         """Returns the route with the longest prefix; exact hosts go first.
 
         >>> table = Table([Route("a", "*", "/", "x"),
@@ -80,12 +98,20 @@
 
 
 def _prefixes(path: str) -> list[str]:
+    """Prefixes that a path may have, the longest first.
+
+    >>> _prefixes("/a/b?c")
+    ['/a/b', '/a/', '/a', '/']
+    """
     path = path.partition("?")[0]
     segments = path.split("/", MAX_DEPTH)[1:MAX_DEPTH]
-    prefixes = [""]
+    prefixes = ["/"]
     prefix = ""
-    for segment in segments:
+    for index, segment in enumerate(segments):
         prefix = f"{prefix}/{segment}"
-        prefixes.append(prefix)
+        if segment:
+            prefixes.append(prefix)
+        if index < len(segments) - 1:
+            prefixes.append(f"{prefix}/")
     prefixes.reverse()
     return prefixes
--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -84,16 +84,70 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """Section [platform]: what the platform gives, and where it calls."""
+
+    store: str = ini.key(ini.address, "address of the store, ip:port")
+    heartbeats: str = ini.key(
+        ini.address, "address that targets announce themselves to, ip:port"
+    )
+    ready: str = ini.key(
+        ini.address, "address where the platform asks for readiness, ip:port"
+    )
+    service: str = ini.key(
+        ini.text, "service of the target on this instance", ""
+    )
+    grace: float = ini.key(
+        ini.number(0.5, 3600),
+        "seconds from SIGTERM until the process is killed",
+        6.0,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Budget:
+    """Section [budget]: bounds on repeats, over all processes together."""
+
+    ratio: float = ini.key(
+        ini.number(0, 10), "repeats for each request of a service", 0.1
+    )
+    window: float = ini.key(
+        ini.number(0.1, 3600), "seconds over which both are counted", 10.0
+    )
+    reserve: float = ini.key(
+        ini.number(0, 1_000_000), "repeats beside, in each window", 5.0
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """All settings of a process."""
+    """All settings of a process.
+
+    Attributes:
+        process: Who and where it is.
+        log: The log service; None on a platform with a store.
+        limits: Bounds on what is accepted.
+        platform: The platform; None where there is a log service instead.
+        budget: Bounds on repeats.
+    """
 
     process: Process
-    log: Log
+    log: Log | None
     limits: Limits
+    platform: Platform | None = None
+    budget: Budget = Budget()
 
 
-SECTIONS = {"process": Process, "log": Log, "limits": Limits}
+SECTIONS = {
+    "process": Process,
+    "log": Log,
+    "limits": Limits,
+    "platform": Platform,
+    "budget": Budget,
+}
+# Exactly one of these says where the configuration comes from.
+_SOURCES = ("log", "platform")
 
 
 def parse(file: str, content: str) -> Settings:
@@ -107,8 +161,11 @@
         if section not in SECTIONS:
             known = ", ".join(SECTIONS)
             reader.report(section, "", "unknown section", f"use {known}")
+    absent = [name for name in _SOURCES if name not in reader.sections]
+    if len(absent) == len(_SOURCES):
+        absent.remove("log")
     read = {
-        section: reader.read(section, kind)
+        section: None if section in absent else reader.read(section, kind)
         for section, kind in SECTIONS.items()
     }
     if read["process"] is not None:
--- /dev/null
+++ b/forklift/shell/beside.py
@@ -0,0 +1,257 @@
+"""Runs requests on the targets beside this process, as their gates decide."""
+
+import asyncio
+import dataclasses
+
+import structlog
+
+from forklift import dialect as dialects
+from forklift import doubt
+from forklift import fences
+from forklift import gate
+from forklift import messages
+from forklift import policy
+from forklift.shell import exchange
+from forklift.shell import upstream
+
+_log = structlog.get_logger(__name__)
+Reason = messages.Reason
+Sign = doubt.Sign
+
+_SIGN_BY_REASON = {
+    Reason.CONNECT_FAILED: Sign.UNREACHABLE,
+    Reason.SHED: Sign.SHED,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Site:
+    """One target beside this process and the way to it.
+
+    Attributes:
+        gate: Admits its requests.
+        pool: Its connections.
+    """
+
+    gate: gate.Gate
+    pool: upstream.Pool
+
+
+class Beside:
+    """The asyncio side of the gates."""
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        program,
+        clock,
+        on_change,
+    ):
+        self._dialect = dialect
+        self._program = program
+        self._clock = clock
+        self._on_change = on_change
+        self.site_by_target: dict[str, Site] = {}
+        self.fences = fences.Fences()
+        self._decision_by_id: dict[object, asyncio.Future] = {}
+        self._detached: set[asyncio.Task] = set()
+        self.running = 0
+        # Starts are refused while this process is stopping for good.
+        self.closed = False
+
+    # Targets.
+
+    def add(self, name: str, site: Site) -> None:
+        """A target is there."""
+        self.site_by_target[name] = site
+
+    def drain(self, name: str) -> None:
+        """A target takes no new request from now on."""
+        site = self.site_by_target[name]
+        self._settle(site, site.gate.drain())
+
+    def leave(self, name: str) -> None:
+        """A target is gone."""
+        site = self.site_by_target[name]
+        self._settle(site, site.gate.leave())
+
+    def tick(self, now: float) -> None:
+        """Lets time pass for every target."""
+        for site in self.site_by_target.values():
+            version = site.gate.version
+            self._settle(site, site.gate.tick(now), version)
+
+    # Requests.
+
+    async def run(
+        self,
+        target: str,
+        ticket: gate.Ticket,
+        request: exchange.Request,
+        sink: exchange.Sink,
+    ) -> exchange.Result:
+        """Runs a request if its gate lets it, and passes its answer on.
+
+        A request that must not repeat, once it runs, runs to its end even if
+        its sender is gone: breaking it off would save nothing.
+
+        Raises:
+            asyncio.CancelledError: The sender gave up.
+            wire.Lost: The sink is gone.
+        """
+        site = self.site_by_target.get(target)
+        if site is None or self.closed:
+            return exchange.not_run(Reason.UNKNOWN_TARGET)
+        if not self.fences.may_start(ticket.id):
+            return self._fenced(ticket)
+        work = self._admitted(site, ticket, request, sink)
+        if ticket.repeatable:
+            return await work
+        task = asyncio.create_task(work)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if self.fences.started(ticket.id):
+                self._detached.add(task)
+                task.add_done_callback(self._forget)
+            else:
+                task.cancel()
+            raise
+
+    def fence(self, identity: fences.Identity) -> bool:
+        """Forbids a start; True when it is proven never to run."""
+        return self.fences.fence(identity, self._clock.monotonic())
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self._detached.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.info("detached_ended", detail=repr(task.exception()))
+
+    def _fenced(self, ticket: gate.Ticket) -> exchange.Result:
+        if self.fences.started(ticket.id):
+            return exchange.unknown(Reason.FENCED)
+        return exchange.not_run(Reason.FENCED)
+
+    async def _admitted(
+        self,
+        site: Site,
+        ticket: gate.Ticket,
+        request: exchange.Request,
+        sink: exchange.Sink,
+    ) -> exchange.Result:
+        self.running += 1
+        try:
+            decision = site.gate.arrive(ticket, self._clock.monotonic())
+            if isinstance(decision, gate.Wait):
+                decision = await self._wait(site, ticket)
+            if isinstance(decision, gate.Refuse):
+                load = site.gate.load()
+                return exchange.not_run(
+                    decision.reason, decision.retry_after, load
+                )
+            return await self._started(site, ticket, request, sink)
+        finally:
+            self.running -= 1
+
+    async def _wait(self, site: Site, ticket: gate.Ticket) -> gate.Decision:
+        future = asyncio.get_running_loop().create_future()
+        self._decision_by_id[ticket.id] = future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            started = future.done() and not future.cancelled()
+            if started and isinstance(future.result(), gate.Start):
+                self._finish(site, ticket, None)
+            site.gate.cancel(ticket)
+            raise
+        finally:
+            self._decision_by_id.pop(ticket.id, None)
+
+    async def _started(
+        self,
+        site: Site,
+        ticket: gate.Ticket,
+        request: exchange.Request,
+        sink: exchange.Sink,
+    ) -> exchange.Result:
+        run = upstream.Run(
+            site.pool,
+            request,
+            site.gate.name,
+            self._dialect,
+            self._clock.monotonic,
+        )
+        sign: Sign | None = None
+        try:
+            remaining = ticket.deadline - self._clock.monotonic()
+            async with asyncio.timeout(max(0.0, remaining)):
+                status = await run.go(
+                    lambda: self._launch(site, ticket),
+                    site.gate.load,
+                    sink,
+                )
+            sign = self._sign(site.gate.service, status)
+            result = exchange.answered(status, site.gate.name)
+        except upstream.NotSent as error:
+            sign = _SIGN_BY_REASON.get(error.reason)
+            result = exchange.not_run(error.reason)
+        except upstream.AnswerBroken as error:
+            sign = Sign.BROKEN
+            result = exchange.unknown(error.reason)
+            _log.warning(
+                "answer_broken",
+                request=request.id,
+                target=site.gate.name,
+                reason=str(error.reason),
+                detail=str(error),
+            )
+        except TimeoutError:
+            # That it was late was noted while it ran.
+            result = self._timed_out(ticket)
+        finally:
+            self._finish(site, ticket, sign)
+        return dataclasses.replace(result, load=site.gate.load())
+
+    def _launch(self, site: Site, ticket: gate.Ticket) -> Reason | None:
+        """The first byte is about to be sent: the point of no return."""
+        now = self._clock.monotonic()
+        if site.gate.leaving or self.closed:
+            return Reason.DRAINING
+        if ticket.deadline <= now:
+            return Reason.DEADLINE
+        if not self.fences.start(ticket.id, now):
+            return Reason.FENCED
+        return None
+
+    def _sign(self, service: str, status: int) -> Sign:
+        program: policy.Service = self._program(service)
+        return Sign.ERROR if program.is_failure(status) else Sign.WELL
+
+    def _timed_out(self, ticket: gate.Ticket) -> exchange.Result:
+        if self.fences.started(ticket.id):
+            return exchange.unknown(Reason.TIMEOUT)
+        return exchange.not_run(Reason.DEADLINE)
+
+    def _finish(
+        self, site: Site, ticket: gate.Ticket, sign: Sign | None
+    ) -> None:
+        version = site.gate.version
+        now = self._clock.monotonic()
+        self._settle(site, site.gate.finish(ticket, sign, now), version)
+
+    def _settle(
+        self,
+        site: Site,
+        decisions: list[gate.Decision],
+        version: int = -1,
+    ) -> None:
+        """Wakes the requests that a gate has decided on."""
+        for decision in decisions:
+            future = self._decision_by_id.pop(decision.ticket.id, None)
+            if future is not None and not future.done():
+                future.set_result(decision)
+            elif isinstance(decision, gate.Start):
+                # The waiter is gone; its slot goes to the next.
+                self._finish(site, decision.ticket, None)
+        if version != site.gate.version:
+            self._on_change(site.gate)
--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -77,6 +77,10 @@
         key: Idempotency key, or empty.
         caller: Who the key belongs to.
         hops: Entries that handed it on.
+        origin: Service on the instance where it began.
+        priority: Rank; 0 is the most urgent.
+        aim: Seconds within which an answer has its full worth.
+        attempts: Targets that it may be sent to.
     """
 
     id: str
@@ -90,9 +94,13 @@
     body: Body
     deadline: float
     repeatable: bool
-    key: str
-    caller: bytes
-    hops: int
+    key: str = ""
+    caller: bytes = b""
+    hops: int = 0
+    origin: str = ""
+    priority: int = 0
+    aim: float = 1.0
+    attempts: int = 3
 
 
 @dataclasses.dataclass(frozen=True)
--- a/forklift/shell/http.py
+++ b/forklift/shell/http.py
@@ -18,6 +18,8 @@
 PROBLEM = b"application/problem+json"
 MAX_KEY_CHARACTERS = 256
 END_OF_HEAD = b"\r\n\r\n"
+# The one status of ours that promises that a request has not run.
+COME_BACK = 503
 
 # RFC 9110 section 7.6.1, and the fields that frame a message.
 _HOP_BY_HOP = frozenset(
@@ -106,7 +108,7 @@
         504, "The target did not answer in time", "look up before repeating"
     ),
     messages.Reason.DEADLINE: _Advice(
-        504, "The deadline passed before it ran", "send it again"
+        503, "The deadline passed before it ran", "send it again"
     ),
 }
 _NOT_RUN = _Advice(503, "The request was not run", "send it again")
@@ -121,6 +123,9 @@
     """Describes a request that got no answer of a target."""
     unknown = outcome is messages.Outcome.UNKNOWN
     advice = _BY_REASON.get(reason, _UNKNOWN if unknown else _NOT_RUN)
+    if unknown and advice.status == COME_BACK:
+        # A reason to come back holds only for what has not run.
+        advice = _UNKNOWN
     return Problem(
         f"urn:forklift:{reason}",
         advice.title,
--- /dev/null
+++ b/forklift/shell/ingress.py
@@ -0,0 +1,553 @@
+"""The side of callers: HTTP/1.1 in, an answer or a problem out.
+
+A caller may send further requests before the first is answered: they are
+worked on at once and answered in order. Each request has a parser of its own,
+which leaves what follows it to the next one.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import secrets
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import h11
+import structlog
+
+from forklift import catalog as catalogs
+from forklift import dialect as dialects
+from forklift import errors
+from forklift import messages
+from forklift.shell import exchange
+from forklift.shell import http
+from forklift.shell import wire
+
+_log = structlog.get_logger(__name__)
+Reason = messages.Reason
+Outcome = messages.Outcome
+
+# Requests of one connection that are worked on at once.
+MAX_AHEAD = 32
+# Seconds a caller may go without taking or giving a byte of a body.
+STALL = 20.0
+CALLER_ERROR = 400
+
+Handler = Callable[
+    [exchange.Request, exchange.Sink], Awaitable[exchange.Result]
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """Where a request goes.
+
+    Attributes:
+        route: Its route.
+        service: The service that was picked for it.
+    """
+
+    route: catalogs.Route
+    service: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Desk:
+    """What an ingress asks of the process it belongs to.
+
+    Attributes:
+        dialect: Names of header fields.
+        limits: Bounds on callers now.
+        find: Finds the route of a request by host and path; None when there
+            is none.
+        known: Whether any configuration is in force.
+        handle: Runs a request.
+        next_seq: Numbers requests.
+        on_result: Takes note of an ended request: service, result, seconds.
+        origin: Service on this instance, now.
+    """
+
+    dialect: dialects.Dialect
+    limits: Callable[[], catalogs.CallerLimits]
+    find: Callable[[str, str], Found | None]
+    known: Callable[[], bool]
+    handle: Handler
+    next_seq: Callable[[], int]
+    on_result: Callable[[exchange.Request, exchange.Result, float], None]
+    origin: Callable[[], str]
+
+
+class Ingress:
+    """Accepts callers and turns their bytes into requests."""
+
+    def __init__(self, desk: Desk, most: int, clock):
+        self.desk = desk
+        self.clock = clock
+        self._most = most
+        self._numbers = itertools.count(1)
+        self._stem = secrets.token_hex(4)
+        self._sessions: set[_Session] = set()
+        self.stopping = False
+        self.running = 0
+        self.refused = 0
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._sessions)
+
+    def accept(self, connection: wire.Connection) -> None:
+        """Serves a new connection, or refuses it when there are too many."""
+        if len(self._sessions) >= self._most:
+            self.refused += 1
+            connection.write(_TOO_MANY)
+            connection.close()
+            return
+        session = _Session(self, connection)
+        self._sessions.add(session)
+        task = asyncio.create_task(session.run())
+        task.add_done_callback(lambda _: self._sessions.discard(session))
+
+    def tick(self, now: float) -> None:
+        """Ends connections that were idle or silent for too long."""
+        limits = self.desk.limits()
+        for session in list(self._sessions):
+            session.check(limits, now)
+
+    def close_idle(self) -> None:
+        """Closes connections that no request is on."""
+        for session in list(self._sessions):
+            session.close_if_idle()
+
+    def new_id(self) -> str:
+        """An id for a request that came without one."""
+        return f"{self._stem}-{next(self._numbers)}"
+
+
+class _Answer:
+    """The sink of an answer that goes to a caller, in its turn."""
+
+    def __init__(
+        self,
+        session: "_Session",
+        protocol: h11.Connection,
+        method: bytes,
+        turn: asyncio.Future | None,
+    ):
+        self._session = session
+        self._connection = session.connection
+        self._protocol = protocol
+        self._turn = turn
+        self.method = method
+        # The head waits for the first bytes of the body: one packet, not two.
+        self._unsent = b""
+        self.begun = False
+        self.status = 0
+        self.over = asyncio.get_running_loop().create_future()
+
+    async def start(self, head: exchange.Head) -> None:
+        """See `exchange.Sink`."""
+        if self._turn is not None and not self._turn.done():
+            await asyncio.shield(self._turn)
+        sent = list(head.headers)
+        if head.length >= 0:
+            sent.append((b"content-length", str(head.length).encode()))
+        elif self.method != b"HEAD" and head.status not in (204, 304):
+            sent.append((b"transfer-encoding", b"chunked"))
+        if self._session.last(self) and not _closes(sent):
+            sent.append((b"connection", b"close"))
+        self.begun = True
+        self.status = head.status
+        response = h11.Response(status_code=head.status, headers=sent)
+        self._unsent = self._protocol.send(response)
+        if head.length < 0:
+            # The body may take its time.
+            self._flush(b"")
+
+    async def data(self, piece: bytes) -> None:
+        """See `exchange.Sink`."""
+        if self.method == b"HEAD":
+            return
+        self._flush(self._protocol.send(h11.Data(piece)))
+        if not self._connection.congested:
+            return
+        try:
+            async with asyncio.timeout(STALL):
+                await self._connection.drain()
+        except TimeoutError as error:
+            raise wire.Lost("the caller takes no bytes") from error
+
+    async def end(self) -> None:
+        """See `exchange.Sink`."""
+        self._flush(self._protocol.send(h11.EndOfMessage()))
+
+    def done(self) -> None:
+        """Lets the next answer go."""
+        if not self.over.done():
+            self.over.set_result(None)
+
+    def _flush(self, data: bytes) -> None:
+        if self._unsent or data:
+            self._connection.write(self._unsent + data)
+        self._unsent = b""
+
+
+class _Session:
+    """One connection of a caller."""
+
+    def __init__(self, ingress: Ingress, connection: wire.Connection):
+        self._ingress = ingress
+        self._desk = ingress.desk
+        self._clock = ingress.clock
+        self.connection = connection
+        self._answers: list[_Answer] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._leftover = b""
+        self._reading = True
+        # Since when the connection is idle, and a head or body is awaited.
+        self._idle_since: float | None = self._clock.monotonic()
+        self._head_since: float | None = None
+
+    # Called by the ingress.
+
+    def check(self, limits: catalogs.CallerLimits, now: float) -> None:
+        """Ends the connection where it was idle or silent for too long."""
+        head, idle = self._head_since, self._idle_since
+        if head is not None and now - head > limits.head:
+            self._head_since = None
+            self._late_head()
+        elif idle is not None and now - idle > limits.idle:
+            self.connection.close()
+
+    def close_if_idle(self) -> None:
+        """Closes a connection that no request is on."""
+        if self._idle_since is not None:
+            self.connection.close()
+
+    # The connection.
+
+    async def run(self) -> None:
+        """Serves requests until the connection ends."""
+        self.connection.on_lost = self._hang_up
+        try:
+            while self._reading and await self._read_one():
+                pass
+            await self._settle()
+        except (wire.Lost, TimeoutError, ConnectionError, exchange.BodyBroken):
+            self._hang_up()
+            self.connection.abort()
+        except errors.BadRequest as error:
+            await self._settle()
+            self._refuse(error)
+        except h11.RemoteProtocolError as error:
+            await self._settle()
+            status = error.error_status_hint
+            remedy = "send well-formed HTTP/1.1"
+            self._refuse(errors.BadRequest(str(error), remedy, status))
+        except Exception:
+            _log.exception("caller_failed", peer=self.connection.peer)
+            self.connection.abort()
+        finally:
+            self.connection.close()
+
+    def last(self, answer: _Answer) -> bool:
+        """Whether the connection closes after an answer."""
+        if self._answers and self._answers[-1] is not answer:
+            return False
+        if self._ingress.stopping:
+            self._reading = False
+        return not self._reading
+
+    async def _settle(self) -> None:
+        """Waits for the answers that are under way."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _hang_up(self) -> None:
+        """The caller is gone: nobody waits for its answers."""
+        self._reading = False
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _read_one(self) -> bool:
+        protocol = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._desk.limits().header_bytes,
+        )
+        event = await self._read_head(protocol)
+        if event is None:
+            return False
+        http.check_request(event)
+        turn = self._answers[-1].over if self._answers else None
+        answer = _Answer(self, protocol, event.method, turn)
+        self._answers.append(answer)
+        self._idle_since = None
+        try:
+            body = await self._body(protocol, event)
+            request, problem = self._request(event, body)
+        except BaseException:
+            self._answers.remove(answer)
+            raise
+        task = asyncio.create_task(self._serve(request, problem, answer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if not body.complete:
+            await asyncio.wait([task])
+            if not self._whole(protocol):
+                return False
+        self._leftover = protocol.trailing_data[0]
+        while len(self._tasks) >= MAX_AHEAD:
+            await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
+        return True
+
+    def _whole(self, protocol: h11.Connection) -> bool:
+        return protocol.their_state is h11.DONE
+
+    async def _read_head(self, protocol: h11.Connection) -> h11.Request | None:
+        """Reads one request head and refuses ambiguous ones."""
+        head = bytearray(self._leftover)
+        self._leftover = b""
+        if head:
+            protocol.receive_data(bytes(head))
+        while http.END_OF_HEAD not in head:
+            self._check_size(len(head))
+            if head and self._head_since is None:
+                self._head_since = self._clock.monotonic()
+            data = await self.connection.read()
+            if not data:
+                return None
+            self._idle_since = None
+            protocol.receive_data(data)
+            head += data
+        self._head_since = None
+        end = head.index(http.END_OF_HEAD) + len(http.END_OF_HEAD)
+        self._check_size(end)
+        http.check_head(bytes(head[:end]))
+        event = protocol.next_event()
+        if not isinstance(event, h11.Request):
+            raise errors.BadRequest("no request", "send one request at a time")
+        return event
+
+    def _check_size(self, size: int) -> None:
+        if size > self._desk.limits().header_bytes:
+            raise errors.BadRequest(
+                "the head is too large", "send fewer headers", 431
+            )
+
+    # One request.
+
+    def _request(
+        self, event: h11.Request, body: exchange.Body
+    ) -> tuple[exchange.Request | None, Reason | None]:
+        headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+        names = self._desk.dialect
+        given = http.value(headers, names.request_id)
+        request_id = given.decode("latin-1") if given else ""
+        request_id = request_id or self._ingress.new_id()
+        host = (http.value(headers, b"host") or b"").decode("latin-1")
+        path = event.target.decode("latin-1")
+        if not self._desk.known():
+            return None, Reason.NO_CONFIGURATION
+        found = self._desk.find(host, path)
+        if found is None:
+            return None, Reason.NO_SERVICE
+        route = found.route
+        allowed = _allowed(headers, names.deadline, route.timeout)
+        length = http.content_length(headers)
+        request = exchange.Request(
+            id=request_id,
+            seq=self._desk.next_seq(),
+            service=found.service,
+            route=route.name,
+            method=event.method,
+            path=event.target,
+            headers=_kept(headers, names),
+            length=length,
+            body=body,
+            deadline=self._clock.monotonic() + allowed,
+            repeatable=route.repeatable,
+            origin=self._desk.origin(),
+            priority=route.priority,
+            aim=route.aim,
+            attempts=route.attempts,
+        )
+        return request, None
+
+    async def _serve(
+        self,
+        request: exchange.Request | None,
+        problem: Reason | None,
+        answer: _Answer,
+    ) -> None:
+        self._ingress.running += 1
+        try:
+            if request is None:
+                result = exchange.not_run(problem, RETRY_UNKNOWN)
+                await self._problem(answer, result, "")
+            else:
+                await self._run(request, answer)
+        except (wire.Lost, h11.LocalProtocolError) as error:
+            _log.debug("caller_lost", detail=str(error))
+            self._break()
+        except asyncio.CancelledError:
+            self._break()
+        except Exception:
+            _log.exception("request_failed")
+            self._break()
+        finally:
+            self._ingress.running -= 1
+            answer.done()
+            self._answers.remove(answer)
+            if not self._answers:
+                self._idle_since = self._clock.monotonic()
+            if not self._reading and not self._answers:
+                self.connection.close()
+
+    def _break(self) -> None:
+        """An answer can't be made whole any more: break it visibly."""
+        self._reading = False
+        self.connection.abort()
+
+    async def _run(self, request: exchange.Request, answer: _Answer) -> None:
+        started = self._clock.monotonic()
+        result = await self._desk.handle(request, answer)
+        seconds = self._clock.monotonic() - started
+        self._desk.on_result(request, result, seconds)
+        if result.ending.outcome is Outcome.ANSWERED:
+            return
+        if answer.begun:
+            raise wire.Lost("the answer broke off")
+        await self._problem(answer, result, request.id)
+
+    async def _problem(
+        self, answer: _Answer, result: exchange.Result, request_id: str
+    ) -> None:
+        ending = result.ending
+        reason = ending.reason or Reason.TARGET_BROKE
+        problem = http.problem(ending.outcome, reason, request_id)
+        headers = [(b"content-type", http.PROBLEM)]
+        if problem.status == http.COME_BACK:
+            wait = max(LEAST_RETRY_AFTER, ending.retry_after)
+            headers.append((b"retry-after", f"{wait:.2f}".encode()))
+        if answer._protocol.their_state is not h11.DONE:
+            self._reading = False
+        body = http.encode_problem(problem)
+        head = exchange.Head(problem.status, tuple(headers), len(body))
+        await answer.start(head)
+        await answer.data(body)
+        await answer.end()
+
+    # Bodies.
+
+    async def _body(
+        self, protocol: h11.Connection, event: h11.Request
+    ) -> exchange.Body:
+        """Reads a small body whole; a large one as it is taken."""
+        headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+        length = http.content_length(headers)
+        if length > self._desk.limits().body_bytes:
+            raise errors.BadRequest(
+                "the body is too large", "send a smaller one", 413
+            )
+        pieces = self._pieces(protocol)
+        first = bytearray()
+        if length > exchange.INLINE_BYTES:
+            return exchange.Body(b"", pieces)
+        async for piece in pieces:
+            first += piece
+            if len(first) > exchange.INLINE_BYTES:
+                return exchange.Body(bytes(first), pieces)
+        return exchange.Body(bytes(first))
+
+    async def _pieces(self, protocol: h11.Connection):
+        taken = 0
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                await self._more(protocol)
+            elif isinstance(event, h11.Data):
+                taken += len(event.data)
+                if taken > self._desk.limits().body_bytes:
+                    raise exchange.BodyBroken("larger than allowed")
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise exchange.BodyBroken("the caller closed")
+
+    async def _more(self, protocol: h11.Connection) -> None:
+        if protocol.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.connection.write(protocol.send(go_on))
+        async with asyncio.timeout(STALL):
+            data = await self.connection.read()
+        protocol.receive_data(data)
+
+    # Refusals of bytes that are no request.
+
+    def _late_head(self) -> None:
+        late = errors.BadRequest(
+            "the head took too long", "send it in one go", 408
+        )
+        self._refuse(late)
+        self.connection.close()
+
+    def _refuse(self, error: errors.BadRequest) -> None:
+        """Answers bytes that were never forwarded, and closes."""
+        self._ingress.refused += 1
+        _log.info(
+            "caller_refused", peer=self.connection.peer, detail=str(error)
+        )
+        problem = http.Problem(
+            "urn:forklift:bad-request",
+            str(error).partition(";")[0],
+            error.status,
+            str(Outcome.NOT_RUN),
+            "bad-request",
+            error.remedy,
+            self._ingress.new_id(),
+        )
+        body = http.encode_problem(problem)
+        head = (
+            f"HTTP/1.1 {error.status} Refused\r\n"
+            f"content-type: {http.PROBLEM.decode()}\r\n"
+            f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
+        )
+        try:
+            self.connection.write(head.encode() + body)
+        except wire.Lost:
+            _log.debug("caller_lost", detail="before its refusal")
+
+
+# Seconds after which to come back when nothing better is known.
+LEAST_RETRY_AFTER = 0.1
+RETRY_UNKNOWN = 0.5
+
+
+def _kept(headers: http.Headers, names: dialects.Dialect) -> http.Headers:
+    """Fields that travel on; those that forklift sets itself are dropped."""
+    ours = names.set_by_fleet()
+    return tuple(h for h in http.end_to_end(headers) if h[0] not in ours)
+
+
+def _closes(headers: list[tuple[bytes, bytes]]) -> bool:
+    return any(name == b"connection" for name, _ in headers)
+
+
+def _allowed(headers: http.Headers, name: bytes, most: float) -> float:
+    """Seconds the request may take: the caller's word, up to the route's."""
+    given = http.value(headers, name)
+    if given is None:
+        return most
+    try:
+        return max(0.0, min(most, int(given) / 1000))
+    except ValueError as error:
+        raise errors.BadRequest(
+            f"{name.decode()} is no number", "send whole milliseconds"
+        ) from error
+
+
+_TOO_MANY = (
+    b"HTTP/1.1 503 Too many connections\r\nretry-after: 1\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
--- a/forklift/shell/links.py
+++ b/forklift/shell/links.py
@@ -21,7 +21,9 @@
         hello: Callable[[], messages.Hello],
         key: bytes,
         clock,
+        on_standing: Callable[[messages.Standing], None] | None = None,
     ):
+        self._on_standing = on_standing
         self._directory = directory
         self._entry = decisions
         self._hello = hello
@@ -98,6 +100,8 @@
             link.close()
             raise errors.PeerUnreachable(process, "another process answers")
         link.on_sign = lambda: self._entry.heard(process)
+        if self._on_standing is not None:
+            link.on_standing = self._on_standing
         # It has just shown that both ways are open.
         self._entry.heard(process)
         self.link_by_process[process] = link
--- a/forklift/shell/peers.py
+++ b/forklift/shell/peers.py
@@ -59,6 +59,9 @@
         self.ready = asyncio.get_running_loop().create_future()
         self.on_sign: Callable[[], None] = lambda: None
         self.on_lost: Callable[[], None] = lambda: None
+        self.on_standing: Callable[[messages.Standing], None] = (
+            lambda standing: None
+        )
         self.incarnation = 0
         self.waiting = 0
         frames.on_frame = self._frame
@@ -216,6 +219,8 @@
                 asked.sending.give(frame.size)
         elif isinstance(frame, messages.Failure):
             self._failure(frame)
+        elif isinstance(frame, messages.Standing):
+            self.on_standing(frame)
         elif isinstance(frame, messages.Fenced):
             future = self._fence_by_id.get(frame.id)
             if future is not None and not future.done():
--- /dev/null
+++ b/forklift/shell/proxy.py
@@ -0,0 +1,610 @@
+"""One process of the fleet on a platform: builds the parts, ties them together.
+
+It is the entry that callers speak to, and the only way to the target beside
+it.
+"""
+
+import asyncio
+import random
+import secrets
+import zlib
+
+import structlog
+
+from forklift import announcement
+from forklift import catalog
+from forklift import chooser
+from forklift import dialect
+from forklift import errors
+from forklift import gate
+from forklift import gossip
+from forklift import invariants
+from forklift import membership
+from forklift import messages
+from forklift import policy
+from forklift import ports
+from forklift import settings
+from forklift.shell import beside
+from forklift.shell import clock as clocks
+from forklift.shell import control
+from forklift.shell import exchange
+from forklift.shell import forward
+from forklift.shell import framing
+from forklift.shell import ingress
+from forklift.shell import links
+from forklift.shell import registry
+from forklift.shell import served as serving
+from forklift.shell import upstream
+from forklift.shell import wire
+
+_log = structlog.get_logger(__name__)
+Reason = messages.Reason
+State = messages.TargetState
+
+TICK = 0.05
+# Ticks between beats on links, and between checks that can wait.
+BEAT_EVERY = 4
+SLOW_EVERY = 10
+# Seconds between two offers of the configuration to one peer, and the age
+# from which a version is offered: younger ones peers read themselves.
+OFFER_PERIOD = 1.0
+OFFER_AGE = 0.7
+# Seconds without a heartbeat after which a target is taken for gone. Targets
+# send one every 1.5 s here, and one may come seconds late.
+TARGET_LEASE = 8.0
+# A gap between two ticks this long means that the process was paused.
+PAUSE = 1.0
+# Seconds after SIGTERM during which callers still come, as the platform has
+# to ask twice, a second apart, before it sends them elsewhere.
+LAME_DUCK = 2.6
+# Part of the grace after which what is still running is left to its fate.
+STOP_SHARE = 0.9
+STOP_POLL = 0.05
+# A process that met nobody is ready after this time alone, seconds.
+READY_ALONE = 3.0
+
+
+class Proxy:
+    """One process of the fleet, in both its roles."""
+
+    def __init__(
+        self,
+        read: settings.Settings,
+        store: ports.Registry,
+        decode,
+        names: dialect.Dialect,
+    ):
+        self.settings = read
+        self.clock = clocks.SystemClock()
+        self.boot = secrets.randbits(63)
+        self._rng = random.Random(self.boot)
+        self._store = store
+        self._decode = decode
+        self._names = names
+        self._key = read.process.key.encode()
+        self._tasks: set[asyncio.Task] = set()
+        self._servers: list[asyncio.Server] = []
+        self._served: set[serving.Served] = set()
+        self._program_by_service: dict[str, policy.Service] = {}
+        self._heard_by_target: dict[str, float] = {}
+        self._left: set[str] = set()
+        self._sequence = announcement.Sequence()
+        self._offered_at_by_name: dict[str, float] = {}
+        self._started_at = self.clock.monotonic()
+        self._last_tick = self._started_at
+        self.incarnation = 1
+        self.met = False
+        self.stopping = False
+        self.results_by_outcome: dict[str, int] = {}
+        self.in_force = catalog.InForce()
+        self._build()
+
+    # Construction.
+
+    def _build(self) -> None:
+        own = self.settings.process
+        bounds = self.settings.budget
+        self.control = control.Control(
+            own.control, self.boot, self._key, self.clock.wall, self._receive
+        )
+        self.directory = membership.Directory(
+            self._describe_first(), membership.KEEP_ALL
+        )
+        self.gossip = gossip.Gossip(self.directory, self._rng)
+        self.chooser = chooser.Chooser(
+            own.name,
+            own.domain,
+            self._rng,
+            self.program,
+            chooser.BudgetBounds(bounds.ratio, bounds.window, bounds.reserve),
+        )
+        self.beside = beside.Beside(
+            self._names, self.program, self.clock, self._target_changed
+        )
+        self.links = links.Links(
+            self.directory,
+            self.chooser.paths,
+            self._hello,
+            self._key,
+            self.clock,
+            self._standing,
+        )
+        self.forwarder = forward.Forwarder(
+            own.name,
+            self.boot,
+            self.chooser,
+            self.beside,
+            self.links,
+            self.program,
+            self.clock,
+        )
+        self.ingress = ingress.Ingress(
+            ingress.Desk(
+                dialect=self._names,
+                limits=lambda: self.in_force.catalog.limits,
+                find=self._find,
+                known=lambda: self.in_force.known,
+                handle=self.forwarder.run,
+                next_seq=self.forwarder.next_seq,
+                on_result=self._on_result,
+                origin=lambda: self.settings.platform.service,
+            ),
+            self.settings.limits.callers,
+            self.clock,
+        )
+
+    def _describe_first(self) -> messages.ProcessInfo:
+        own = self.settings.process
+        return messages.ProcessInfo(
+            name=own.name,
+            boot=self.boot,
+            incarnation=1,
+            domain=own.domain,
+            peer=own.peer,
+            control=own.control,
+            admin=own.admin,
+            version=1,
+            started=round(self.clock.wall(), 3),
+            targets=(),
+            config=0,
+        )
+
+    # Life.
+
+    async def start(self) -> None:
+        """Listens and begins to work.
+
+        Raises:
+            errors.UserError: An address can't be listened on.
+        """
+        own = self.settings.process
+        try:
+            self.control.open()
+            self._servers.append(
+                await wire.listen(own.caller, self.ingress.accept)
+            )
+            self._servers.append(await self._listen_peers(own.peer))
+        except (OSError, control.pynng.NNGException) as error:
+            raise errors.UserError(
+                f"can't listen ({error}); check the addresses in [process]"
+            ) from error
+        follower = registry.Follower(self._store, self._rng, self._record)
+        self.spawn(follower.run())
+        self.spawn(self._meet())
+        self.spawn(self._tick_for_ever())
+        _log.info("started", process=own.name, boot=self.boot)
+
+    async def stop(self) -> None:
+        """Stops as planned: nothing in flight is cut off."""
+        now = self.clock.monotonic()
+        until = now + STOP_SHARE * self.settings.platform.grace
+        lame_until = now + min(LAME_DUCK, self.settings.platform.grace / 2)
+        self.stopping = True
+        self.ingress.stopping = True
+        _log.info("stopping", running=self.running())
+        for name in list(self.beside.site_by_target):
+            self.beside.drain(name)
+        while self.clock.monotonic() < lame_until:
+            await asyncio.sleep(STOP_POLL)
+        self._servers[0].close()
+        self.ingress.close_idle()
+        while self.running() and self.clock.monotonic() < until:
+            await asyncio.sleep(STOP_POLL)
+            self.ingress.close_idle()
+        invariants.nothing_cut_off(
+            self.running(), self.clock.monotonic() >= until
+        )
+        for send in self.gossip.leave():
+            self.control.send(send.address, send.message)
+        await asyncio.sleep(STOP_POLL)
+        _log.info("stopped", cut_off=self.running())
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends everything at once."""
+        for server in self._servers:
+            server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for served in list(self._served):
+            served.close()
+        self.links.close()
+        for site in self.beside.site_by_target.values():
+            site.pool.close()
+        await self.control.close()
+        self._store.close()
+
+    def running(self) -> int:
+        """Requests in flight in any role."""
+        served = sum(1 for served in self._served if served.busy)
+        return self.ingress.running + self.beside.running + served
+
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        if self.stopping or not self.in_force.known:
+            return False
+        age = self.clock.monotonic() - self._started_at
+        return self.met or age >= READY_ALONE
+
+    def spawn(self, work) -> None:
+        """Runs a coroutine beside, until the process ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Configuration.
+
+    def program(self, service: str) -> policy.Service:
+        """The program of a service; the default where no policy names it."""
+        program = self._program_by_service.get(service)
+        if program is None:
+            program = policy.default(service)
+            self._program_by_service[service] = program
+        return program
+
+    def _record(self, data: bytes, source: str = "store") -> None:
+        """A record of the configuration was read."""
+        try:
+            found = self._decode(data)
+        except errors.ForkliftError as error:
+            _log.warning(
+                "configuration_refused", source=source, detail=str(error)
+            )
+            return
+        now = self.clock.monotonic()
+        if not self.in_force.offer(found, source, now):
+            return
+        for site in self.beside.site_by_target.values():
+            service = found.services_by_name.get(site.gate.service)
+            if service is not None:
+                site.pool.most = service.connections
+        self.directory.update_own(config=found.version)
+
+    def _find(self, host: str, path: str) -> ingress.Found | None:
+        route = self.in_force.catalog.routes.find(host, path)
+        if route is None:
+            return None
+        return ingress.Found(route, route.pick(self._rng))
+
+    # Targets.
+
+    def seen(self, said: announcement.Announcement) -> None:
+        """The target on this instance announced itself."""
+        now = self.clock.monotonic()
+        if not self._sequence.newer(said.name, said.sequence):
+            return
+        if said.name in self._left:
+            return
+        self._heard_by_target[said.name] = now
+        site = self.beside.site_by_target.get(said.name)
+        if site is None:
+            if said.leaving:
+                # Never used here, so there is nothing to end.
+                self._left.add(said.name)
+                return
+            site = self._add_target(said)
+        elif said.leaving:
+            self.beside.drain(said.name)
+        if self.stopping:
+            self.beside.drain(said.name)
+
+    def left(self, name: str) -> None:
+        """A target is about to end, or has."""
+        self._left.add(name)
+        if name in self.beside.site_by_target:
+            self.beside.leave(name)
+            _log.info("target_left", target=name)
+
+    def _add_target(self, said: announcement.Announcement) -> beside.Site:
+        for name, site in list(self.beside.site_by_target.items()):
+            if site.pool.address == said.address and name != said.name:
+                # The address has another target now.
+                self.left(name)
+        service = self.in_force.catalog.services_by_name.get(said.service)
+        most = service.connections if service else 100
+        site = beside.Site(
+            gate.Gate(said.name, said.service, said.slots),
+            upstream.Pool(said.address, most, self.clock.monotonic),
+        )
+        self.beside.add(said.name, site)
+        _log.info(
+            "target_joined",
+            target=said.name,
+            service=said.service,
+            address=said.address,
+        )
+        self._tell_all()
+        return site
+
+    def _target_changed(self, changed: gate.Gate) -> None:
+        """A target's state changed: those who send to it hear at once."""
+        standing = messages.Standing(changed.name, changed.load())
+        for served in list(self._served):
+            served.tell(standing)
+        _log.info(
+            "target_changed",
+            target=changed.name,
+            state=str(standing.load.state),
+            sign=str(changed.doubt.sign),
+        )
+        self._describe()
+        self._learn()
+
+    def _standing(self, standing: messages.Standing) -> None:
+        now = self.clock.monotonic()
+        self.chooser.report(standing.target, standing.load, now)
+
+    def _expire_targets(self, now: float) -> None:
+        for name, heard in list(self._heard_by_target.items()):
+            if now - heard <= TARGET_LEASE:
+                continue
+            del self._heard_by_target[name]
+            site = self.beside.site_by_target.pop(name, None)
+            if site is not None:
+                _log.warning("target_expired", target=name)
+                site.pool.close()
+                self._tell_all()
+
+    # Others.
+
+    async def _meet(self) -> None:
+        own = self.directory.own
+        data = messages.encode(messages.announcement(own))
+        await registry.meet(
+            self._store, self._rng, own.name, data, self._members
+        )
+        self.met = True
+
+    def _members(self, data_by_name: dict[str, bytes]) -> None:
+        """Others announced themselves on the store."""
+        for name, data in data_by_name.items():
+            if name == self.directory.own.name:
+                continue
+            try:
+                record = messages.decode_record(data)
+            except messages.Malformed as error:
+                _log.warning("member_malformed", name=name, detail=str(error))
+                continue
+            if not isinstance(record, messages.Announcement):
+                continue
+            join = self.gossip.join(record.info.control)
+            self.control.send(join.address, join.message)
+
+    def _receive(self, message: messages.Control) -> None:
+        """A control message arrived."""
+        now = self.clock.monotonic()
+        if isinstance(message, messages.CatalogOffer):
+            if message.version > self.in_force.catalog.version:
+                self._record(zlib.decompress(message.packed), "peer")
+            return
+        self._send(self.gossip.receive(message, now))
+        sender = message.sender
+        if isinstance(sender, messages.ProcessInfo):
+            self.met = True
+            self._offer(sender, now)
+        self._learn()
+
+    def _offer(self, peer: messages.ProcessInfo, now: float) -> None:
+        """Hands the configuration to a peer that is behind."""
+        current = self.in_force.catalog
+        if peer.config >= current.version:
+            return
+        if now - self.in_force.since < OFFER_AGE:
+            return
+        last = self._offered_at_by_name.get(peer.name, float("-inf"))
+        if now - last < OFFER_PERIOD:
+            return
+        self._offered_at_by_name[peer.name] = now
+        sender = messages.sender(self.directory.own)
+        packed = zlib.compress(current.source)
+        offer = messages.CatalogOffer(sender, current.version, packed)
+        self.control.send(peer.control, offer)
+
+    def _send(self, sends: list[gossip.Send]) -> None:
+        for send in sends:
+            self.control.send(send.address, send.message)
+
+    def _learn(self) -> None:
+        """Takes news of members over into the choice of targets."""
+        for name, info in self.directory.take_changes():
+            if info is None:
+                self.chooser.forget(name)
+            else:
+                self.chooser.learn(info)
+        usable = sum(
+            1 for m in self.directory.member_by_name.values() if m.usable
+        )
+        self.chooser.processes = usable + 1
+
+    def _describe(self) -> None:
+        targets = tuple(
+            self._info(site.gate)
+            for site in self.beside.site_by_target.values()
+            if site.gate.state is not State.LEFT
+        )
+        if targets != self.directory.own.targets:
+            self.directory.update_own(targets=targets)
+
+    def _info(self, found: gate.Gate) -> messages.TargetInfo:
+        load = found.load()
+        return messages.TargetInfo(
+            found.name,
+            found.service,
+            self.settings.process.domain,
+            found.slots,
+            load.state,
+            1.0,
+            found.version,
+            load.latency,
+        )
+
+    def _tell_all(self) -> None:
+        """Tells peers of this process's targets at once."""
+        self._describe()
+        self._learn()
+        self._send(self.gossip.spread(self.directory.own.name))
+
+    # Peers' requests.
+
+    async def _serve_peer(
+        self,
+        served: serving.Served,
+        start: messages.RequestStart,
+        body: exchange.Body,
+        answerer: serving.Answerer,
+    ) -> exchange.Result:
+        self._observe()
+        now = self.clock.monotonic()
+        if start.incarnation != self.incarnation:
+            # It may be older than its sender knows.
+            return exchange.not_run(Reason.STALE)
+        request = exchange.Request(
+            id=start.request_id,
+            seq=start.seq,
+            service=start.service,
+            route=start.route,
+            method=start.method,
+            path=start.path,
+            headers=start.headers,
+            length=start.length,
+            body=body,
+            deadline=now + start.remaining,
+            repeatable=start.repeatable,
+            origin=start.origin,
+            priority=start.priority,
+        )
+        ticket = gate.Ticket(
+            (served.peer.boot, start.seq),
+            start.repeatable,
+            start.priority,
+            request.deadline,
+            start.insist,
+        )
+        return await self.beside.run(start.target, ticket, request, answerer)
+
+    def _fence(self, fence: messages.Fence) -> bool:
+        if fence.to_boot != self.boot:
+            # An earlier run of this process may have started it.
+            return False
+        return self.beside.fence((fence.boot, fence.seq))
+
+    async def _listen_peers(self, address: str) -> asyncio.Server:
+        host, port = wire.split_address(address)
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: framing.Frames(self._accept_peer), host, port, backlog=1024
+        )
+
+    def _accept_peer(self, frames: framing.Frames) -> None:
+        served = serving.Served(
+            frames,
+            self._hello,
+            self._key,
+            self._serve_peer,
+            self._fence,
+            lambda: _log.warning("peer_refused", peer=frames.peer),
+        )
+        lost = frames.on_lost
+
+        def forget() -> None:
+            self._served.discard(served)
+            lost()
+
+        frames.on_lost = forget
+        self._served.add(served)
+
+    def _hello(self) -> messages.Hello:
+        return messages.Hello(
+            self.directory.own.name,
+            self.boot,
+            self.incarnation,
+            framing.new_nonce(),
+        )
+
+    def _on_result(
+        self, request: exchange.Request, result: exchange.Result, seconds: float
+    ) -> None:
+        ending = result.ending
+        outcome = str(ending.outcome)
+        count = self.results_by_outcome.get(outcome, 0)
+        self.results_by_outcome[outcome] = count + 1
+        failed = ending.outcome is not messages.Outcome.ANSWERED
+        if failed or ending.status >= 400:
+            _log.info(
+                "request",
+                request=request.id,
+                service=request.service,
+                route=request.route,
+                repeatable=request.repeatable,
+                outcome=outcome,
+                reason=str(ending.reason or ""),
+                status=ending.status,
+                target=result.target,
+                seconds=round(seconds, 4),
+            )
+
+    # Time.
+
+    async def _tick_for_ever(self) -> None:
+        count = 0
+        while True:
+            await asyncio.sleep(TICK)
+            count += 1
+            try:
+                self._tick(count)
+            except Exception:
+                _log.exception("tick_failed")
+                if invariants.FATAL:
+                    raise
+
+    def _tick(self, count: int) -> None:
+        self._observe()
+        now = self.clock.monotonic()
+        self.beside.tick(now)
+        self._send(self.gossip.tick(now))
+        if count % BEAT_EVERY == 0:
+            self.links.tick()
+        if count % SLOW_EVERY == 0:
+            self.ingress.tick(now)
+            self._expire_targets(now)
+            self._describe()
+            for site in self.beside.site_by_target.values():
+                usual = self.chooser.usual_latency(site.gate.service)
+                site.gate.usual = usual
+        self._learn()
+
+    def _observe(self) -> None:
+        """Notices a pause of this process, before anything else is done.
+
+        What arrived meanwhile may be older than it says, so it is refused.
+        """
+        now = self.clock.monotonic()
+        paused = now - self._last_tick
+        self._last_tick = now
+        if paused < PAUSE:
+            return
+        self.incarnation += 1
+        _log.warning("paused", seconds=round(paused, 2))
+        for site in self.beside.site_by_target.values():
+            site.gate.excuse(paused)
--- /dev/null
+++ b/forklift/shell/registry.py
@@ -0,0 +1,116 @@
+"""Follows the platform's store: the configuration, and who may be joined."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from forklift import errors
+from forklift import ports
+
+_log = structlog.get_logger(__name__)
+
+# Seconds that one read waits for a change: long, as each call is paid for, but
+# a read that hangs on a silent store notices only when it ends.
+WAIT_LEAST = 6.0
+WAIT_MOST = 12.0
+# First pause after a failure, and the longest, seconds.
+PAUSE_FIRST = 0.3
+PAUSE_MOST = 2.0
+# Seconds after the own announcement until the first look at those of others:
+# processes that start together have announced themselves by then.
+SETTLE = 0.5
+
+
+class _Pause:
+    """Pauses between failed calls, which grow."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._failures = 0
+
+    def reset(self) -> None:
+        """A call was answered."""
+        self._failures = 0
+
+    async def wait(self) -> None:
+        """Waits after a failed call."""
+        longest = min(PAUSE_MOST, PAUSE_FIRST * 2**self._failures)
+        self._failures += 1
+        await asyncio.sleep(longest * (0.5 + self._rng.random() / 2))
+
+
+class Follower:
+    """Reads the configuration from the store for ever."""
+
+    def __init__(
+        self,
+        registry: ports.Registry,
+        rng: random.Random,
+        on_record: Callable[[bytes], None],
+    ):
+        self._registry = registry
+        self._rng = rng
+        self._on_record = on_record
+        self._pause = _Pause(rng)
+        self._away = False
+
+    async def run(self) -> None:
+        """Reads for ever."""
+        position: int | None = None
+        while True:
+            try:
+                found = await self._read(position)
+            except errors.RegistryGap as error:
+                _log.info("store_gap", detail=str(error))
+                position = None
+                continue
+            except errors.RegistryUnavailable as error:
+                self._lost(error)
+                await self._pause.wait()
+                continue
+            self._back()
+            position = found.position
+            if found.record is not None:
+                self._on_record(found.record)
+
+    async def _read(self, position: int | None) -> ports.Found:
+        if position is None:
+            return await self._registry.configuration()
+        wait = self._rng.uniform(WAIT_LEAST, WAIT_MOST)
+        return await self._registry.next_configuration(position, wait)
+
+    def _lost(self, error: errors.RegistryUnavailable) -> None:
+        if not self._away:
+            _log.warning("store_lost", detail=str(error))
+        self._away = True
+
+    def _back(self) -> None:
+        self._pause.reset()
+        if self._away:
+            _log.info("store_back")
+        self._away = False
+
+
+async def meet(
+    registry: ports.Registry,
+    rng: random.Random,
+    name: str,
+    data: bytes,
+    on_members: Callable[[dict[str, bytes]], None],
+) -> None:
+    """Announces this process and reads who else did, until both worked."""
+    pause = _Pause(rng)
+    announced = False
+    while True:
+        try:
+            if not announced:
+                await registry.announce(name, data)
+                announced = True
+                await asyncio.sleep(SETTLE)
+            on_members(await registry.members())
+            return
+        except errors.RegistryUnavailable as error:
+            _log.info("meeting_failed", detail=str(error))
+            await pause.wait()
--- a/forklift/shell/serve.py
+++ b/forklift/shell/serve.py
@@ -10,8 +10,13 @@
 from forklift import expressions
 from forklift import invariants
 from forklift import settings
+from forklift.platform import doors
+from forklift.platform import names
+from forklift.platform import store
 from forklift.shell import admin
 from forklift.shell import node as nodes
+from forklift.shell import proxy as proxies
+from forklift.shell import server
 
 GC_THRESHOLD = 20_000
 
@@ -37,6 +42,9 @@
     Raises:
         errors.UserError: It can't start.
     """
+    if read.platform is not None:
+        await serve_on_platform(read)
+        return
     node = nodes.Node(read)
     front = admin.Admin(node)
     stop = asyncio.Event()
@@ -44,11 +52,7 @@
     instrument(node, front)
     await node.start()
     await front.open()
-    # What is loaded by now lives for ever; full collections of it would show
-    # in the slowest requests.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 50, 100)
+    _settle_memory()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -57,6 +61,42 @@
     front.close()
 
 
+async def serve_on_platform(read: settings.Settings) -> None:
+    """Runs a process on a platform with a store until SIGTERM or SIGINT.
+
+    Raises:
+        errors.UserError: It can't start.
+    """
+    proxy = proxies.Proxy(
+        read, store.Store(read.platform.store), store.decode, names.DIALECT
+    )
+    calls = doors.Doors(proxy.seen, proxy.left, proxy.ready)
+    heartbeats = server.Server(calls.heartbeat)
+    readiness = server.Server(calls.readiness)
+    await proxy.start()
+    await heartbeats.open(read.platform.heartbeats)
+    await readiness.open(read.platform.ready)
+    _settle_memory()
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    await proxy.stop()
+    heartbeats.close()
+    readiness.close()
+
+
+def _settle_memory() -> None:
+    """What is loaded by now lives for ever.
+
+    Full collections of it would show in the slowest requests.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, 50, 100)
+
+
 def instrument(node: nodes.Node, front: admin.Admin) -> None:
     """Adds the metrics of a process."""
     meter = node.telemetry
--- a/forklift/shell/served.py
+++ b/forklift/shell/served.py
@@ -87,6 +87,11 @@
         """Closes the connection."""
         self._frames.transport.abort()
 
+    def tell(self, standing: messages.Standing) -> None:
+        """Tells the peer unasked how a target stands."""
+        if self.proven and not self._frames.lost:
+            self._frames.send(standing)
+
     def _frame(self, frame: messages.Frame) -> None:
         if isinstance(frame, messages.Hello):
             self.peer = frame
--- /dev/null
+++ b/forklift/shell/upstream.py
@@ -0,0 +1,550 @@
+"""Connections to a target, and one request over one of them.
+
+A target may break off, answer twice, answer late in the place of the next
+answer, or answer before it has read a long body. So each answer is checked
+against the id of its request, held until it is whole where it is small, and a
+connection is used again only when nothing is left on it.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import re
+from collections.abc import Callable
+
+import h11
+import structlog
+
+from forklift import dialect as dialects
+from forklift import errors
+from forklift import messages
+from forklift.shell import exchange
+from forklift.shell import http
+from forklift.shell import wire
+
+_log = structlog.get_logger(__name__)
+Reason = messages.Reason
+
+CONNECT_TIMEOUT = 1.0
+# Seconds that a connection may have been idle to be used again where the
+# target names no time of its own.
+IDLE_FOR = 0.8
+# Share of the time that a target names: its clock started before ours.
+IDLE_SHARE = 0.7
+# Work that must not repeat takes a connection only this soon after its last
+# use: a target may forget an idle one earlier than it says, and the reset
+# would leave the outcome unknown.
+IDLE_UNREPEATABLE = 2.0
+# Answers up to this size are held until whole, bytes.
+HOLD_BYTES = 262_144
+MAX_HEAD = 65_536
+# Answers to other requests that are dropped before a connection is given up.
+MAX_STRAY = 3
+PROBE_TIMEOUT = 1.0
+_BODILESS = (204, 304)
+_KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
+class AnswerBroken(errors.ForkliftError):
+    """A target's answer can't be passed on, or not to its end."""
+
+    def __init__(self, reason: Reason, detail: str):
+        self.reason = reason
+        super().__init__(
+            f"the answer of the target is unusable ({detail}); "
+            "look at the target's own log"
+        )
+
+
+class NotSent(errors.ForkliftError):
+    """The target did not run the request."""
+
+    def __init__(self, reason: Reason, detail: str):
+        self.reason = reason
+        super().__init__(
+            f"the target did not run it ({detail}); another one may take it"
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Head of a target's answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers.
+        length: Declared length of the body, -1 where none is declared.
+        closes: Whether the target closes the connection after it.
+        idle: Seconds that the connection may be idle afterwards.
+    """
+
+    status: int
+    headers: http.Headers
+    length: int
+    closes: bool
+    idle: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Idle:
+    connection: wire.Connection
+    since: float
+    until: float
+
+
+class Pool:
+    """Connections to one target, within its limit."""
+
+    def __init__(self, address: str, most: int, now: Callable[[], float]):
+        self.address = address
+        self.most = most
+        self.open = 0
+        self.made = 0
+        self.reused = 0
+        self._now = now
+        self._idle: collections.deque[_Idle] = collections.deque()
+
+    async def take(self, repeatable: bool) -> wire.Connection:
+        """A connection that carries nothing.
+
+        Raises:
+            NotSent: The target can't be connected to.
+        """
+        self._drop_old()
+        while self._idle:
+            idle = self._idle.pop()
+            usable = not idle.connection.closed and not idle.connection.buffered
+            fresh = self._now() - idle.since < IDLE_UNREPEATABLE
+            if usable and (repeatable or fresh):
+                self.reused += 1
+                return idle.connection
+            self.discard(idle.connection)
+        if self.open >= self.most:
+            raise NotSent(Reason.BUSY, "its connections are in use")
+        return await self._connect()
+
+    def give(self, connection: wire.Connection, idle: float) -> None:
+        """Returns a connection whose answer was whole and its own."""
+        if idle <= 0 or connection.closed or connection.buffered:
+            self.discard(connection)
+            return
+        now = self._now()
+        self._idle.append(_Idle(connection, now, now + idle))
+
+    def discard(self, connection: wire.Connection) -> None:
+        """Closes a connection; whatever it still brings is never read."""
+        self.open -= 1
+        connection.abort()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            self.discard(self._idle.pop().connection)
+
+    async def _connect(self) -> wire.Connection:
+        self.open += 1
+        try:
+            connection = await asyncio.wait_for(
+                wire.connect(self.address), CONNECT_TIMEOUT
+            )
+        except (OSError, TimeoutError) as error:
+            self.open -= 1
+            detail = str(error) or "timeout"
+            raise NotSent(Reason.CONNECT_FAILED, detail) from error
+        except BaseException:
+            self.open -= 1
+            raise
+        self.made += 1
+        return connection
+
+    def _drop_old(self) -> None:
+        now = self._now()
+        kept: collections.deque[_Idle] = collections.deque()
+        for idle in self._idle:
+            if idle.until <= now or idle.connection.closed:
+                self.discard(idle.connection)
+            else:
+                kept.append(idle)
+        self._idle = kept
+
+
+class Run:
+    """One request on one target."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        request: exchange.Request,
+        target: str,
+        dialect: dialects.Dialect,
+        now: Callable[[], float],
+    ):
+        self._pool = pool
+        self._request = request
+        self._target = target
+        self._dialect = dialect
+        self._now = now
+        self._stray = 0
+        self._reusable = True
+        self.head: Head | None = None
+
+    async def go(
+        self,
+        launch: Callable[[], Reason | None],
+        load: Callable[[], messages.Load],
+        sink: exchange.Sink,
+    ) -> int:
+        """Sends the request and passes the answer on.
+
+        Args:
+            launch: Marks the point of no return; a reason forbids it.
+            load: The target's load for the answer's head.
+            sink: Where the answer goes.
+
+        Returns:
+            The HTTP status, once the answer was passed on whole.
+
+        Raises:
+            NotSent: The target did not run it.
+            AnswerBroken: It was sent, and there is no whole answer.
+            wire.Lost: The sink is gone.
+        """
+        connection = await self._pool.take(self._request.repeatable)
+        whole = False
+        try:
+            reason = launch()
+            if reason is not None:
+                raise NotSent(reason, "it may not start any more")
+            await self._exchange(connection, load, sink)
+            whole = True
+        finally:
+            if whole and self._reusable and not self.head.closes:
+                self._pool.give(connection, self.head.idle)
+            else:
+                self._pool.discard(connection)
+        return self.head.status
+
+    async def _exchange(
+        self,
+        connection: wire.Connection,
+        load: Callable[[], messages.Load],
+        sink: exchange.Sink,
+    ) -> None:
+        protocol = self._new_protocol()
+        head = protocol.send(self._head_event())
+        body = self._request.body
+        if body.complete:
+            self._write(connection, head + self._inline(protocol))
+            await self._answer(connection, protocol, load, sink)
+            return
+        self._write(connection, head)
+        upload = asyncio.create_task(self._upload(connection, protocol))
+        try:
+            await self._answer(connection, protocol, load, sink)
+            # Answered before the whole body was taken: what the target still
+            # reads must not be the next request.
+            self._reusable = self._reusable and upload.done()
+        finally:
+            upload.cancel()
+            await asyncio.gather(upload, return_exceptions=True)
+
+    def _write(self, connection: wire.Connection, data: bytes) -> None:
+        try:
+            connection.write(data)
+        except wire.Lost as error:
+            raise AnswerBroken(Reason.TARGET_BROKE, str(error)) from error
+
+    def _new_protocol(self) -> h11.Connection:
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+
+    def _head_event(self) -> h11.Request:
+        request = self._request
+        names = self._dialect
+        remaining = max(1, int((request.deadline - self._now()) * 1000))
+        ours = names.set_by_fleet()
+        headers = [
+            header for header in request.headers if header[0] not in ours
+        ]
+        if http.value(request.headers, names.request_id) is None:
+            headers.append((names.request_id, request.id.encode()))
+        headers.append((names.deadline, str(remaining).encode()))
+        headers.append((names.expected, self._target.encode()))
+        if request.origin:
+            headers.append((names.origin, request.origin.encode()))
+        if request.length < 0 and not request.body.complete:
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif request.length != 0 or request.body.first:
+            length = max(request.length, len(request.body.first))
+            headers.append((b"content-length", str(length).encode()))
+        return h11.Request(
+            method=request.method, target=request.path, headers=headers
+        )
+
+    def _inline(self, protocol: h11.Connection) -> bytes:
+        data = b""
+        if self._request.body.first:
+            data = protocol.send(h11.Data(self._request.body.first))
+        return data + protocol.send(h11.EndOfMessage())
+
+    async def _upload(
+        self, connection: wire.Connection, protocol: h11.Connection
+    ) -> None:
+        try:
+            async for piece in self._request.body.pieces():
+                connection.write(protocol.send(h11.Data(piece)))
+                await connection.drain()
+            connection.write(protocol.send(h11.EndOfMessage()))
+        except (
+            exchange.BodyBroken,
+            h11.ProtocolError,
+            wire.Lost,
+            TimeoutError,
+        ) as error:
+            # The target sees a broken request and can't take it as whole.
+            _log.info(
+                "upload_broken", request=self._request.id, detail=str(error)
+            )
+            connection.abort()
+
+    async def _answer(
+        self,
+        connection: wire.Connection,
+        protocol: h11.Connection,
+        load: Callable[[], messages.Load],
+        sink: exchange.Sink,
+    ) -> None:
+        reading = protocol
+        while True:
+            response = await self._response(connection, reading)
+            if self._own(response):
+                break
+            reading = await self._skip(connection, reading)
+        self.head = self._check(response)
+        self._raise_not_run(response)
+        passing = _Passing(sink, self.head, self._target, load)
+        await self._body(connection, reading, passing)
+
+    async def _response(
+        self, connection: wire.Connection, protocol: h11.Connection
+    ) -> h11.Response:
+        while True:
+            event = await self._next_event(connection, protocol)
+            if isinstance(event, h11.Response):
+                return event
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            raise AnswerBroken(Reason.TARGET_BROKE, "closed without an answer")
+
+    async def _skip(
+        self, connection: wire.Connection, protocol: h11.Connection
+    ) -> h11.Connection:
+        """Drops an answer to another request; ours is still to come."""
+        self._stray += 1
+        _log.info("stray_answer", request=self._request.id, target=self._target)
+        if self._stray > MAX_STRAY:
+            raise AnswerBroken(Reason.WRONG_ANSWER, "too many stray answers")
+        while True:
+            event = await self._next_event(connection, protocol)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                raise AnswerBroken(Reason.WRONG_ANSWER, "a stray one broke off")
+        if protocol.their_state is not h11.DONE:
+            raise AnswerBroken(Reason.WRONG_ANSWER, "a stray answer closed")
+        # The library reads one answer for each request, so it is told of the
+        # request once more; nothing of that is sent.
+        again = self._new_protocol()
+        again.send(self._head_event())
+        if self._request.body.complete:
+            self._inline(again)
+        again.receive_data(protocol.trailing_data[0])
+        return again
+
+    async def _body(
+        self,
+        connection: wire.Connection,
+        protocol: h11.Connection,
+        passing: "_Passing",
+    ) -> None:
+        while True:
+            event = await self._next_event(connection, protocol)
+            if isinstance(event, h11.Data):
+                await passing.data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                raise AnswerBroken(Reason.TARGET_BROKE, "the body broke off")
+        if connection.error is not None and self.head.length < 0:
+            raise AnswerBroken(Reason.TARGET_BROKE, "reset before its end")
+        clean = protocol.their_state is h11.DONE
+        self._reusable = clean and not protocol.trailing_data[0]
+        await passing.end()
+
+    async def _next_event(
+        self, connection: wire.Connection, protocol: h11.Connection
+    ) -> h11.Event:
+        try:
+            while True:
+                event = protocol.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                data = await connection.read()
+                if not data and connection.error is not None:
+                    # A reset ends no answer, not even one without a length.
+                    raise AnswerBroken(
+                        Reason.TARGET_BROKE, str(connection.error)
+                    )
+                protocol.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise AnswerBroken(Reason.TARGET_BROKE, str(error)) from error
+
+    def _own(self, response: h11.Response) -> bool:
+        found = http.value(_headers(response), self._dialect.request_id)
+        return found is None or found == self._request.id.encode()
+
+    def _raise_not_run(self, response: h11.Response) -> None:
+        status = response.status_code
+        if status == 421:
+            raise NotSent(Reason.MISDIRECTED, "another target answers there")
+        headers = _headers(response)
+        if http.value(headers, self._dialect.not_run) is not None:
+            raise NotSent(Reason.SHED, f"it refused with {status}")
+
+    def _check(self, response: h11.Response) -> Head:
+        headers = _headers(response)
+        chunked = http.value(headers, b"transfer-encoding") is not None
+        declared = http.value(headers, b"content-length")
+        status = response.status_code
+        bodiless = self._request.method == b"HEAD" or status in _BODILESS
+        length = int(declared) if declared and not chunked else -1
+        if bodiless and declared is None:
+            length = 0
+        connection = http.value(headers, b"connection") or b""
+        framed = chunked or declared is not None or bodiless
+        closes = b"close" in connection.lower() or not framed
+        dropped = (self._dialect.load,)
+        kept = tuple(
+            header
+            for header in http.end_to_end(headers)
+            if header[0] not in dropped
+        )
+        return Head(status, kept, length, closes, _idle_time(headers))
+
+
+class _Passing:
+    """Passes an answer on; a small one only once it is whole.
+
+    One that breaks off before can then be replaced by another target's
+    without the caller seeing anything of it.
+    """
+
+    def __init__(
+        self,
+        sink: exchange.Sink,
+        head: Head,
+        target: str,
+        load: Callable[[], messages.Load],
+    ):
+        self._sink = sink
+        self._head = head
+        self._target = target
+        self._load = load
+        self._held = bytearray()
+        self._begun = False
+
+    async def data(self, piece: bytes) -> None:
+        """Takes a piece of the body."""
+        if self._begun:
+            await self._sink.data(piece)
+            return
+        self._held += piece
+        if len(self._held) > HOLD_BYTES:
+            await self._begin(self._head.length)
+
+    async def end(self) -> None:
+        """The answer is whole."""
+        if not self._begun:
+            await self._begin(len(self._held))
+        await self._sink.end()
+
+    async def _begin(self, length: int) -> None:
+        self._begun = True
+        head = exchange.Head(
+            self._head.status,
+            self._head.headers,
+            length,
+            self._target,
+            self._load(),
+        )
+        await self._sink.start(head)
+        if self._held:
+            await self._sink.data(bytes(self._held))
+            self._held.clear()
+
+
+def _headers(response: h11.Response) -> http.Headers:
+    return tuple((bytes(n), bytes(v)) for n, v in response.headers)
+
+
+def _idle_time(headers: http.Headers) -> float:
+    """Seconds that the connection may be idle, by the target's word."""
+    found = _KEEP_ALIVE.search(http.value(headers, b"keep-alive") or b"")
+    if found is None:
+        return IDLE_FOR
+    return int(found[1]) * IDLE_SHARE
+
+
+@dataclasses.dataclass(frozen=True)
+class Health:
+    """What a target's health endpoint said.
+
+    Attributes:
+        well: Whether it calls itself healthy and is not leaving.
+        target: Name that it gave itself, empty where it gave none.
+    """
+
+    well: bool
+    target: str
+
+
+async def probe(
+    address: str, path: str, dialect: dialects.Dialect
+) -> Health | None:
+    """Asks a health endpoint; a hint only, as it may lie.
+
+    Returns:
+        What it said; None where there was no answer.
+    """
+    connection = None
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            connection = await wire.connect(address)
+            return await _probe(connection, address, path, dialect)
+    except (OSError, TimeoutError, h11.ProtocolError) as error:
+        _log.info("probe_failed", address=address, detail=repr(error))
+        return None
+    finally:
+        if connection is not None:
+            connection.abort()
+
+
+async def _probe(
+    connection: wire.Connection,
+    address: str,
+    path: str,
+    dialect: dialects.Dialect,
+) -> Health | None:
+    protocol = h11.Connection(h11.CLIENT)
+    headers = [("host", address), ("connection", "close")]
+    request = h11.Request(method="GET", target=path, headers=headers)
+    data = protocol.send(request) + protocol.send(h11.EndOfMessage())
+    connection.write(data)
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await connection.read())
+        elif isinstance(event, h11.Response):
+            name = http.value(_headers(event), dialect.target) or b""
+            return Health(event.status_code < 400, name.decode("latin-1"))
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
--- a/forklift/shell/wire.py
+++ b/forklift/shell/wire.py
@@ -33,6 +33,8 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self.on_lost: Callable[[], None] | None = None
+        # Set when the connection broke rather than ended.
+        self.error: Exception | None = None
         self.transport: asyncio.Transport | None = None
         self.peer = ""
 
@@ -66,6 +68,7 @@
         """See `asyncio.Protocol`."""
         self._lost = True
         self._eof = True
+        self.error = error
         self._can_write.set()
         self._wake()
         if self.on_lost is not None:
--- a/forklift/spread.py
+++ b/forklift/spread.py
@@ -44,6 +44,8 @@
 SPILL_FILL = 1.0
 # Candidates that the power of choices compares.
 CHOICES = 2
+# A weight of zero would take a target out, which is not a weight's job.
+LEAST_WEIGHT = 0.02
 
 
 def picker(name: str) -> Callable[[Picker], Picker]:
@@ -96,3 +98,12 @@
         if pick.fill <= SPILL_FILL:
             return pick
     return power_of_two(candidates, rng)
+
+
+@picker("nearest-free")
+def nearest_free(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate:
+    """The least filled in our failure domain while it has a free slot."""
+    near = [c for c in candidates if c.same_domain and c.fill <= SPILL_FILL]
+    return min(near or candidates, key=lambda c: (c.fill, rng.random()))
