--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -18,7 +18,7 @@
 Liveness = messages.Liveness
 
 PEERS = 48
-PING_PERIOD = 0.5
+PING_PERIOD = 1.0
 PONG_WAIT = 1.0
 MISSES = 2
 EXPIRY_PERIOD = 0.5
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -60,6 +60,8 @@
 # Part of the grace after which what is still running is left to its fate.
 STOP_SHARE = 0.9
 STOP_POLL = 0.05
+# Processes that a new one asks for all they know.
+JOIN_THROUGH = 3
 # A process that met nobody is ready after this time alone, seconds.
 READY_ALONE = 3.0
 
@@ -377,7 +379,11 @@
         self.met = True
 
     def _members(self, data_by_name: dict[str, bytes]) -> None:
-        """Others announced themselves on the store."""
+        """Others announced themselves on the store.
+
+        A few of them are asked for all they know; gossip brings the rest.
+        """
+        now = self.clock.monotonic()
         for name, data in data_by_name.items():
             if name == self.directory.own.name:
                 continue
@@ -388,8 +394,13 @@
                 continue
             if not isinstance(record, messages.Announcement):
                 continue
-            join = self.gossip.join(record.info.control)
+            self.directory.hear(record.info, now)
+        names = self.directory.alive()
+        for name in self._rng.sample(names, min(JOIN_THROUGH, len(names))):
+            info = self.directory.member_by_name[name].info
+            join = self.gossip.join(info.control)
             self.control.send(join.address, join.message)
+        self._learn()
 
     def _receive(self, message: messages.Control) -> None:
         """A control message arrived."""
