--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -39,7 +39,15 @@
 # What arrived at a target though it did not run.
 _ARRIVED = (Reason.SHED,)
 # A refusal of this kind says nothing that the view of the target tells too.
-_PASSING_BY = (Reason.BUSY, Reason.STALE, Reason.CONNECT_FAILED, Reason.HOPS)
+_PASSING_BY = (
+    Reason.BUSY,
+    Reason.STALE,
+    Reason.CONNECT_FAILED,
+    Reason.PEER_LOST,
+    Reason.UNKNOWN_TARGET,
+    Reason.DOUBTED,
+    Reason.MISDIRECTED,
+)
 
 
 @dataclasses.dataclass
--- a/forklift/shell/links.py
+++ b/forklift/shell/links.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import structlog
+
 from forklift import entry
 from forklift import errors
 from forklift import membership
@@ -10,6 +12,12 @@
 from forklift.shell import peers
 from forklift.shell import wire
 
+_log = structlog.get_logger(__name__)
+
+# Seconds that a request waits for a connection to be opened: within one
+# region that takes a few milliseconds, and another target may be asked.
+OPEN_WAIT = 0.25
+
 
 class Links:
     """Opens connections on demand and shares them among requests."""
@@ -42,14 +50,28 @@
         link = self.link_by_process.get(process)
         if link is not None and not link.lost:
             return link
+        opening = self._begin(process)
+        try:
+            async with asyncio.timeout(OPEN_WAIT):
+                return await asyncio.shield(opening)
+        except TimeoutError as error:
+            now = self._clock.monotonic()
+            self._entry.path_failed(process, "slow to open", now)
+            raise errors.PeerUnreachable(process, "slow to open") from error
+
+    def _begin(self, process: str) -> asyncio.Task:
+        """Opens a connection, unless that is under way."""
         opening = self._opening_by_process.get(process)
         if opening is None:
             opening = asyncio.create_task(self._open(process))
             self._opening_by_process[process] = opening
-            opening.add_done_callback(
-                lambda _: self._opening_by_process.pop(process, None)
-            )
-        return await asyncio.shield(opening)
+            opening.add_done_callback(lambda done: self._opened(process, done))
+        return opening
+
+    def _opened(self, process: str, opening: asyncio.Task) -> None:
+        self._opening_by_process.pop(process, None)
+        if not opening.cancelled() and opening.exception() is not None:
+            _log.debug("link_failed", detail=str(opening.exception()))
 
     def tick(self) -> None:
         """Asks for signs of life where answers are owed; judges paths."""
@@ -84,10 +106,11 @@
             return
 
     async def _open(self, process: str) -> peers.Link:
+        now = self._clock.monotonic
         member = self._directory.member_by_name.get(process)
         if member is None:
+            self._entry.path_failed(process, "unknown", now())
             raise errors.PeerUnreachable(process, "not in the directory")
-        now = self._clock.monotonic
         try:
             link = await peers.open_link(
                 member.info.peer, self._hello(), self._key
@@ -98,11 +121,20 @@
             raise errors.PeerUnreachable(process, detail) from error
         if link.peer.name != process:
             link.close()
+            self._entry.path_failed(process, "another answers", now())
             raise errors.PeerUnreachable(process, "another process answers")
         link.on_sign = lambda: self._entry.heard(process)
         if self._on_standing is not None:
             link.on_standing = self._on_standing
+        link.on_lost = lambda: self._lost(process, link)
         # It has just shown that both ways are open.
         self._entry.heard(process)
         self.link_by_process[process] = link
         return link
+
+    def _lost(self, process: str, link: peers.Link) -> None:
+        """A connection broke: the path is avoided until a new one opens."""
+        if self.link_by_process.get(process) is not link:
+            return
+        del self.link_by_process[process]
+        self._entry.path_failed(process, "lost", self._clock.monotonic())
--- a/forklift/shell/peers.py
+++ b/forklift/shell/peers.py
@@ -301,6 +301,7 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(HELLO_TIMEOUT):
         _, frames = await loop.create_connection(framing.Frames, host, port)
+        wire.bound_silence(frames.transport)
         link = Link(frames, own, key)
         link.open()
         await link.ready
--- a/forklift/shell/wire.py
+++ b/forklift/shell/wire.py
@@ -1,9 +1,12 @@
 """A TCP connection with bounded buffers, read and written by one task."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 READ_LIMIT = 65_536
+# Milliseconds; longer than any request of ours waits for its answer.
+UNACKNOWLEDGED_MS = 8_000
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -150,6 +153,17 @@
             self._reader.set_result(None)
 
 
+def bound_silence(transport: asyncio.BaseTransport) -> None:
+    """Ends a connection whose other side acknowledges nothing for a while.
+
+    Without it, one to an instance that lost power would hang for minutes.
+    """
+    end = transport.get_extra_info("socket")
+    if end is not None:
+        option = socket.TCP_USER_TIMEOUT
+        end.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_MS)
+
+
 async def connect(address: str) -> Connection:
     """Opens a connection to "ip:port".
 
