--- a/forklift/budget.py
+++ b/forklift/budget.py
@@ -23,7 +23,7 @@
     """
 
     def __init__(self, seconds: float):
-        self._seconds = seconds
+        self.seconds = seconds
         self._times: collections.deque[float] = collections.deque()
 
     def add(self, now: float) -> None:
@@ -32,7 +32,7 @@
 
     def count(self, now: float) -> int:
         """Events within the window."""
-        while self._times and self._times[0] <= now - self._seconds:
+        while self._times and self._times[0] <= now - self.seconds:
             self._times.popleft()
         return len(self._times)
 
@@ -53,6 +53,13 @@
         self._most_processes = 1
         self.refused = 0
 
+    def bound(self, ratio: float, window: float, reserve: float) -> None:
+        """Takes other bounds; what was counted stays."""
+        self._ratio = ratio
+        self._reserve = reserve
+        self._requests.seconds = window
+        self._repeats.seconds = window
+
     def request(self, now: float) -> None:
         """A request of the service was taken from a caller."""
         self._requests.add(now)
--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -149,6 +149,12 @@
         self.processes = 1
         self.picks = 0
 
+    def bound(self, bounds: BudgetBounds) -> None:
+        """Takes other bounds on repeats; what was counted stays."""
+        self._bounds = bounds
+        for group in self._group_by_service.values():
+            group.budget.bound(bounds.ratio, bounds.window, bounds.reserve)
+
     # What is known.
 
     def learn(self, info: messages.ProcessInfo) -> None:
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -237,6 +237,14 @@
         await self.control.close()
         self._store.close()
 
+    def reload(self, read: settings.Settings) -> None:
+        """Takes other settings; those of [process] stay until a restart."""
+        self.settings = read
+        bounds = read.budget
+        self.chooser.bound(
+            chooser.BudgetBounds(bounds.ratio, bounds.window, bounds.reserve)
+        )
+
     def running(self) -> int:
         """Requests in flight in any role."""
         served = sum(1 for served in self._served if served.busy)
--- a/forklift/shell/serve.py
+++ b/forklift/shell/serve.py
@@ -16,6 +16,7 @@
 from forklift.shell import admin
 from forklift.shell import node as nodes
 from forklift.shell import proxy as proxies
+from forklift.shell import reload
 from forklift.shell import server
 
 GC_THRESHOLD = 20_000
@@ -36,14 +37,18 @@
     )
 
 
-async def serve(read: settings.Settings) -> None:
+async def serve(read: settings.Settings, path: str = "") -> None:
     """Runs a process until SIGTERM, SIGINT or a drain of it all.
 
+    Args:
+        read: Its settings.
+        path: File that they were read from; empty where they never change.
+
     Raises:
         errors.UserError: It can't start.
     """
     if read.platform is not None:
-        await serve_on_platform(read)
+        await serve_on_platform(read, path)
         return
     node = nodes.Node(read)
     front = admin.Admin(node)
@@ -61,7 +66,7 @@
     front.close()
 
 
-async def serve_on_platform(read: settings.Settings) -> None:
+async def serve_on_platform(read: settings.Settings, path: str) -> None:
     """Runs a process on a platform with a store until SIGTERM or SIGINT.
 
     Raises:
@@ -78,9 +83,13 @@
     await readiness.open(read.platform.ready)
     _settle_memory()
     stop = asyncio.Event()
+    watcher = reload.Watcher(path, read, proxy.reload)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, watcher.look)
+    if path:
+        proxy.spawn(watcher.run())
     await stop.wait()
     await proxy.stop()
     heartbeats.close()
--- a/forklift/ui/run.py
+++ b/forklift/ui/run.py
@@ -19,4 +19,4 @@
     """
     read = settings.load(file)
     serve.configure_logs(logging.DEBUG if verbose else logging.INFO)
-    asyncio.run(serve.serve(read))
+    asyncio.run(serve.serve(read, file))
