--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -240,7 +240,7 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Lets time pass: overdue requests raise doubt, late ones leave."""
-        decisions: list[Decision] = []
+        decisions: list[Decision] = self._expire(now)
         age = self._overdue_age()
         for running in list(self._running_by_id.values()):
             if now - running.started >= doubt.ACCEPTED:
@@ -250,7 +250,6 @@
                 decisions += self.note(Sign.OVERDUE, now)
         if self.doubt.fade(now):
             self.version += 1
-        decisions += self._expire(now)
         return decisions + self._next(now)
 
     def excuse(self, seconds: float) -> None:
--- a/forklift/shell/server.py
+++ b/forklift/shell/server.py
@@ -63,6 +63,8 @@
         self._max_body = max_body
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
+        # Where it listens, once it does; port 0 lets the system choose.
+        self.address = ""
         self.cut_off = 0
 
     async def open(self, address: str) -> None:
@@ -72,6 +74,7 @@
             OSError: The address is taken.
         """
         self._server = await wire.listen(address, self._accept)
+        self.address = wire.bound_address(self._server)
 
     def close(self) -> None:
         """Stops listening; open connections go on."""
--- a/forklift/shell/wire.py
+++ b/forklift/shell/wire.py
@@ -176,6 +176,12 @@
     return connection
 
 
+def bound_address(server: asyncio.Server) -> str:
+    """Where a server listens, as "ip:port"."""
+    host, port = server.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
+
+
 async def listen(
     address: str, on_made: Callable[[Connection], None]
 ) -> asyncio.Server:
--- /dev/null
+++ b/test/test_budget.py
@@ -0,0 +1,50 @@
+"""The budget of repeats, over processes and windows that slide."""
+
+import random
+
+from forklift import budget
+
+WINDOW = 10.0
+
+
+def test_the_sum_over_processes_keeps_the_bound():
+    rng = random.Random(1)
+    ratio, reserve, processes = 0.2, 50.0, 7
+    parts = [budget.Budget(ratio, WINDOW, reserve) for _ in range(processes)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    now = 0.0
+    while now < 60.0:
+        now += rng.expovariate(100.0)
+        part = rng.choice(parts)
+        part.request(now)
+        requests.append(now)
+        if rng.random() < 0.7 and part.spend(now, processes):
+            repeats.append(now)
+    for start in repeats:
+        spent = sum(1 for at in repeats if start <= at < start + WINDOW)
+        asked = sum(1 for at in requests if start <= at < start + WINDOW)
+        before = sum(1 for at in requests if start - WINDOW <= at < start)
+        assert spent <= ratio * max(asked, before) + reserve
+
+
+def test_a_process_that_is_cut_off_keeps_its_part():
+    part = budget.Budget(0.0, WINDOW, 20.0)
+    part.spend(0.0, 10)
+    granted = sum(part.spend(1.0, 1) for _ in range(30))
+    assert granted <= 2
+
+
+def test_old_repeats_are_forgotten():
+    part = budget.Budget(0.0, WINDOW, 2.0)
+    assert part.spend(0.0, 1)
+    assert not part.spend(WINDOW / 2, 1)
+    assert part.spend(WINDOW + 0.1, 1)
+
+
+def test_other_bounds_hold_for_what_was_counted():
+    part = budget.Budget(0.0, WINDOW, 2.0)
+    assert part.spend(0.0, 1)
+    part.bound(0.0, WINDOW, 4.0)
+    assert part.spend(1.0, 1)
+    assert not part.spend(2.0, 1)
--- /dev/null
+++ b/test/test_gate.py
@@ -0,0 +1,185 @@
+"""Admission to one target."""
+
+import itertools
+
+import pytest
+
+from forklift import doubt
+from forklift import gate
+from forklift import messages
+
+Reason = messages.Reason
+Sign = doubt.Sign
+_numbers = itertools.count(1)
+
+
+def made(slots: int = 2, proven: bool = True) -> gate.Gate:
+    found = gate.Gate("t", "s", slots)
+    if proven:
+        found.doubt.prove(0.0)
+    return found
+
+
+def ticket(**changes) -> gate.Ticket:
+    fields = {
+        "id": (1, next(_numbers)),
+        "repeatable": False,
+        "priority": 1,
+        "deadline": 10.0,
+    }
+    fields.update(changes)
+    return gate.Ticket(**fields)
+
+
+def fill(found: gate.Gate, count: int, now: float = 0.0) -> list[gate.Ticket]:
+    tickets = [ticket() for _ in range(count)]
+    for one in tickets:
+        found.arrive(one, now)
+    return tickets
+
+
+def test_slots_bound_what_runs():
+    found = made(slots=2)
+    fill(found, 2)
+    assert isinstance(found.arrive(ticket(), 0.0), gate.Wait)
+    assert found.running == 2
+
+
+def test_urgent_ones_go_first_and_equal_ones_in_order():
+    found = made(slots=1)
+    running = fill(found, 1)[0]
+    late, early, urgent = ticket(), ticket(), ticket(priority=0)
+    for one in (early, late, urgent):
+        found.arrive(one, 0.0)
+    order = []
+    for done in (running, urgent, early):
+        decisions = found.finish(done, Sign.WELL, 0.1)
+        order += [d.ticket for d in decisions if isinstance(d, gate.Start)]
+    assert order == [urgent, early, late]
+
+
+def test_a_wait_that_can_not_suffice_is_refused_at_once():
+    found = made(slots=1)
+    fill(found, 1)
+    decision = found.arrive(ticket(deadline=0.01), 0.0)
+    assert isinstance(decision, gate.Refuse)
+    assert decision.reason is Reason.BUSY
+    assert decision.retry_after > 0
+
+
+def test_a_passed_deadline_is_refused():
+    decision = made().arrive(ticket(deadline=1.0), 1.0)
+    assert decision.reason is Reason.DEADLINE
+
+
+@pytest.mark.parametrize("leaving", ["drain", "leave"])
+def test_a_leaving_target_starts_nothing(leaving):
+    found = made(slots=1)
+    running = fill(found, 1)[0]
+    waiting = ticket()
+    found.arrive(waiting, 0.0)
+    refused = getattr(found, leaving)()
+    assert [d.ticket for d in refused] == [waiting]
+    assert found.arrive(ticket(), 0.0).reason is Reason.DRAINING
+    assert found.finish(running, Sign.WELL, 0.1) == []
+
+
+def test_one_reset_sends_work_that_must_not_repeat_elsewhere():
+    found = made(slots=1)
+    running = fill(found, 1)[0]
+    waiting = ticket()
+    found.arrive(waiting, 0.0)
+    refused = found.finish(running, Sign.BROKEN, 0.1)
+    assert [(d.ticket, d.reason) for d in refused] == [
+        (waiting, Reason.DOUBTED)
+    ]
+    assert found.arrive(ticket(), 0.2).reason is Reason.DOUBTED
+
+
+def test_repeatable_work_scouts_one_at_a_time():
+    found = made(slots=4)
+    found.note(Sign.BROKEN, 0.0)
+    later = doubt.SCOUT_GAP
+    scout = ticket(repeatable=True)
+    assert isinstance(found.arrive(scout, later), gate.Start)
+    second = found.arrive(ticket(repeatable=True), later)
+    assert second.reason is Reason.DOUBTED
+
+
+def test_insisting_work_runs_on_a_doubted_target():
+    found = made()
+    found.note(Sign.BROKEN, 0.0)
+    one = ticket(insist=gate.Insist.ANY)
+    assert isinstance(found.arrive(one, 0.1), gate.Start)
+
+
+def test_work_that_must_not_repeat_asks_for_a_proof():
+    found = made(proven=False)
+    assert found.arrive(ticket(), 5.0).reason is Reason.UNPROVEN
+    sound = ticket(insist=gate.Insist.SOUND)
+    assert isinstance(found.arrive(sound, 5.0), gate.Start)
+    assert isinstance(found.arrive(ticket(repeatable=True), 5.0), gate.Start)
+
+
+def test_a_request_that_is_accepted_proves_the_target():
+    found = made(proven=False)
+    found.arrive(ticket(repeatable=True), 5.0)
+    found.tick(5.0 + 2 * doubt.ACCEPTED)
+    assert isinstance(found.arrive(ticket(), 5.1), gate.Start)
+
+
+def test_a_request_that_hangs_raises_doubt_before_it_ends():
+    found = made()
+    found.usual = 0.1
+    fill(found, 1)
+    found.tick(gate.OVERDUE_LEAST / 2)
+    assert not found.doubt.raised
+    found.tick(gate.OVERDUE_LEAST + 0.2)
+    assert found.doubt.raised
+    assert found.doubt.sign is Sign.OVERDUE
+
+
+def test_slowness_of_the_whole_service_raises_none():
+    found = made()
+    found.usual = 2.0
+    one = fill(found, 1)[0]
+    found.tick(3.0)
+    found.finish(one, Sign.WELL, 3.0)
+    assert not found.doubt.raised
+
+
+def test_a_pause_of_this_process_ages_nothing():
+    found = made()
+    fill(found, 1)
+    found.excuse(4.0)
+    found.tick(4.1)
+    assert not found.doubt.raised
+
+
+def test_a_cancelled_wait_never_starts():
+    found = made(slots=1)
+    running = fill(found, 1)[0]
+    waiting = ticket()
+    found.arrive(waiting, 0.0)
+    assert found.cancel(waiting)
+    assert not found.cancel(waiting)
+    assert found.finish(running, Sign.WELL, 0.1) == []
+
+
+def test_late_waiting_ones_are_refused_when_time_passes():
+    found = made(slots=1)
+    found.usual = 9.0
+    fill(found, 1)
+    waiting = ticket(deadline=1.0)
+    found.arrive(waiting, 0.0)
+    refused = found.tick(1.0)
+    assert [d.reason for d in refused] == [Reason.DEADLINE]
+
+
+def test_load_tells_doubt_and_proof():
+    found = made()
+    assert found.load(2.0).proof == 2.0
+    found.note(Sign.BROKEN, 2.0)
+    load = found.load(2.0)
+    assert load.state is messages.TargetState.SUSPECT
+    assert load.proof == gate.NO_PROOF
--- /dev/null
+++ b/test/test_store.py
@@ -0,0 +1,173 @@
+"""The store's adapter against the stand-in, faults included."""
+
+import asyncio
+import random
+
+import pytest
+
+from forklift import errors
+from forklift.platform import store as adapter
+from forklift.shell import registry
+from forklift.shell import server
+from forklift_lab import store as standin
+from test import helper
+
+
+class Rig:
+    """Stand-in and adapter over a real socket."""
+
+    async def __aenter__(self) -> "Rig":
+        self.store = standin.Store()
+        self.server = server.Server(self.store.handle)
+        await self.server.open("127.0.0.1:0")
+        self.adapter = adapter.Store(self.server.address)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.adapter.close()
+        self.server.abort()
+
+
+def record(version: int) -> dict:
+    return {"version": version, "routes": {}, "services": {}}
+
+
+def test_finds_the_newest_configuration():
+    async def work():
+        async with Rig() as rig:
+            assert (await rig.adapter.configuration()).record is None
+            rig.store.configure(record(3))
+            rig.store.configure(record(5))
+            found = await rig.adapter.configuration()
+            assert adapter.decode(found.record).version == 5
+            assert found.position == 2
+
+    helper.run(work())
+
+
+def test_waits_for_the_next_configuration():
+    async def work():
+        async with Rig() as rig:
+            first = await rig.adapter.configuration()
+            waiting = asyncio.create_task(
+                rig.adapter.next_configuration(first.position, 20.0)
+            )
+            calls = rig.store.calls
+            await helper.until(lambda: rig.store.calls > calls)
+            rig.store.configure(record(7))
+            found = await waiting
+            assert adapter.decode(found.record).version == 7
+            again = await rig.adapter.next_configuration(found.position, 0.0)
+            assert again.record is None
+            assert again.position == found.position
+
+    helper.run(work())
+
+
+def test_forgotten_history_is_told():
+    async def work():
+        async with Rig() as rig:
+            rig.store.configure(record(7))
+            rig.store.forget()
+            with pytest.raises(errors.RegistryGap):
+                await rig.adapter.next_configuration(0, 0.0)
+            found = await rig.adapter.configuration()
+            assert adapter.decode(found.record).version == 7
+
+    helper.run(work())
+
+
+@pytest.mark.parametrize("fault", ["away", "refusing", "losing"])
+def test_a_store_that_fails_is_an_error(fault):
+    async def work():
+        async with Rig() as rig:
+            setattr(rig.store, fault, 503 if fault == "refusing" else True)
+            with pytest.raises(errors.RegistryUnavailable):
+                await rig.adapter.announce("a", b"x")
+
+    helper.run(work())
+
+
+def test_members_are_found_by_name_and_replaced():
+    async def work():
+        async with Rig() as rig:
+            await rig.adapter.announce("a", b"1")
+            await rig.adapter.announce("b", b"2")
+            await rig.adapter.announce("a", b"3")
+            assert await rig.adapter.members() == {"a": b"3", "b": b"2"}
+
+    helper.run(work())
+
+
+def test_members_come_in_pages(monkeypatch):
+    monkeypatch.setattr(standin, "MAX_PAGE", 2)
+
+    async def work():
+        async with Rig() as rig:
+            for name in "abcde":
+                await rig.adapter.announce(name, b"1")
+            assert sorted(await rig.adapter.members()) == list("abcde")
+
+    helper.run(work())
+
+
+def test_following_goes_on_after_an_outage_and_a_gap(monkeypatch):
+    monkeypatch.setattr(registry, "PAUSE_FIRST", 0.01)
+
+    async def work():
+        async with Rig() as rig:
+            seen = []
+            follower = registry.Follower(
+                rig.adapter,
+                random.Random(1),
+                lambda data: seen.append(adapter.decode(data).version),
+            )
+            task = asyncio.create_task(follower.run())
+            rig.store.configure(record(1))
+            await helper.until(lambda: seen == [1])
+            rig.store.go_away()
+            calls = rig.store.calls
+            await helper.until(lambda: rig.store.calls > calls)
+            rig.store.configure(record(2))
+            rig.store.forget()
+            rig.store.away = False
+            await helper.until(lambda: seen[-1] == 2)
+            task.cancel()
+
+    helper.run(work())
+
+
+@pytest.mark.parametrize(
+    ("query", "status"),
+    [
+        ("as-of=0", 200),
+        ("as-of=1", 412),
+        ("producer=p&epoch=1&sequence=1", 200),
+    ],
+)
+def test_the_stand_in_appends_under_a_condition(query, status):
+    async def work():
+        store = standin.Store()
+        assert (await append(store, query)).status == status
+
+    helper.run(work())
+
+
+def test_the_stand_in_fences_producers_and_repeats_answers():
+    async def work():
+        store = standin.Store()
+        first = await append(store, "producer=p&epoch=2&sequence=1")
+        again = await append(store, "producer=p&epoch=2&sequence=1")
+        assert again.body == first.body
+        gap = await append(store, "producer=p&epoch=2&sequence=3")
+        assert (gap.status, b"seq" in gap.body) == (409, True)
+        old = await append(store, "producer=p&epoch=1&sequence=9")
+        assert (old.status, b"fenced" in old.body) == (409, True)
+
+    helper.run(work())
+
+
+async def append(store: standin.Store, query: str) -> server.Response:
+    target = f"/log-append?topic=t&part=0&{query}"
+    request = server.Request("POST", target, (), b"\0\0\0\1x")
+    return await store.handle(request)
