Ask others for a fence where a path is silent; remember what had left

Change: after 0.35 s of silence the entry asks two other processes to reach the guard; its word that the request never starts lets it go elsewhere. Processes taken for dead are asked once a second whether they are back, and a process that started again is reminded of targets it had let go.

--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -22,6 +22,9 @@
 PONG_WAIT = 1.0
 MISSES = 2
 EXPIRY_PERIOD = 0.5
+# Seconds between pings to processes that are taken for dead: one that starts
+# again while the store is away is met by those who know its address.
+REVIVE_PERIOD = 1.0
 RUMORS_A_PING = 6
 FAN_OUT = 3
 SPREAD_FACTOR = 2
@@ -54,6 +57,7 @@
         self._misses_by_name: collections.Counter[str] = collections.Counter()
         self._tellings_by_name: dict[str, int] = {}
         self._next_ping = 0.0
+        self._next_revival = 0.0
         self._next_sync = 0.0
         self._next_expiry = 0.0
         self._peers: list[str] = []
@@ -92,8 +96,22 @@
         if now >= self._next_ping:
             self._next_ping = now + PING_PERIOD
             sends += self._ping_next(now)
+        if now >= self._next_revival:
+            self._next_revival = now + REVIVE_PERIOD
+            sends += self._ping_gone()
         return sends
 
+    def _ping_gone(self) -> list[Send]:
+        """Asks one process that is gone whether it is back."""
+        gone = [
+            name
+            for name, member in self.directory.member_by_name.items()
+            if not member.usable
+        ]
+        if not gone:
+            return []
+        return [self._ping(self._rng.choice(gone), None)]
+
     def spread(self, name: str) -> list[Send]:
         """Tells a few peers at once, and others with the next pings."""
         members = len(self.directory.member_by_name) + 2
--- a/forklift/membership.py
+++ b/forklift/membership.py
@@ -80,16 +80,23 @@
             self._rescope()
         return self.own
 
-    def apply(self, rumor: messages.Rumor, now: float) -> bool:
+    def apply(
+        self, rumor: messages.Rumor, now: float, direct: bool = False
+    ) -> bool:
         """Takes news in; True when it is worth telling others.
 
         Figures that every heartbeat renews are taken in, and not told on.
+
+        Args:
+            rumor: The news.
+            now: Monotonic seconds.
+            direct: Whether the process itself tells it.
         """
         info = rumor.info
         if info.name == self.own.name:
             return self._refute(rumor)
         before = self.member_by_name.get(info.name)
-        if not self._apply_other(rumor, now):
+        if not self._apply_other(rumor, now, direct):
             return False
         after = self.member_by_name[info.name]
         if before is None:
@@ -98,7 +105,9 @@
             after.liveness, after.info
         )
 
-    def _apply_other(self, rumor: messages.Rumor, now: float) -> bool:
+    def _apply_other(
+        self, rumor: messages.Rumor, now: float, direct: bool
+    ) -> bool:
         info = rumor.info
         known = self.member_by_name.get(info.name)
         if known is None:
@@ -107,7 +116,10 @@
             self._set(Member(info, rumor.liveness, now))
             return True
         if info.boot != known.info.boot:
-            if not _newer(info, known.info):
+            # A clock that was set back makes a new run look older; one that
+            # speaks for itself while the other is silent is the newer one.
+            back = direct and known.liveness is not Liveness.ALIVE
+            if not back and not _newer(info, known.info):
                 return False
             self._set(Member(info, rumor.liveness, now))
             return True
@@ -115,7 +127,7 @@
 
     def hear(self, info: messages.ProcessInfo, now: float) -> bool:
         """A process spoke to us itself, which is news as any other."""
-        return self.apply(messages.Rumor(Liveness.ALIVE, info), now)
+        return self.apply(messages.Rumor(Liveness.ALIVE, info), now, True)
 
     def judge(self, name: str, liveness: Liveness, now: float) -> bool:
         """This process sees another one so; True when that is news."""
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -278,12 +278,15 @@
         boot: Boot of the sender of the request.
         seq: Its number there.
         to_boot: Boot of the guard that the request was sent to.
+        to: Name of that guard's process where the receiver is to pass the
+            question on, as the sender's own path is silent; else empty.
     """
 
     id: int
     boot: int
     seq: int
     to_boot: int
+    to: str = ""
 
 
 class Fenced(_Wire, tag=10):
@@ -574,6 +577,18 @@
     packed: bytes
 
 
+class LeavingTargets(_Wire, tag=51):
+    """Reminds a process that started again of targets it had let go.
+
+    Attributes:
+        sender: Who remembers.
+        names: Names of targets that its earlier run had said are leaving.
+    """
+
+    sender: Sender
+    names: tuple[str, ...]
+
+
 class PromiseRequest(_Wire, tag=45):
     """Asks a successor not to take a lease over for a while.
 
@@ -659,6 +674,7 @@
     | PermitReply
     | PermitReturn
     | CatalogOffer
+    | LeavingTargets
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/forklift/paths.py
+++ b/forklift/paths.py
@@ -5,9 +5,10 @@
 when the process is heard; beats ask for that, so no request is spent on it.
 """
 
-# Seconds without a sign that condemn a path. Beats ask every 0.2 s while
-# something is owed, so this is two lost beats and the way back.
-SILENCE = 0.6
+# Seconds without a sign that condemn a path. Beats ask every 0.1 s while
+# something is owed, so this is three beats without an echo; the way there and
+# back takes milliseconds within a region.
+SILENCE = 0.35
 # First pause before an avoided path is asked for a sign, and the longest.
 AVOID_FIRST = 0.25
 AVOID_MOST = 1.0
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import itertools
+import random
 
 import structlog
 
@@ -32,6 +33,8 @@
 # Part of its time after which a request that must not repeat takes a doubted
 # target rather than none: waiting longer leaves no time for an answer.
 INSIST_SHARE = 0.3
+# Other processes that are asked to reach a guard when the own path is silent.
+RELAYS = 2
 # Seconds after which to come back when no target was free.
 RETRY_AFTER = 0.5
 # Answers up to this size are held until whole, bytes.
@@ -80,7 +83,9 @@
         links: linking.Links,
         program,
         clock,
+        rng: random.Random,
     ):
+        self._rng = rng
         self._name = name
         self._boot = boot
         self._chooser = chooser
@@ -310,25 +315,91 @@
         to_boot = link.peer.boot
         try:
             async with asyncio.timeout(remaining + DEADLINE_GRACE):
-                result = await link.ask(start, request, sink)
+                if request.repeatable:
+                    return await link.ask(start, request, sink)
+                return await self._ask_once(link, start, request, sink)
         except TimeoutError:
             result = exchange.unknown(Reason.TIMEOUT)
-        lost = result.ending.reason in (Reason.PEER_LOST, Reason.TIMEOUT)
-        unknown = result.ending.outcome is Outcome.UNKNOWN
-        if not (lost and unknown) or request.repeatable or sink.begun:
+        if request.repeatable or sink.begun:
             return result
         if await self._fence(choice.process, seq, to_boot):
             return exchange.not_run(Reason.FENCED, 0.0, result.load)
         return result
 
+    async def _ask_once(
+        self,
+        link: peers.Link,
+        start: messages.RequestStart,
+        request: exchange.Request,
+        sink: exchange.Sink,
+    ) -> exchange.Result:
+        """Sends what must not repeat; asks around where its path is silent.
+
+        Another process may still reach the guard, and the guard's word that
+        the request never starts lets it go elsewhere in time.
+        """
+        process = link.peer.name
+        answer = asyncio.create_task(link.ask(start, request, sink))
+        silence = asyncio.create_task(link.silenced.wait())
+        try:
+            await asyncio.wait(
+                (answer, silence), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not answer.done() and not sink.begun:
+                around = self._fence_around(process, start.seq, link.peer.boot)
+                if await around and not sink.begun:
+                    return exchange.not_run(Reason.FENCED)
+            result = await answer
+        finally:
+            silence.cancel()
+            answer.cancel()
+        lost = result.ending.reason is Reason.PEER_LOST
+        unknown = result.ending.outcome is Outcome.UNKNOWN
+        if not (lost and unknown) or sink.begun:
+            return result
+        if await self._fence(process, start.seq, link.peer.boot):
+            return exchange.not_run(Reason.FENCED, 0.0, result.load)
+        return result
+
     async def _fence(self, process: str, seq: int, to_boot: int) -> bool:
         """Asks the guard for proof that a request never starts."""
         try:
             link = await self._links.get(process)
         except errors.PeerUnreachable:
-            return False
+            return await self._fence_around(process, seq, to_boot)
         return await link.fence(self._boot, seq, to_boot)
 
+    async def _fence_around(self, process: str, seq: int, to_boot: int) -> bool:
+        """Asks the guard through others, as the own path is silent."""
+        names = self._links.others(process)
+        chosen = self._rng.sample(names, min(RELAYS, len(names)))
+        asked = [self._relayed(name, process, seq, to_boot) for name in chosen]
+        for answer in asyncio.as_completed(asked):
+            if await answer:
+                _log.info("fenced_around", process=process, seq=seq)
+                return True
+        return False
+
+    async def _relayed(
+        self, relay: str, process: str, seq: int, to_boot: int
+    ) -> bool:
+        try:
+            link = await self._links.get(relay)
+        except errors.PeerUnreachable:
+            return False
+        return await link.fence(self._boot, seq, to_boot, process)
+
+    async def relay(self, fence: messages.Fence) -> bool:
+        """Passes another entry's question on to a guard."""
+        if fence.to == self._name:
+            own = fence.to_boot == self._boot
+            return own and self._beside.fence((fence.boot, fence.seq))
+        try:
+            link = await self._links.get(fence.to)
+        except errors.PeerUnreachable:
+            return False
+        return await link.fence(fence.boot, fence.seq, fence.to_boot)
+
 
 def _start(
     link: peers.Link,
--- a/forklift/shell/links.py
+++ b/forklift/shell/links.py
@@ -93,6 +93,14 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def others(self, process: str) -> list[str]:
+        """Processes that are connected, other than one, and not silent."""
+        return [
+            name
+            for name, link in self.link_by_process.items()
+            if name != process and not link.lost and not link.silenced.is_set()
+        ]
+
     def close(self) -> None:
         """Closes all connections."""
         for link in self.link_by_process.values():
--- a/forklift/shell/peers.py
+++ b/forklift/shell/peers.py
@@ -62,6 +62,8 @@
         self.on_standing: Callable[[messages.Standing], None] = (
             lambda standing: None
         )
+        # Set while the path is condemned.
+        self.silenced = asyncio.Event()
         self.incarnation = 0
         self.waiting = 0
         frames.on_frame = self._frame
@@ -115,13 +117,22 @@
         """A stream number never used before on this connection."""
         return next(self._ids)
 
-    async def fence(self, boot: int, seq: int, to_boot: int) -> bool:
-        """Asks that a request never starts; True when that is certain."""
+    async def fence(
+        self, boot: int, seq: int, to_boot: int, to: str = ""
+    ) -> bool:
+        """Asks that a request never starts; True when that is certain.
+
+        Args:
+            boot: Boot of the sender of the request.
+            seq: Its number there.
+            to_boot: Boot of the guard that the request was sent to.
+            to: Process of that guard where it is not this peer.
+        """
         stream = self.next_id()
         future = asyncio.get_running_loop().create_future()
         self._fence_by_id[stream] = future
         try:
-            self._frames.send(messages.Fence(stream, boot, seq, to_boot))
+            self._frames.send(messages.Fence(stream, boot, seq, to_boot, to))
             async with asyncio.timeout(FENCE_TIMEOUT):
                 return await future
         except (TimeoutError, wire.Lost):
@@ -139,6 +150,7 @@
 
         What may not is left where it is; its answer can still come.
         """
+        self.silenced.set()
         for asked in self._asked_by_id.values():
             if asked.repeatable:
                 self._break(asked)
@@ -206,6 +218,7 @@
             return
         if not self.proven:
             raise messages.Malformed("a frame before the proof of the key")
+        self.silenced.clear()
         self.on_sign()
         if isinstance(frame, messages.AnswerStart):
             self._head(frame)
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -43,7 +43,7 @@
 
 TICK = 0.05
 # Ticks between beats on links, and between checks that can wait.
-BEAT_EVERY = 4
+BEAT_EVERY = 2
 SLOW_EVERY = 10
 # Seconds between two offers of the configuration to one peer, and the age
 # from which a version is offered: younger ones peers read themselves.
@@ -92,6 +92,8 @@
         self._left: set[str] = set()
         self._sequence = announcement.Sequence()
         self._offered_at_by_name: dict[str, float] = {}
+        # Targets that an earlier run of a process had let go.
+        self._leaving_by_process: dict[str, tuple[str, ...]] = {}
         self._started_at = self.clock.monotonic()
         self._last_tick = self._started_at
         self.incarnation = 1
@@ -139,6 +141,7 @@
             self.links,
             self.program,
             self.clock,
+            self._rng,
         )
         self.ingress = ingress.Ingress(
             ingress.Desk(
@@ -418,6 +421,12 @@
             if message.version > self.in_force.catalog.version:
                 self._record(zlib.decompress(message.packed), "peer")
             return
+        if isinstance(message, messages.LeavingTargets):
+            for name in message.names:
+                self.left(name)
+            return
+        if isinstance(message.sender, messages.ProcessInfo):
+            self._remind(message.sender)
         self._send(self.gossip.receive(message, now))
         sender = message.sender
         if isinstance(sender, messages.ProcessInfo):
@@ -425,6 +434,26 @@
             self._offer(sender, now)
         self._learn()
 
+    def _remind(self, peer: messages.ProcessInfo) -> None:
+        """Tells a process that started again which targets it had let go."""
+        known = self.directory.member_by_name.get(peer.name)
+        if known is not None and known.info.boot != peer.boot:
+            leaving = tuple(
+                target.name
+                for target in known.info.targets
+                if target.state in (State.DRAINING, State.LEFT)
+            )
+            if leaving:
+                self._leaving_by_process[peer.name] = leaving
+        names = self._leaving_by_process.get(peer.name, ())
+        held = {target.name for target in peer.targets}
+        if known is None or known.info.boot == peer.boot:
+            names = tuple(name for name in names if name in held)
+        if names:
+            sender = messages.sender(self.directory.own)
+            reminder = messages.LeavingTargets(sender, names)
+            self.control.send(peer.control, reminder)
+
     def _offer(self, peer: messages.ProcessInfo, now: float) -> None:
         """Hands the configuration to a peer that is behind."""
         current = self.in_force.catalog
@@ -462,7 +491,6 @@
         targets = tuple(
             self._info(site.gate)
             for site in self.beside.site_by_target.values()
-            if site.gate.state is not State.LEFT
         )
         if targets == self.directory.own.targets:
             return False
@@ -550,6 +578,7 @@
             self._serve_peer,
             self._fence,
             lambda: _log.warning("peer_refused", peer=frames.peer),
+            self.forwarder.relay,
         )
         lost = frames.on_lost
 
--- a/forklift/shell/served.py
+++ b/forklift/shell/served.py
@@ -62,7 +62,9 @@
         handler: Handler,
         fence: Callable[[messages.Fence], bool],
         on_refused: Callable[[], None],
+        relay: Callable[[messages.Fence], Awaitable[bool]] | None = None,
     ):
+        self._relay = relay
         self._frames = frames
         self._own = own()
         self._current = own
@@ -73,6 +75,7 @@
         self._task_by_id: dict[int, asyncio.Task] = {}
         self._answerer_by_id: dict[int, Answerer] = {}
         self._pieces_by_id: dict[int, exchange.Pieces] = {}
+        self._relays: set[asyncio.Task] = set()
         self.peer: messages.Hello | None = None
         self.proven = False
         frames.on_frame = self._frame
@@ -120,8 +123,23 @@
         elif isinstance(frame, messages.Beat) and not frame.echo:
             self._frames.send(messages.Beat(frame.number, True))
         elif isinstance(frame, messages.Fence):
-            not_run = self._fence(frame)
-            self._frames.send(messages.Fenced(frame.id, not_run))
+            self._answer_fence(frame)
+
+    def _answer_fence(self, fence: messages.Fence) -> None:
+        if not fence.to:
+            not_run = self._fence(fence)
+            self._frames.send(messages.Fenced(fence.id, not_run))
+        elif self._relay is not None:
+            task = asyncio.get_running_loop().create_task(
+                self._relay_fence(fence)
+            )
+            self._relays.add(task)
+            task.add_done_callback(self._relays.discard)
+
+    async def _relay_fence(self, fence: messages.Fence) -> None:
+        not_run = await self._relay(fence)
+        if not self._frames.lost:
+            self._frames.send(messages.Fenced(fence.id, not_run))
 
     def _proof(self, proof: messages.Proof) -> None:
         if self.peer is None:
--- a/forklift_lab/store.py
+++ b/forklift_lab/store.py
@@ -69,9 +69,9 @@
 
 
 def split_key(record: bytes) -> tuple[str, bytes]:
-    """Splits a record of a keyed topic into key and value.
+    r"""Splits a record of a keyed topic into key and value.
 
-    >>> split_key(b"\\x01kvalue")
+    >>> split_key(b"\x01kvalue")
     ('k', b'value')
     """
     end = 1 + record[0]
