--- /dev/null
+++ b/forklift_lab/scripted.py
@@ -0,0 +1,232 @@
+"""A target that answers as a script says, byte by byte.
+
+Each fault of a target that callers must not notice is one entry of a
+registry; the script names the fault of each request in turn.
+"""
+
+import asyncio
+import re
+import socket
+import struct
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from forklift import dialect as dialects
+from forklift.shell import wire
+
+BODY = b"the whole answer"
+_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
+_END = b"\r\n\r\n"
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class Received:
+    """One request as it arrived.
+
+    Attributes:
+        head: Its head, up to the empty line.
+        body: Its body.
+        connection: Number of the connection it came on.
+    """
+
+    def __init__(self, head: bytes, body: bytes, connection: int):
+        self.head = head
+        self.body = body
+        self.connection = connection
+
+    def field(self, name: bytes) -> bytes:
+        """The value of a header field, empty where there is none."""
+        pattern = rb"\r\n" + re.escape(name) + rb": *([^\r]*)"
+        found = re.search(pattern, self.head, re.IGNORECASE)
+        return found[1] if found else b""
+
+
+class Connection:
+    """One connection of the scripted target."""
+
+    def __init__(self, number: int, reader, writer, names: dialects.Dialect):
+        self.number = number
+        self.reader = reader
+        self.writer = writer
+        self.names = names
+
+    async def read(self) -> Received | None:
+        """The next request; None at the end of the connection."""
+        try:
+            head = await self.reader.readuntil(_END)
+            found = _LENGTH.search(head)
+            size = int(found[1]) if found else 0
+            body = await self.reader.readexactly(size)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        return Received(head, body, self.number)
+
+    def answer(
+        self,
+        received: Received,
+        status: int = 200,
+        body: bytes = BODY,
+        fields: tuple[bytes, ...] = (),
+        request_id: bytes | None = None,
+        framed: bool = True,
+    ) -> bytes:
+        """The bytes of an answer."""
+        own = received.field(self.names.request_id)
+        lines = [
+            b"HTTP/1.1 %d X" % status,
+            self.names.request_id + b": " + (request_id or own),
+            self.names.signature + b": signed",
+            *fields,
+        ]
+        if framed:
+            lines.append(b"content-length: %d" % len(body))
+        return b"\r\n".join(lines) + _END + body
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes."""
+        self.writer.write(data)
+
+    def reset(self) -> None:
+        """Ends the connection so that the other side sees a reset."""
+        end = self.writer.get_extra_info("socket")
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.writer.transport.abort()
+
+    def end(self) -> None:
+        """Ends the connection after what was sent."""
+        self.writer.close()
+
+
+Fault = Callable[[Connection, Received], Awaitable[None]]
+fault_by_name: dict[str, Fault] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Registers a way to answer."""
+
+    def register(function: Fault) -> Fault:
+        fault_by_name[name] = function
+        return function
+
+    return register
+
+
+@fault("well")
+async def _well(connection: Connection, received: Received) -> None:
+    connection.send(connection.answer(received))
+
+
+@fault("error")
+async def _error(connection: Connection, received: Received) -> None:
+    connection.send(connection.answer(received, 500))
+
+
+@fault("reset")
+async def _reset(connection: Connection, received: Received) -> None:
+    connection.reset()
+
+
+@fault("close")
+async def _close(connection: Connection, received: Received) -> None:
+    connection.end()
+
+
+@fault("garbage")
+async def _garbage(connection: Connection, received: Received) -> None:
+    connection.send(b"\x16\x03\x01 no answer\r\n\r\n")
+
+
+@fault("short")
+async def _short(connection: Connection, received: Received) -> None:
+    connection.send(connection.answer(received)[: -len(BODY) // 2])
+    connection.end()
+
+
+@fault("unframed")
+async def _unframed(connection: Connection, received: Received) -> None:
+    connection.send(connection.answer(received, framed=False))
+    connection.end()
+
+
+@fault("unframed-reset")
+async def _unframed_reset(connection: Connection, received: Received) -> None:
+    connection.send(connection.answer(received, framed=False))
+    await connection.writer.drain()
+    connection.reset()
+
+
+@fault("stray-before")
+async def _stray_before(connection: Connection, received: Received) -> None:
+    stray = connection.answer(received, 200, b"stray", request_id=b"other")
+    connection.send(stray + connection.answer(received))
+
+
+@fault("extra-after")
+async def _extra_after(connection: Connection, received: Received) -> None:
+    answer = connection.answer(received)
+    connection.send(answer + answer)
+
+
+@fault("refuse")
+async def _refuse(connection: Connection, received: Received) -> None:
+    fields = (connection.names.not_run + b": 1",)
+    connection.send(connection.answer(received, 503, b"", fields))
+
+
+@fault("misdirected")
+async def _misdirected(connection: Connection, received: Received) -> None:
+    connection.send(connection.answer(received, 421, b""))
+
+
+@fault("closing")
+async def _closing(connection: Connection, received: Received) -> None:
+    fields = (b"connection: close",)
+    connection.send(connection.answer(received, fields=fields))
+    connection.end()
+
+
+@fault("hang")
+async def _hang(connection: Connection, received: Received) -> None:
+    await connection.reader.read()
+
+
+class ScriptedTarget:
+    """A target that answers as its script says, then well."""
+
+    def __init__(self, *script: str, names: dialects.Dialect = dialects.OWN):
+        self.script = list(script)
+        self.names = names
+        self.received: list[Received] = []
+        self.connections = 0
+        self.hung_up = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> "ScriptedTarget":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = wire.bound_address(self._server)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self.connections += 1
+        connection = Connection(self.connections, reader, writer, self.names)
+        try:
+            while not writer.is_closing():
+                received = await connection.read()
+                if received is None:
+                    break
+                self.received.append(received)
+                name = self.script.pop(0) if self.script else "well"
+                await fault_by_name[name](connection, received)
+        finally:
+            self.hung_up += 1
+            writer.close()
--- /dev/null
+++ b/test/test_ingress.py
@@ -0,0 +1,296 @@
+"""Callers: requests sent ahead, hang-ups, bounds, final answers."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from forklift import catalog
+from forklift import dialect
+from forklift import messages
+from forklift.shell import exchange
+from forklift.shell import ingress
+from forklift.shell import wire
+from test import helper
+
+LIMITS = catalog.CallerLimits(1024, 100, 10.0, 10.0)
+ROUTE = catalog.Route(
+    "r", "h", "/a/", (catalog.Share("s", 1.0),), True, 5.0, 1.0, 0, 2
+)
+
+
+class Rig:
+    """An ingress whose requests are answered by the test."""
+
+    def __init__(self, known: bool = True):
+        self.known = known
+        self.limits = LIMITS
+        self.requests: list[exchange.Request] = []
+        self.gates: dict[str, asyncio.Future] = {}
+        self.cancelled: list[str] = []
+        self.clock = helper.FakeClock()
+        self.ingress = ingress.Ingress(
+            ingress.Desk(
+                dialect=dialect.OWN,
+                limits=lambda: self.limits,
+                find=self._find,
+                known=lambda: self.known,
+                handle=self._handle,
+                next_seq=lambda: 1,
+                on_result=lambda *_: None,
+                origin=lambda: "beside",
+            ),
+            10,
+            self.clock,
+        )
+
+    async def __aenter__(self) -> "Rig":
+        self._server = await wire.listen("127.0.0.1:0", self.ingress.accept)
+        host, port = wire.split_address(wire.bound_address(self._server))
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.writer.close()
+        self._server.close()
+
+    def send(self, *paths: str, extra: str = "", body: str = "") -> None:
+        for path in paths:
+            self.writer.write(
+                f"GET {path} HTTP/1.1\r\nhost: h\r\n"
+                f"x-request-id: id{path}\r\n{extra}\r\n{body}".encode()
+            )
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        fields = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+        size = int(fields["content-length"])
+        body = await self.reader.readexactly(size)
+        return int(lines[0].split()[1]), fields, body
+
+    async def arrived(self, count: int) -> None:
+        await helper.until(lambda: len(self.requests) >= count)
+
+    def let(self, path: str) -> None:
+        self.gates[path].set_result(None)
+
+    def _find(self, host: str, path: str) -> ingress.Found | None:
+        return ingress.Found(ROUTE, "s") if path.startswith("/a/") else None
+
+    async def _handle(self, request, sink) -> exchange.Result:
+        path = request.path.decode()
+        self.requests.append(request)
+        gate = asyncio.get_running_loop().create_future()
+        self.gates[path] = gate
+        try:
+            await gate
+        except asyncio.CancelledError:
+            self.cancelled.append(path)
+            raise
+        body = path.encode()
+        await sink.start(exchange.Head(200, (), len(body)))
+        await sink.data(body)
+        await sink.end()
+        return exchange.answered(200, "t")
+
+
+def play(work, **changes):
+    async def run():
+        async with Rig(**changes) as rig:
+            await work(rig)
+
+    helper.run(run())
+
+
+def test_requests_sent_ahead_run_at_once_and_are_answered_in_order():
+    async def work(rig):
+        rig.send("/a/1", "/a/2", "/a/3")
+        await rig.arrived(3)
+        for path in ("/a/3", "/a/2", "/a/1"):
+            rig.let(path)
+        for path in (b"/a/1", b"/a/2", b"/a/3"):
+            status, _, body = await rig.answer()
+            assert (status, body) == (200, path)
+
+    play(work)
+
+
+def test_a_request_is_passed_on_as_it_came():
+    async def work(rig):
+        forged = "x-origin-service: forged\r\nx-expected-target: forged\r\n"
+        hop = "connection: x-hop\r\nx-hop: 1\r\nx-kept: 2\r\n"
+        deadline = "x-request-timeout-ms: 1500\r\n"
+        rig.send("/a/b?c=%20d", extra=forged + hop + deadline)
+        await rig.arrived(1)
+        request = rig.requests[0]
+        fields = dict(request.headers)
+        assert request.path == b"/a/b?c=%20d"
+        assert request.id == "id/a/b?c=%20d"
+        assert fields[b"x-request-id"] == b"id/a/b?c=%20d"
+        assert fields[b"x-kept"] == b"2"
+        assert b"x-hop" not in fields
+        assert b"x-origin-service" not in fields
+        assert b"x-expected-target" not in fields
+        assert request.origin == "beside"
+        assert request.deadline == rig.clock.now + 1.5
+
+    play(work)
+
+
+def test_a_route_bounds_the_deadline():
+    async def work(rig):
+        rig.send("/a/1", extra="x-request-timeout-ms: 60000\r\n")
+        await rig.arrived(1)
+        assert rig.requests[0].deadline == rig.clock.now + ROUTE.timeout
+
+    play(work)
+
+
+def test_a_hang_up_cancels_all_requests_of_the_connection():
+    async def work(rig):
+        rig.send("/a/1", "/a/2")
+        await rig.arrived(2)
+        rig.writer.close()
+        await helper.until(lambda: len(rig.cancelled) == 2)
+
+    play(work)
+
+
+def test_no_route_is_404_and_the_connection_stays():
+    async def work(rig):
+        rig.send("/b/")
+        assert (await rig.answer())[0] == 404
+        rig.send("/a/1")
+        await rig.arrived(1)
+
+    play(work)
+
+
+def test_no_configuration_is_503_with_retry_after():
+    async def work(rig):
+        rig.send("/b/")
+        status, fields, _ = await rig.answer()
+        assert status == 503
+        assert float(fields["retry-after"]) > 0
+
+    play(work, known=False)
+
+
+@pytest.mark.parametrize(
+    ("extra", "status"),
+    [
+        (f"x-large: {'x' * 2000}\r\n", 431),
+        ("content-length: 101\r\n", 413),
+        ("transfer-encoding: chunked\r\ncontent-length: 4\r\n", 400),
+        ("x-request-timeout-ms: soon\r\n", 400),
+    ],
+)
+def test_what_is_out_of_bounds_is_refused_and_the_connection_closed(
+    extra, status
+):
+    async def work(rig):
+        rig.send("/a/1", extra=extra)
+        found, fields, _ = await rig.answer()
+        assert found == status
+        assert fields["connection"] == "close"
+        assert await rig.reader.read() == b""
+        assert rig.requests == []
+
+    play(work)
+
+
+def test_a_head_that_takes_too_long_is_408():
+    async def work(rig):
+        rig.writer.write(b"GET /a/1 HTTP/1.1\r\n")
+        await helper.until(
+            lambda: any(s._head_since for s in rig.ingress._sessions)
+        )
+        rig.ingress.tick(rig.clock.now + LIMITS.head + 1)
+        assert (await rig.answer())[0] == 408
+        assert await rig.reader.read() == b""
+
+    play(work)
+
+
+def test_the_idle_bound_in_force_holds_for_kept_connections():
+    async def work(rig):
+        await helper.until(lambda: rig.ingress.connections == 1)
+        rig.clock.now += 5.0
+        rig.ingress.tick(rig.clock.now)
+        assert rig.ingress.connections == 1
+        rig.limits = dataclasses.replace(LIMITS, idle=3.0)
+        rig.ingress.tick(rig.clock.now)
+        assert await rig.reader.read() == b""
+
+    play(work)
+
+
+def test_a_connection_with_a_request_is_not_idle():
+    async def work(rig):
+        rig.send("/a/1")
+        await rig.arrived(1)
+        rig.clock.now += 100.0
+        rig.ingress.tick(rig.clock.now)
+        rig.let("/a/1")
+        assert (await rig.answer())[0] == 200
+
+    play(work)
+
+
+def test_stopping_answers_what_was_read_and_then_closes():
+    async def work(rig):
+        rig.send("/a/1", "/a/2")
+        await rig.arrived(2)
+        rig.ingress.stopping = True
+        rig.let("/a/1")
+        rig.let("/a/2")
+        _, first, _ = await rig.answer()
+        _, second, _ = await rig.answer()
+        assert "connection" not in first
+        assert second["connection"] == "close"
+        assert await rig.reader.read() == b""
+
+    play(work)
+
+
+def test_a_large_body_is_passed_on_as_it_is_taken():
+    async def work(rig):
+        rig.limits = dataclasses.replace(LIMITS, body_bytes=1_000_000)
+        size = 3 * exchange.INLINE_BYTES
+        rig.send("/a/1", extra=f"content-length: {size}\r\n", body="x" * size)
+        await rig.arrived(1)
+        body = rig.requests[0].body
+        assert not body.complete
+        taken = b"".join([piece async for piece in body.pieces()])
+        assert len(taken) == size
+        rig.let("/a/1")
+        assert (await rig.answer())[0] == 200
+        rig.send("/a/2")
+        await rig.arrived(2)
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [(messages.Outcome.NOT_RUN, 503), (messages.Outcome.UNKNOWN, 502)],
+)
+def test_only_what_has_not_run_is_told_to_come_back(outcome, status):
+    async def work(rig):
+        result = exchange.not_run(messages.Reason.BUSY, 0.25)
+        if outcome is messages.Outcome.UNKNOWN:
+            result = exchange.unknown(messages.Reason.BUSY)
+
+        async def handle(request, sink):
+            return result
+
+        rig.ingress.desk = dataclasses.replace(rig.ingress.desk, handle=handle)
+        for session in rig.ingress._sessions:
+            session._desk = rig.ingress.desk
+        rig.send("/a/1")
+        found, fields, _ = await rig.answer()
+        assert found == status
+        assert ("retry-after" in fields) == (status == 503)
+
+    play(work)
