--- a/forklift/shell/control.py
+++ b/forklift/shell/control.py
@@ -65,14 +65,20 @@
         self.refused = 0
 
     def open(self) -> None:
-        """Listens.
+        """Listens; port 0 lets the system choose one.
 
         Raises:
             pynng.AddressInUse: The address is taken.
         """
-        self._pull.listen(f"tcp://{self._address}")
+        listener = self._pull.listen(f"tcp://{self._address}")
+        self._address = str(listener.local_address)
         self._task = asyncio.create_task(self._receive())
 
+    @property
+    def address(self) -> str:
+        """Where it listens, once it does."""
+        return self._address
+
     async def close(self) -> None:
         """Closes all sockets; nng aborts if a receive outlives them."""
         self._closed = True
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -193,12 +193,22 @@
             raise errors.UserError(
                 f"can't listen ({error}); check the addresses in [process]"
             ) from error
+        # Port 0 lets the system choose, and others must be told which.
+        self.directory.update_own(
+            peer=wire.bound_address(self._servers[1]),
+            control=self.control.address,
+        )
         follower = registry.Follower(self._store, self._rng, self._record)
         self.spawn(follower.run())
         self.spawn(self._meet())
         self.spawn(self._tick_for_ever())
         _log.info("started", process=own.name, boot=self.boot)
 
+    @property
+    def caller_address(self) -> str:
+        """Where callers are listened for, once that began."""
+        return wire.bound_address(self._servers[0])
+
     async def stop(self) -> None:
         """Stops as planned: nothing in flight is cut off."""
         now = self.clock.monotonic()
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -44,7 +44,15 @@
 class Connection:
     """One connection of the scripted target."""
 
-    def __init__(self, number: int, reader, writer, names: dialects.Dialect):
+    def __init__(
+        self,
+        number: int,
+        reader,
+        writer,
+        names: dialects.Dialect,
+        release: asyncio.Event,
+    ):
+        self.release = release
         self.number = number
         self.reader = reader
         self.writer = writer
@@ -190,6 +198,12 @@
     await connection.reader.read()
 
 
+@fault("hold")
+async def _hold(connection: Connection, received: Received) -> None:
+    await connection.release.wait()
+    connection.send(connection.answer(received))
+
+
 class ScriptedTarget:
     """A target that answers as its script says, then well."""
 
@@ -199,6 +213,8 @@
         self.received: list[Received] = []
         self.connections = 0
         self.hung_up = 0
+        # Lets requests go that are held.
+        self.release = asyncio.Event()
         self.address = ""
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -218,7 +234,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self.connections += 1
-        connection = Connection(self.connections, reader, writer, self.names)
+        connection = Connection(
+            self.connections, reader, writer, self.names, self.release
+        )
         try:
             while not writer.is_closing():
                 received = await connection.read()
--- /dev/null
+++ b/test/test_proxy.py
@@ -0,0 +1,333 @@
+"""Whole processes on a stand-in of the platform, over real sockets."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from forklift import announcement
+from forklift import dialect
+from forklift import messages
+from forklift import settings
+from forklift.platform import store as adapter
+from forklift.shell import client
+from forklift.shell import proxy
+from forklift.shell import registry
+from forklift.shell import server
+from forklift_lab import scripted
+from forklift_lab import store as standin
+from test import helper
+
+State = messages.TargetState
+ANY = "127.0.0.1:0"
+
+
+def route(kind: str = "idempotent", **changes) -> dict:
+    return {
+        "host": "h",
+        "path-prefix": "/a/",
+        "kind": kind,
+        "service": "s",
+        "timeout-ms": 5000,
+        "retry-attempts": 2,
+        **changes,
+    }
+
+
+def record(version: int, **routes: dict) -> dict:
+    routes = routes or {"r": route()}
+    return {"version": version, "routes": routes, "services": {"s": {}}}
+
+
+class Fleet:
+    """Processes, each beside a scripted target, and a store."""
+
+    def __init__(self, scripts: list[list[str]], first: dict | None = None):
+        self.scripts = scripts
+        self.first = record(1) if first is None else first
+        self.store = standin.Store()
+        self.proxies: list[proxy.Proxy] = []
+        self.targets: list[scripted.ScriptedTarget] = []
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "Fleet":
+        self.server = server.Server(self.store.handle)
+        await self.server.open(ANY)
+        if self.first:
+            self.store.configure(self.first)
+        for number, script in enumerate(self.scripts):
+            target = scripted.ScriptedTarget(*script)
+            self.targets.append(await self._stack.enter_async_context(target))
+            await self.start(number)
+        if self.first:
+            await helper.until(self.meets)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for one in self.proxies:
+            await one.close()
+        await self._stack.aclose()
+        self.server.abort()
+
+    async def start(self, number: int) -> proxy.Proxy:
+        process = settings.Process(f"p{number}", "d", ANY, ANY, ANY, ANY)
+        platform = settings.Platform(
+            self.server.address, ANY, ANY, service=f"beside-{number}"
+        )
+        read = settings.Settings(
+            process,
+            None,
+            settings.Limits(),
+            platform,
+            settings.Budget(1.0, 10.0, 100.0),
+        )
+        store = adapter.Store(self.server.address)
+        one = proxy.Proxy(read, store, adapter.decode, dialect.OWN)
+        await one.start()
+        self.proxies.append(one)
+        self.announce(one, number)
+        return one
+
+    def announce(self, one: proxy.Proxy, number: int, **changes) -> None:
+        said = announcement.Announcement(
+            f"t{number}", "s", self.targets[number].address, "d", 4, False, 1
+        )
+        one.seen(dataclasses.replace(said, **changes))
+
+    def meets(self) -> bool:
+        return all(
+            one.in_force.known
+            and len(one.chooser.views("s")) == len(self.targets)
+            for one in self.proxies
+        )
+
+    async def ask(self, number: int = 0, path: str = "/a/") -> client.Response:
+        asker = client.Client(self.proxies[number].caller_address)
+        try:
+            return await asker.request("GET", path, host="h", timeout=30.0)
+        finally:
+            asker.close()
+
+    def runs(self) -> int:
+        return sum(len(target.received) for target in self.targets)
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    """Pauses that only tests need shorter."""
+    monkeypatch.setattr(registry, "SETTLE", 0.05)
+    monkeypatch.setattr(registry, "PAUSE_FIRST", 0.05)
+    monkeypatch.setattr(proxy, "LAME_DUCK", 0.2)
+
+
+def play(work, scripts, **changes):
+    async def run():
+        async with Fleet(scripts, **changes) as fleet:
+            await work(fleet)
+
+    helper.run(run())
+
+
+def test_a_request_is_served_by_any_process():
+    async def work(fleet):
+        for number in range(3):
+            answer = await fleet.ask(number)
+            assert (answer.status, answer.body) == (200, scripted.BODY)
+        origins = {
+            received.field(dialect.OWN.origin)
+            for target in fleet.targets
+            for received in target.received
+        }
+        assert origins == {b"beside-0", b"beside-1", b"beside-2"}
+
+    play(work, [[], [], []])
+
+
+@pytest.mark.parametrize("fault", ["reset", "error", "garbage", "refuse"])
+def test_repeatable_work_goes_to_another_target(fault):
+    async def work(fleet):
+        answer = await fleet.ask()
+        assert answer.status == 200
+        assert fleet.runs() == 2
+
+    play(work, [[fault]] + [[]] if fault == "refuse" else [[fault], []])
+
+
+@pytest.mark.parametrize("fault", ["reset", "garbage", "close"])
+def test_work_that_must_not_repeat_runs_once_and_ends_unknown(fault):
+    async def work(fleet):
+        answer = await fleet.ask()
+        assert answer.status == 502
+        assert fleet.runs() == 1
+
+    first = record(1, r=route("non_idempotent"))
+    play(work, [[fault], [fault]], first=first)
+
+
+def test_work_that_must_not_repeat_moves_on_after_a_true_refusal():
+    async def work(fleet):
+        answer = await fleet.ask()
+        assert answer.status == 200
+        assert fleet.runs() == 2
+
+    first = record(1, r=route("non_idempotent"))
+    play(work, [["refuse"], []], first=first)
+
+
+def test_a_draining_target_takes_no_new_work():
+    async def work(fleet):
+        fleet.announce(fleet.proxies[0], 0, leaving=True, sequence=2)
+        # A late heartbeat from before changes nothing.
+        fleet.announce(fleet.proxies[0], 0, leaving=False, sequence=1)
+        for _ in range(5):
+            assert (await fleet.ask(0)).status == 200
+            assert (await fleet.ask(1)).status == 200
+        assert fleet.targets[0].received == []
+
+    play(work, [[], []])
+
+
+def test_a_target_that_left_is_not_taken_back():
+    async def work(fleet):
+        fleet.proxies[0].left("t0")
+        fleet.announce(fleet.proxies[0], 0, sequence=5)
+        assert (await fleet.ask(0)).status == 200
+        assert fleet.targets[0].received == []
+
+    play(work, [[], []])
+
+
+def test_a_planned_stop_cuts_nothing_off():
+    async def work(fleet):
+        for target in fleet.targets:
+            target.script.append("hold")
+        asked = asyncio.create_task(fleet.ask(0))
+        await helper.until(lambda: fleet.runs() == 1)
+        stopping = asyncio.create_task(fleet.proxies[0].stop())
+        await helper.until(lambda: fleet.proxies[0].stopping)
+        assert not fleet.proxies[0].ready()
+        for target in fleet.targets:
+            target.release.set()
+        assert (await asked).status == 200
+        await stopping
+        # The other one serves on and sends nothing to the one that stopped.
+        answers = [await fleet.ask(1) for _ in range(3)]
+        assert [answer.status for answer in answers] == [200] * 3
+
+    first = record(1, r=route(**{"timeout-ms": 60000}))
+    play(work, [[], []], first=first)
+
+
+def test_a_process_without_configuration_is_not_ready_and_says_so():
+    async def work(fleet):
+        assert not fleet.proxies[0].ready()
+        assert (await fleet.ask()).status == 503
+
+    play(work, [[]], first={})
+
+
+def test_a_change_is_in_force_everywhere_and_none_goes_back():
+    async def work(fleet):
+        fleet.store.configure(record(5, r=route(**{"path-prefix": "/b/"})))
+        await helper.until(
+            lambda: all(
+                one.in_force.catalog.version == 5 for one in fleet.proxies
+            )
+        )
+        fleet.store.configure(record(4))
+        fleet.store.configure({"version": 6, "routes": {"r": {}}})
+        fleet.store.configure(record(7, r=route(**{"path-prefix": "/c/"})))
+        await helper.until(
+            lambda: all(
+                one.in_force.catalog.version == 7 for one in fleet.proxies
+            )
+        )
+        assert (await fleet.ask(0, "/a/")).status == 404
+        assert (await fleet.ask(0, "/c/")).status == 200
+
+    play(work, [[], []])
+
+
+def test_one_that_starts_while_the_store_is_away_is_met_by_its_peers():
+    async def work(fleet):
+        old = fleet.proxies.pop(0)
+        own = old.settings.process
+        fixed = dataclasses.replace(
+            own, peer=old.directory.own.peer, control=old.directory.own.control
+        )
+        await old.close()
+        fleet.store.go_away()
+        read = dataclasses.replace(old.settings, process=fixed)
+        store = adapter.Store(fleet.server.address)
+        new = proxy.Proxy(read, store, adapter.decode, dialect.OWN)
+        fleet.proxies.insert(0, new)
+        await new.start()
+        fleet.announce(new, 0)
+        await helper.until(fleet.meets)
+        assert (await fleet.ask(0)).status == 200
+
+    play(work, [[], []])
+
+
+def test_one_that_started_again_is_reminded_of_what_had_left():
+    async def work(fleet):
+        old = fleet.proxies.pop(0)
+        old.left("t0")
+        other = fleet.proxies[0]
+        await helper.until(lambda: len(other.chooser.views("s")) == 1)
+        fixed = dataclasses.replace(
+            old.settings.process,
+            peer=old.directory.own.peer,
+            control=old.directory.own.control,
+        )
+        await old.close()
+        read = dataclasses.replace(old.settings, process=fixed)
+        store = adapter.Store(fleet.server.address)
+        new = proxy.Proxy(read, store, adapter.decode, dialect.OWN)
+        fleet.proxies.insert(0, new)
+        await new.start()
+        await helper.until(lambda: "t0" in new._left)
+        # A heartbeat that was late comes to the new run.
+        fleet.announce(new, 0)
+        assert "t0" not in new.beside.site_by_target
+
+    play(work, [[], []])
+
+
+def test_an_address_used_again_ends_the_target_before():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        said = announcement.Announcement(
+            "t9", "s", fleet.targets[0].address, "d", 4, False, 1
+        )
+        one.seen(said)
+        site = one.beside.site_by_target["t0"]
+        assert site.gate.state is State.LEFT
+        assert (await fleet.ask()).status == 200
+        received = fleet.targets[0].received[0]
+        assert received.field(dialect.OWN.expected) == b"t9"
+
+    play(work, [[]])
+
+
+def test_a_process_that_is_not_known_is_avoided_not_asked_for_ever():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        one.beside.drain("t0")
+        info = messages.ProcessInfo(
+            "ghost", 1, 1, "d", ANY, ANY, ANY, 1, 0.0,
+            (messages.TargetInfo("t8", "s", "d", 4, State.IN_SERVICE, 1.0, 1),),
+            1,
+        )  # fmt: skip
+        one.chooser.learn(info)
+        asked = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: not one.chooser.paths.usable("ghost"))
+        sends = one.forwarder.sends
+        for _ in range(200):
+            await asyncio.sleep(0)
+        assert one.forwarder.sends <= sends + 1
+        fleet.announce(one, 0, name="t7", sequence=1)
+        assert (await asked).status == 200
+
+    play(work, [[]])
