--- a/forklift/budget.py
+++ b/forklift/budget.py
@@ -10,7 +10,7 @@
 
 # Part of the allowance that is used; the rest covers calls that repeated runs
 # make themselves, which no process can see (trials: about 0.7 calls a run).
-USED_SHARE = 0.7
+USED_SHARE = 0.85
 
 
 class Window:
--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -224,12 +224,12 @@
         group = self._group_by_service.get(wish.service)
         if group is None:
             return None
-        sound, doubted = self._split(group, tried)
+        sound, shedding, doubted = self._split(group, tried)
         view = None
         if wish.repeatable and wish.scout:
             view = self._test(sound, doubted, now)
         if view is None:
-            pool = sound
+            pool = sound or shedding
             if not pool and wish.insist is gate.Insist.ANY:
                 pool = doubted
             if not pool:
@@ -280,9 +280,10 @@
 
     def _split(
         self, group: _Group, tried: frozenset[str]
-    ) -> tuple[list[View], list[View]]:
-        """Targets that may be sent to: those nobody doubts, and the rest."""
+    ) -> tuple[list[View], list[View], list[View]]:
+        """Targets that may be sent to: sound, shedding and doubted ones."""
         sound: list[View] = []
+        shedding: list[View] = []
         doubted: list[View] = []
         for name in self._subset(group):
             view = group.view_by_target[name]
@@ -290,15 +291,22 @@
                 continue
             if not self.paths.usable(view.process):
                 continue
-            (doubted if view.state is State.SUSPECT else sound).append(view)
-        return sound, doubted
+            if view.state is State.SUSPECT:
+                doubted.append(view)
+            elif view.state is State.SHEDDING:
+                shedding.append(view)
+            else:
+                sound.append(view)
+        return sound, shedding, doubted
 
     def _test(
         self, sound: list[View], doubted: list[View], now: float
     ) -> View | None:
         """A target that is worth a test by a request that may repeat."""
         due = [view for view in doubted if now >= view.next_scout]
-        if due and (not sound or self._rng.random() < SCOUT_SHARE):
+        # While no sound one has a slot free, a test costs nothing but itself.
+        full = all(view.load(now) >= view.slots for view in sound)
+        if due and (full or self._rng.random() < SCOUT_SHARE):
             return self._rng.choice(due)
         if self._rng.random() >= PROBE_SHARE:
             return None
--- a/forklift/doubt.py
+++ b/forklift/doubt.py
@@ -31,6 +31,15 @@
     Sign.BROKEN: 2,
     Sign.UNREACHABLE: 2,
 }
+# Which of several signs a doubt is named after: what threatens more counts.
+_WEIGHT = {
+    Sign.WELL: 0,
+    Sign.SHED: 1,
+    Sign.ERROR: 2,
+    Sign.OVERDUE: 3,
+    Sign.UNREACHABLE: 4,
+    Sign.BROKEN: 5,
+}
 # Seconds until the first scout, and between later ones, which doubles with
 # each that fails: a scout that fails costs a repeat, and a target should be
 # back in use within about a second after it is well.
@@ -94,7 +103,7 @@
         self._well = 0
         self._bad += 1
         self.proven_at = float("-inf")
-        if _NEEDED_BY_SIGN[sign] >= _NEEDED_BY_SIGN.get(self._sign, 0):
+        if _WEIGHT[sign] >= _WEIGHT[self._sign]:
             self._sign = sign
         gap = SCOUT_GAP * 2 ** min(self._bad - 1, 8)
         self._next_scout = now + min(SCOUT_GAP_MOST, gap)
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -59,6 +59,7 @@
         priority: Rank; 0 is the most urgent.
         deadline: Monotonic seconds of this process.
         insist: How much doubt about the target it accepts.
+        aim: Monotonic seconds up to which an answer has its full worth.
     """
 
     id: tuple[int, int]
@@ -66,6 +67,7 @@
     priority: int
     deadline: float
     insist: Insist = Insist.PROVEN
+    aim: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,7 +146,8 @@
         """Its load and state, as others are told."""
         state = self.state
         if self.doubt.raised and not self.leaving:
-            state = State.SUSPECT
+            shedding = self.doubt.sign is Sign.SHED
+            state = State.SHEDDING if shedding else State.SUSPECT
         return messages.Load(
             self.running,
             self.waiting,
@@ -277,6 +280,9 @@
             return Reason.DEADLINE
         if ticket.insist is Insist.ANY:
             return None
+        if self.doubt.sign is Sign.SHED:
+            # What it refuses has not run, so nothing is lost by asking.
+            return None
         if self.doubt.raised:
             scout = ticket.repeatable and self.doubt.may_scout(now)
             return None if scout else Reason.DOUBTED
@@ -295,7 +301,7 @@
     def _next(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         while self._waiting and self.running < self.slots:
-            ticket = self._waiting.pop(0)[2]
+            ticket = self._take(now)
             reason = self._unfit(ticket, now)
             if reason is not None:
                 decisions.append(self._refuse(ticket, reason))
@@ -303,6 +309,21 @@
                 decisions.append(self._start(ticket, now))
         return decisions
 
+    def _take(self, now: float) -> Ticket:
+        """Takes the one that waits and goes next.
+
+        Among equally urgent ones, those go first whose answer can still have
+        its full worth: to serve in order while all are late would make every
+        further one late, too.
+        """
+        priority = self._waiting[0][0]
+        for index, (rank, _, ticket) in enumerate(self._waiting):
+            if rank != priority:
+                break
+            if now + self.latency <= ticket.aim:
+                return self._waiting.pop(index)[2]
+        return self._waiting.pop(0)[2]
+
     def _expire(self, now: float) -> list[Decision]:
         late = [e[2] for e in self._waiting if e[2].deadline <= now]
         self._waiting = [e for e in self._waiting if e[2].deadline > now]
@@ -310,6 +331,8 @@
 
     def _refuse_doubted(self) -> list[Decision]:
         """Those that wait go elsewhere; none of them has run."""
+        if self.doubt.sign is Sign.SHED:
+            return []
         stays = Insist.ANY
         staying = [e for e in self._waiting if e[2].insist is stays]
         leaving = [e[2] for e in self._waiting if e[2].insist is not stays]
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -64,6 +64,7 @@
     COLD = "cold"
     IN_SERVICE = "in-service"
     SUSPECT = "suspect"
+    SHEDDING = "shedding"
     EJECTED = "ejected"
     TRIAL = "trial"
     RAMP = "ramp"
@@ -162,6 +163,8 @@
         priority: Rank; 0 is the most urgent.
         insist: How much doubt about its target it accepts; see
             `gate.Insist`.
+        aim: Seconds left, when sent, for an answer of full worth; negative
+            when that has passed.
     """
 
     id: int
@@ -185,6 +188,7 @@
     origin: str = ""
     priority: int = 0
     insist: int = 0
+    aim: float = 0.0
 
 
 class Body(_Wire, tag=4):
--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from typing import Protocol
@@ -79,7 +80,7 @@
         hops: Entries that handed it on.
         origin: Service on the instance where it began.
         priority: Rank; 0 is the most urgent.
-        aim: Seconds within which an answer has its full worth.
+        aim: Monotonic seconds up to which an answer has its full worth.
         attempts: Targets that it may be sent to.
     """
 
@@ -99,7 +100,7 @@
     hops: int = 0
     origin: str = ""
     priority: int = 0
-    aim: float = 1.0
+    aim: float = math.inf
     attempts: int = 3
 
 
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 
+import msgspec
 import structlog
 
 from forklift import chooser as choosers
@@ -293,6 +294,7 @@
             request.priority,
             request.deadline,
             insist,
+            request.aim,
         )
         return await self._beside.run(choice.target, ticket, request, sink)
 
@@ -312,6 +314,8 @@
             return exchange.not_run(Reason.DEADLINE)
         seq = self.next_seq()
         start = _start(link, seq, choice.target, request, remaining, insist)
+        left = request.aim - self._clock.monotonic()
+        start = msgspec.structs.replace(start, aim=round(left, 3))
         to_boot = link.peer.boot
         try:
             async with asyncio.timeout(remaining + DEADLINE_GRACE):
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -354,6 +354,7 @@
         route = found.route
         allowed = _allowed(headers, names.deadline, route.timeout)
         length = http.content_length(headers)
+        now = self._clock.monotonic()
         request = exchange.Request(
             id=request_id,
             seq=self._desk.next_seq(),
@@ -364,11 +365,11 @@
             headers=_kept(headers, names),
             length=length,
             body=body,
-            deadline=self._clock.monotonic() + allowed,
+            deadline=now + allowed,
             repeatable=route.repeatable,
             origin=self._desk.origin(),
             priority=route.priority,
-            aim=route.aim,
+            aim=now + route.aim,
             attempts=route.attempts,
         )
         return request, None
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -469,7 +469,7 @@
         current = self.in_force.catalog
         if peer.config >= current.version:
             return
-        if now - self.in_force.since < OFFER_AGE:
+        if peer.config and now - self.in_force.since < OFFER_AGE:
             return
         last = self._offered_at_by_name.get(peer.name, float("-inf"))
         if now - last < OFFER_PERIOD:
@@ -564,6 +564,7 @@
             start.priority,
             request.deadline,
             gate.Insist(min(start.insist, gate.Insist.ANY)),
+            now + start.aim,
         )
         return await self.beside.run(start.target, ticket, request, answerer)
 
--- a/forklift/shell/registry.py
+++ b/forklift/shell/registry.py
@@ -16,8 +16,8 @@
 WAIT_LEAST = 6.0
 WAIT_MOST = 12.0
 # First pause after a failure, and the longest, seconds.
-PAUSE_FIRST = 0.3
-PAUSE_MOST = 2.0
+PAUSE_FIRST = 0.2
+PAUSE_MOST = 0.8
 # Seconds after the own announcement until the first look at those of others:
 # processes that start together have announced themselves by then.
 SETTLE = 0.5
