Gates refuse while full; entries go near first; large bodies follow

Proven targets went before near ones, by news that is mostly old. Change: a gate says at once that its slots are taken; after six refusals, or when nobody is left, the request waits at the least filled. Bodies from 1 KB on follow only once the gate lets the request start.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -37,6 +37,11 @@
 PROBE_AGE = 0.7
 # Seconds between two scouts of this entry to one target.
 SCOUT_GAP = 0.25
+# Part of a slot that must seem free: reports of load fade, so a target that was
+# full a moment ago is not asked again at once.
+MARGIN = 0.3
+# Seconds for which a guard's word holds that nothing proved its target.
+UNTESTED_FOR = 0.5
 # Targets whose median latency tells what is usual.
 MIN_PEERS = 3
 
@@ -50,12 +55,14 @@
         repeatable: Whether a second run does no harm.
         insist: How much doubt about the target it accepts.
         scout: Whether it may test a target that is doubted or was not used.
+        wait: Whether it waits where no slot is free.
     """
 
     service: str
     repeatable: bool
     insist: gate.Insist = gate.Insist.PROVEN
     scout: bool = True
+    wait: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,6 +109,7 @@
         self.latency = 0.0
         self.rank = xxhash.xxh3_64_intdigest(info.name.encode())
         self._proven_at = float("-inf")
+        self._untested_until = float("-inf")
         self._others = 0.0
         self._others_at = float("-inf")
 
@@ -118,10 +126,16 @@
         self.state = load.state
         self.latency = load.latency
         self._proven_at = max(self._proven_at, now - load.proof)
+        if load.proof > gate.PROOF_MOST:
+            self._untested_until = now + UNTESTED_FOR
         others = load.in_flight + load.queued - self.in_flight
         self._others = max(0, others)
         self._others_at = now
 
+    def untested(self, now: float) -> bool:
+        """Whether its guard told of late that it took no request for long."""
+        return now < self._untested_until
+
     def proof(self, now: float) -> float:
         """Seconds since the target is known to have accepted a request."""
         return now - self._proven_at
@@ -232,6 +246,8 @@
             pool = sound or shedding
             if not pool and wish.insist is gate.Insist.ANY:
                 pool = doubted
+            if not wish.wait:
+                pool = [v for v in pool if v.load(now) <= v.slots - MARGIN]
             if not pool:
                 return None
             view = self._pick(wish.service, pool, now)
@@ -347,7 +363,7 @@
             max(spread.LEAST_WEIGHT, weight),
             view.near,
             view.picked,
-            view.proof(now),
+            view.untested(now),
             view.rank,
         )
 
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -60,6 +60,8 @@
         deadline: Monotonic seconds of this process.
         insist: How much doubt about the target it accepts.
         aim: Monotonic seconds up to which an answer has its full worth.
+        wait: Whether it waits for a slot; else it is refused where none is
+            free, as its sender may know a better one.
     """
 
     id: tuple[int, int]
@@ -68,6 +70,7 @@
     deadline: float
     insist: Insist = Insist.PROVEN
     aim: float = math.inf
+    wait: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,7 +175,8 @@
         ahead = sum(1 for entry in self._waiting if entry[0] <= ticket.priority)
         wait = (ahead + 1) * self.latency / self.slots
         late = now + wait + self.latency > ticket.deadline
-        if late or self.waiting >= QUEUE_FACTOR * self.slots:
+        full = self.waiting >= QUEUE_FACTOR * self.slots
+        if not ticket.wait or late or full:
             return self._refuse(ticket, Reason.BUSY, wait)
         self._arrivals += 1
         bisect.insort(
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -165,6 +165,7 @@
             `gate.Insist`.
         aim: Seconds left, when sent, for an answer of full worth; negative
             when that has passed.
+        wait: Whether it waits for a slot, rather than being refused.
     """
 
     id: int
@@ -189,6 +190,7 @@
     priority: int = 0
     insist: int = 0
     aim: float = 0.0
+    wait: bool = False
 
 
 class Body(_Wire, tag=4):
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -34,6 +34,11 @@
 # Part of its time after which a request that must not repeat takes a doubted
 # target rather than none: waiting longer leaves no time for an answer.
 INSIST_SHARE = 0.3
+# Gates that are asked for a free slot before a request waits at one.
+MAX_REFUSALS = 6
+# Bodies from this size on follow only once the gate lets the request start:
+# a refusal then costs the head alone, bytes.
+FOLLOWING_BYTES = 1024
 # Other processes that are asked to reach a guard when the own path is silent.
 RELAYS = 2
 # Seconds after which to come back when no target was free.
@@ -68,6 +73,9 @@
     # Whether a target refused for want of a proof, and none is asked for now.
     unproven: bool = False
     sound: bool = False
+    # Whether it waits where no slot is free.
+    wait: bool = False
+    refusals: int = 0
     may_have_run: bool = False
     held: "Holding | None" = None
 
@@ -135,11 +143,7 @@
             if choice is None:
                 if not self._worth_waiting(request, walk):
                     return result
-                if walk.unproven:
-                    # Nobody was proven of late: take any that is sound.
-                    walk.unproven = False
-                    walk.sound = True
-                else:
+                if not self._accept_more(walk):
                     await asyncio.sleep(POLL)
                 walk.refused.clear()
                 continue
@@ -150,6 +154,20 @@
             if not self._go_on(request, walk, choice, result, sink):
                 return result
 
+    def _accept_more(self, walk: _Walk) -> bool:
+        """Accepts a worse target, where that is left; True when it is.
+
+        First one with a slot free that was proven of late, then to wait for
+        such a one, then any that is sound.
+        """
+        if not walk.wait:
+            walk.wait = True
+            return True
+        if walk.unproven and not walk.sound:
+            walk.sound = True
+            return True
+        return False
+
     def _too_late(
         self, request: exchange.Request, walk: _Walk, now: float
     ) -> bool:
@@ -173,6 +191,7 @@
             request.repeatable,
             insist,
             scout=walk.sends == 0,
+            wait=walk.wait,
         )
         without = frozenset(walk.tried | walk.refused)
         return self._chooser.choose(wish, without, now)
@@ -201,6 +220,9 @@
                 self._arrived(walk, choice)
             elif ending.reason in _PASSING_BY:
                 walk.refused.add(choice.target)
+                walk.refusals += 1
+                if walk.refusals >= MAX_REFUSALS:
+                    walk.wait = True
                 if ending.reason is Reason.UNPROVEN:
                     walk.unproven = True
             return request.body.again and not sink.begun
@@ -257,9 +279,13 @@
         insist = self._insist(walk, self._clock.monotonic())
         try:
             if choice.process == self._name:
-                result = await self._run_here(request, choice, holding, insist)
+                result = await self._run_here(
+                    request, walk, choice, holding, insist
+                )
             else:
-                result = await self._send(request, choice, holding, insist)
+                result = await self._send(
+                    request, walk, choice, holding, insist
+                )
             if holding.holds:
                 walk.held = holding
             return result
@@ -284,6 +310,7 @@
     async def _run_here(
         self,
         request: exchange.Request,
+        walk: _Walk,
         choice: choosers.Choice,
         sink: exchange.Sink,
         insist: gate.Insist,
@@ -295,12 +322,14 @@
             request.deadline,
             insist,
             request.aim,
+            walk.wait,
         )
         return await self._beside.run(choice.target, ticket, request, sink)
 
     async def _send(
         self,
         request: exchange.Request,
+        walk: _Walk,
         choice: choosers.Choice,
         sink: exchange.Sink,
         insist: gate.Insist,
@@ -315,7 +344,9 @@
         seq = self.next_seq()
         start = _start(link, seq, choice.target, request, remaining, insist)
         left = request.aim - self._clock.monotonic()
-        start = msgspec.structs.replace(start, aim=round(left, 3))
+        start = msgspec.structs.replace(
+            start, aim=round(left, 3), wait=walk.wait
+        )
         to_boot = link.peer.boot
         try:
             async with asyncio.timeout(remaining + DEADLINE_GRACE):
@@ -413,7 +444,8 @@
     remaining: float,
     insist: gate.Insist,
 ) -> messages.RequestStart:
-    complete = request.body.complete
+    small = len(request.body.first) < FOLLOWING_BYTES
+    complete = request.body.complete and small
     return messages.RequestStart(
         id=link.next_id(),
         seq=seq,
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -565,6 +565,7 @@
             request.deadline,
             gate.Insist(min(start.insist, gate.Insist.ANY)),
             now + start.aim,
+            start.wait,
         )
         return await self.beside.run(start.target, ticket, request, answerer)
 
--- a/forklift/spread.py
+++ b/forklift/spread.py
@@ -17,7 +17,7 @@
         weight: Share of normal traffic it should get, above 0 to 1.
         same_domain: Whether it is in our failure domain.
         picked: Counter of our picks of it.
-        proof: Seconds since it is known to have accepted a request.
+        untested: Whether it is known to have taken no request of late.
         rank: A fixed order of the targets, the same for every entry.
     """
 
@@ -27,7 +27,7 @@
     weight: float
     same_domain: bool
     picked: int
-    proof: float = 0.0
+    untested: bool = False
     rank: int = 0
 
     @property
@@ -48,11 +48,6 @@
 SPILL_FILL = 1.0
 # Candidates that the power of choices compares.
 CHOICES = 2
-# Share of its slots up to which a target is filled before the next in order:
-# one slot in four is left for what other entries send meanwhile.
-PACK_FILL = 0.76
-# Seconds since its last proof from which a target counts as untested.
-PROOF_MOST = 1.0
 # A weight of zero would take a target out, which is not a weight's job.
 LEAST_WEIGHT = 0.02
 
@@ -122,15 +117,14 @@
 def proven_first(
     candidates: Sequence[Candidate], rng: random.Random
 ) -> Candidate:
-    """Fills targets one after the other, those proven of late first.
+    """Fills targets one after the other, near ones first.
 
     Targets fail for seconds at a time, and the first request that meets such
     a phase is lost. Fewer targets in steady use means fewer such requests;
-    the rest are spare, and tested by work that may repeat.
+    the rest are spare, and tested by work that may repeat. A gate refuses
+    what comes while its slots are taken, so the order may be the same for all.
     """
-    free = [c for c in candidates if c.fill <= PACK_FILL]
+    free = [c for c in candidates if c.fill <= SPILL_FILL]
     if not free:
         return nearest_free(candidates, rng)
-    return min(
-        free, key=lambda c: (c.proof > PROOF_MOST, not c.same_domain, c.rank)
-    )
+    return min(free, key=lambda c: (c.untested, not c.same_domain, c.rank))
