Tell news of members together, and to those only who send here

Change: news is gathered for 0.15 s, told to three peers and five more pings; two seconds without news go before a sync; a doubt is pushed to peers that sent a request within 3 s. A gate lets a request wait where that takes under 0.1 s.

--- a/forklift/decisions.py
+++ b/forklift/decisions.py
@@ -151,7 +151,7 @@
         """Tells peers of this process's targets at once."""
         self._describe()
         self._learn()
-        self._send(self.gossip.spread(self.directory.own.name))
+        self.gossip.spread(self.directory.own.name)
 
     # Time.
 
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -30,6 +30,9 @@
 OVERDUE_LEAST = 0.4
 # Requests that may wait for each slot, whatever their deadlines.
 QUEUE_FACTOR = 8
+# Expected wait that any request accepts: asking elsewhere costs a few
+# milliseconds, and a copy of the request between failure domains; seconds.
+SHORT_WAIT = 0.1
 # Seconds since a target last accepted a request after which work that must
 # not repeat is sent elsewhere first. Targets fail for seconds at a time, so
 # one that was well a second ago most likely is.
@@ -60,8 +63,8 @@
         deadline: Monotonic seconds of this process.
         insist: How much doubt about the target it accepts.
         aim: Monotonic seconds up to which an answer has its full worth.
-        wait: Whether it waits for a slot; else it is refused where none is
-            free, as its sender may know a better one.
+        wait: Whether it waits for a slot as long as it can; else it is
+            refused where that takes long, as its sender may know a better one.
     """
 
     id: tuple[int, int]
@@ -176,7 +179,8 @@
         wait = (ahead + 1) * self.latency / self.slots
         late = now + wait + self.latency > ticket.deadline
         full = self.waiting >= QUEUE_FACTOR * self.slots
-        if not ticket.wait or late or full:
+        patient = ticket.wait or wait <= SHORT_WAIT
+        if not patient or late or full:
             return self._refuse(ticket, Reason.BUSY, wait)
         self._arrivals += 1
         bisect.insort(
--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -25,10 +25,15 @@
 # Seconds between pings to processes that are taken for dead: one that starts
 # again while the store is away is met by those who know its address.
 REVIVE_PERIOD = 1.0
-RUMORS_A_PING = 6
+RUMORS_A_PING = 12
+# Seconds between two tellings of news: what comes together, as when all start
+# at once, is told together.
+SPREAD_PERIOD = 0.15
 FAN_OUT = 3
-SPREAD_FACTOR = 2
+SPREAD_FACTOR = 1
 SYNC_PERIOD = 5.0
+# Seconds without news after which a difference is more than news on its way.
+SYNC_AFTER = 2.0
 SYNC_PART = 100
 
 
@@ -58,6 +63,9 @@
         self._tellings_by_name: dict[str, int] = {}
         self._next_ping = 0.0
         self._next_revival = 0.0
+        self._next_spread = 0.0
+        self._news = False
+        self._news_at = float("-inf")
         self._next_sync = 0.0
         self._next_expiry = 0.0
         self._peers: list[str] = []
@@ -90,9 +98,9 @@
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_PERIOD
             news += self.directory.expire(now)
-        sends: list[Send] = []
         for rumor in news:
-            sends += self.spread(rumor.info.name)
+            self.spread(rumor.info.name)
+        sends = self._tell_news(now)
         if now >= self._next_ping:
             self._next_ping = now + PING_PERIOD
             sends += self._ping_next(now)
@@ -112,11 +120,19 @@
             return []
         return [self._ping(self._rng.choice(gone), None)]
 
-    def spread(self, name: str) -> list[Send]:
-        """Tells a few peers at once, and others with the next pings."""
+    def spread(self, name: str) -> None:
+        """Has a few peers told with the next tick, others with later pings."""
         members = len(self.directory.member_by_name) + 2
         tellings = math.ceil(SPREAD_FACTOR * math.log2(members))
         self._tellings_by_name[name] = tellings
+        self._news = True
+
+    def _tell_news(self, now: float) -> list[Send]:
+        if not self._news or now < self._next_spread:
+            return []
+        self._news = False
+        self._news_at = now
+        self._next_spread = now + SPREAD_PERIOD
         peers = self.peers()
         chosen = self._rng.sample(peers, min(FAN_OUT, len(peers)))
         return [self._ping(peer, None) for peer in chosen]
@@ -126,10 +142,10 @@
         sends: list[Send] = []
         described = isinstance(message.sender, messages.ProcessInfo)
         if described and self.directory.hear(message.sender, now):
-            sends += self.spread(message.sender.name)
+            self.spread(message.sender.name)
         for rumor in getattr(message, "rumors", ()):
             if self.directory.apply(rumor, now):
-                sends += self.spread(rumor.info.name)
+                self.spread(rumor.info.name)
         back = message.sender.control
         if isinstance(message, messages.Ping):
             pong = messages.Pong(
@@ -236,7 +252,8 @@
             # Only those with the same services know the same members.
             same = same or member is None
             same = same or membership.services(member.info) != own
-        if same or now < self._next_sync:
+        settling = now - self._news_at < SYNC_AFTER
+        if same or settling or now < self._next_sync:
             return []
         self._next_sync = now + SYNC_PERIOD
         request = messages.SyncRequest(self.directory.own)
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -60,6 +60,9 @@
 # Part of the grace after which what is still running is left to its fate.
 STOP_SHARE = 0.9
 STOP_POLL = 0.05
+# Peers that sent a request within these seconds hear at once of a doubt about
+# its target; others learn it from the refusal, should they send one.
+NEWS_FOR = 3.0
 # Processes that a new one asks for all they know.
 JOIN_THROUGH = 3
 # A process that met nobody is ready after this time alone, seconds.
@@ -364,8 +367,11 @@
         """A target's state changed: those who send to it hear at once."""
         load = changed.load(self.clock.monotonic())
         standing = messages.Standing(changed.name, load)
+        since = float("-inf")
+        if not changed.leaving:
+            since = asyncio.get_running_loop().time() - NEWS_FOR
         for served in list(self._served):
-            served.tell(standing)
+            served.tell(standing, since)
         _log.info(
             "target_changed",
             target=changed.name,
@@ -527,7 +533,7 @@
         """Tells peers of this process's targets at once."""
         if self._describe():
             self._learn()
-            self._send(self.gossip.spread(self.directory.own.name))
+            self.gossip.spread(self.directory.own.name)
 
     # Peers' requests.
 
--- a/forklift/shell/served.py
+++ b/forklift/shell/served.py
@@ -76,6 +76,7 @@
         self._answerer_by_id: dict[int, Answerer] = {}
         self._pieces_by_id: dict[int, exchange.Pieces] = {}
         self._relays: set[asyncio.Task] = set()
+        self.last_start = float("-inf")
         self.peer: messages.Hello | None = None
         self.proven = False
         frames.on_frame = self._frame
@@ -90,10 +91,17 @@
         """Closes the connection."""
         self._frames.transport.abort()
 
-    def tell(self, standing: messages.Standing) -> None:
-        """Tells the peer unasked how a target stands."""
-        if self.proven and not self._frames.lost:
-            self._frames.send(standing)
+    def tell(self, standing: messages.Standing, since: float) -> None:
+        """Tells the peer unasked how a target stands.
+
+        Args:
+            standing: The news.
+            since: Only a peer that asked for something since then is told;
+                loop seconds.
+        """
+        if self.last_start < since or not self.proven or self._frames.lost:
+            return
+        self._frames.send(standing)
 
     def _frame(self, frame: messages.Frame) -> None:
         if isinstance(frame, messages.Hello):
@@ -153,6 +161,7 @@
     def _start(self, start: messages.RequestStart) -> None:
         if start.id in self._task_by_id:
             raise messages.Malformed("a stream number was used again")
+        self.last_start = asyncio.get_running_loop().time()
         body = exchange.Body(start.body)
         if not start.complete:
             body = exchange.Body(b"", self._rest(start))
