--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -32,9 +32,9 @@
 # Share of repeatable requests that test a doubted target when one is due, and
 # a spare one that was not used of late.
 SCOUT_SHARE = 0.4
-PROBE_SHARE = 0.3
+PROBE_SHARE = 0.5
 # Seconds without a proof after which a target is worth a test.
-PROBE_AGE = 0.7
+PROBE_AGE = 0.5
 # Seconds between two scouts of this entry to one target.
 SCOUT_GAP = 0.25
 # Part of a slot that must seem free: reports of load fade, so a target that was
