--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -84,6 +84,11 @@
     )
 
 
+def _optional_address(value: str) -> str:
+    """An address, or nothing."""
+    return ini.address(value) if value.strip() else ""
+
+
 @dataclasses.dataclass(frozen=True)
 class Platform:
     """Section [platform]: what the platform gives, and where it calls."""
@@ -98,6 +103,9 @@
     service: str = ini.key(
         ini.text, "service of the target on this instance", ""
     )
+    target: str = ini.key(
+        _optional_address, "address of the target on this instance, ip:port", ""
+    )
     grace: float = ini.key(
         ini.number(0.5, 3600),
         "seconds from SIGTERM until the process is killed",
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -63,6 +63,9 @@
 # Peers that sent a request within these seconds hear at once of a doubt about
 # its target; others learn it from the refusal, should they send one.
 NEWS_FOR = 3.0
+# Times that a new process asks for the target beside it, and the pause between.
+LOOKS_BESIDE = 3
+LOOK_PAUSE = 0.3
 # Processes that a new one asks for all they know.
 JOIN_THROUGH = 3
 # A process that met nobody is ready after this time alone, seconds.
@@ -204,6 +207,7 @@
         follower = registry.Follower(self._store, self._rng, self._record)
         self.spawn(follower.run())
         self.spawn(self._meet())
+        self.spawn(self._look_beside())
         self.spawn(self._tick_for_ever())
         _log.info("started", process=own.name, boot=self.boot)
 
@@ -335,6 +339,47 @@
         if self.stopping:
             self.beside.drain(said.name)
 
+    async def _look_beside(self) -> None:
+        """Finds the target beside a process that started again.
+
+        Its next heartbeat may be more than a second away. Its health endpoint
+        tells its name, and whether it is leaving.
+        """
+        own = self.settings.platform
+        if not own.target or not own.service:
+            return
+        for _ in range(LOOKS_BESIDE):
+            while not self.in_force.known:
+                await asyncio.sleep(TICK)
+            service = self.in_force.catalog.services_by_name.get(own.service)
+            if self.beside.site_by_target or self.stopping or service is None:
+                return
+            found = await upstream.probe(
+                own.target, service.health, self._names
+            )
+            if found is not None and found.well and found.slots:
+                self._found_beside(found)
+                return
+            await asyncio.sleep(LOOK_PAUSE)
+
+    def _found_beside(self, found: upstream.Health) -> None:
+        own = self.settings
+        known = found.target in self.beside.site_by_target
+        if known or found.target in self._left or self.stopping:
+            return
+        self._heard_by_target[found.target] = self.clock.monotonic()
+        self._add_target(
+            announcement.Announcement(
+                found.target,
+                own.platform.service,
+                own.platform.target,
+                own.process.domain,
+                found.slots,
+                leaving=False,
+                sequence=-1,
+            )
+        )
+
     def left(self, name: str) -> None:
         """A target is about to end, or has."""
         self._left.add(name)
--- a/forklift/shell/registry.py
+++ b/forklift/shell/registry.py
@@ -18,9 +18,6 @@
 # First pause after a failure, and the longest, seconds.
 PAUSE_FIRST = 0.2
 PAUSE_MOST = 0.8
-# Seconds after the own announcement until the first look at those of others:
-# processes that start together have announced themselves by then.
-SETTLE = 0.5
 
 
 class _Pause:
@@ -100,7 +97,10 @@
     data: bytes,
     on_members: Callable[[dict[str, bytes]], None],
 ) -> None:
-    """Announces this process and reads who else did, until both worked."""
+    """Announces this process and reads who else did, until both worked.
+
+    Whoever announces itself later finds this process and makes itself known.
+    """
     pause = _Pause(rng)
     announced = False
     while True:
@@ -108,7 +108,6 @@
             if not announced:
                 await registry.announce(name, data)
                 announced = True
-                await asyncio.sleep(SETTLE)
             on_members(await registry.members())
             return
         except errors.RegistryUnavailable as error:
--- a/forklift/shell/upstream.py
+++ b/forklift/shell/upstream.py
@@ -501,10 +501,12 @@
     Attributes:
         well: Whether it calls itself healthy and is not leaving.
         target: Name that it gave itself, empty where it gave none.
+        slots: Requests that it runs at once; 0 where it told none.
     """
 
     well: bool
     target: str
+    slots: int = 0
 
 
 async def probe(
@@ -544,7 +546,15 @@
         if event is h11.NEED_DATA:
             protocol.receive_data(await connection.read())
         elif isinstance(event, h11.Response):
-            name = http.value(_headers(event), dialect.target) or b""
-            return Health(event.status_code < 400, name.decode("latin-1"))
+            return _health(event, dialect)
         elif isinstance(event, h11.ConnectionClosed):
             return None
+
+
+def _health(response: h11.Response, dialect: dialects.Dialect) -> Health:
+    headers = _headers(response)
+    name = http.value(headers, dialect.target) or b""
+    load = (http.value(headers, dialect.load) or b"").split(b",")
+    told = len(load) == 3 and load[2].strip().isdigit()
+    slots = int(load[2]) if told else 0
+    return Health(response.status_code < 400, name.decode("latin-1"), slots)
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -116,7 +116,6 @@
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
     """Pauses that only tests need shorter."""
-    monkeypatch.setattr(registry, "SETTLE", 0.05)
     monkeypatch.setattr(registry, "PAUSE_FIRST", 0.05)
     monkeypatch.setattr(proxy, "LAME_DUCK", 0.2)
 
