--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -237,19 +237,37 @@
     # Picks.
 
     def choose(
-        self, wish: Wish, tried: frozenset[str], now: float
+        self,
+        wish: Wish,
+        tried: frozenset[str],
+        now: float,
+        refused: frozenset[str] = frozenset(),
     ) -> Choice | None:
-        """Picks a target, other than those tried; None when none will do."""
+        """Picks a target; None when none will do.
+
+        Args:
+            wish: What the request needs.
+            tried: Targets that it was sent to already.
+            now: Monotonic seconds.
+            refused: Targets that can't take it just now. While one of them is
+                sound, no doubted one is taken in its place: one that fails at
+                once always has a slot free, and would draw all that waits.
+        """
         group = self._group_by_service.get(wish.service)
         if group is None:
             return None
-        sound, shedding, doubted = self._split(group, tried)
+        known = self._split(group, tried)
+        hopeless = not known[0] and not known[1]
+        sound, shedding, doubted = (
+            [view for view in views if view.name not in refused]
+            for views in known
+        )
         view = None
         if wish.repeatable and wish.scout:
             view = self._test(sound, doubted, now)
         if view is None:
             pool = sound or shedding
-            if not pool and wish.insist is gate.Insist.ANY:
+            if hopeless and wish.insist is gate.Insist.ANY:
                 pool = doubted
             if not wish.wait:
                 pool = [v for v in pool if v.load(now) <= v.slots - MARGIN]
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -126,6 +126,8 @@
         self.doubt = doubt.Doubt()
         self.version = 1
         self.latency = LATENCY_GUESS
+        # Until when the target is slow after its start, by its own word.
+        self.cold_until = 0.0
         # Usual latency of the service's other targets; 0 while unknown.
         self.usual = 0.0
         self.refusals_by_reason: dict[Reason, int] = {}
@@ -295,7 +297,8 @@
         if ticket.repeatable or ticket.insist is Insist.SOUND:
             return None
         stale = now - self.doubt.proven_at > PROOF_MOST
-        return Reason.UNPROVEN if stale else None
+        cold = now < self.cold_until
+        return Reason.UNPROVEN if stale or cold else None
 
     def _start(self, ticket: Ticket, now: float) -> Start:
         invariants.no_new_work(self.leaving, self.name)
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -31,9 +31,9 @@
 DEADLINE_GRACE = 0.05
 # Seconds between two looks for a target when none may be sent to.
 POLL = 0.02
-# Part of its time after which a request that must not repeat takes a doubted
-# target rather than none: waiting longer leaves no time for an answer.
-INSIST_SHARE = 0.3
+# Part of its time after which a request takes a doubted target where no sound
+# one is known: waiting longer leaves no time for an answer.
+INSIST_SHARE = 0.5
 # Gates that are asked for a free slot before a request waits at one.
 MAX_REFUSALS = 6
 # Bodies from this size on follow only once the gate lets the request start:
@@ -194,8 +194,8 @@
             scout=walk.sends == 0,
             wait=walk.wait,
         )
-        without = frozenset(walk.tried | walk.refused)
-        return self._chooser.choose(wish, without, now)
+        tried, refused = frozenset(walk.tried), frozenset(walk.refused)
+        return self._chooser.choose(wish, tried, now, refused)
 
     def _pay(self, request: exchange.Request, walk: _Walk, now: float) -> bool:
         """Whether it may be sent: the first time free, then by the budget."""
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -334,6 +334,7 @@
             site = self._add_target(said)
         elif said.leaving:
             self.beside.drain(said.name)
+        site.gate.cold_until = now + said.cold
         if self.stopping:
             self.beside.drain(said.name)
 
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -59,6 +59,15 @@
     assert picks(found, wish(insist=gate.Insist.ANY))
 
 
+def test_a_doubted_target_draws_nothing_while_sound_ones_are_busy():
+    found = made("a", "b")
+    found.report("a", load(State.SUSPECT), 10.0)
+    asked = wish(insist=gate.Insist.ANY, wait=True)
+    busy = frozenset({"b"})
+    assert found.choose(asked, frozenset(), 10.0, busy) is None
+    assert found.choose(asked, busy, 10.0).target == "a"
+
+
 def test_repeatable_work_tests_doubted_targets_now_and_then():
     found = made("a", "b")
     found.report("a", load(State.SUSPECT), 10.0)
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -220,3 +220,13 @@
     assert [d.ticket for d in started] == [waiting]
     assert found.load(0.1).state is messages.TargetState.SHEDDING
     assert isinstance(found.arrive(ticket(), 0.2), gate.Wait)
+
+
+def test_a_cold_target_comes_after_warm_ones():
+    found = made()
+    found.cold_until = 5.0
+    assert found.arrive(ticket(), 0.5).reason is Reason.UNPROVEN
+    sound = ticket(insist=gate.Insist.SOUND)
+    assert isinstance(found.arrive(sound, 0.5), gate.Start)
+    found.doubt.prove(5.0)
+    assert isinstance(found.arrive(ticket(), 5.1), gate.Start)
