--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -29,13 +29,18 @@
 
 # The guard's own word on a deadline gets this long to arrive, seconds.
 DEADLINE_GRACE = 0.05
-# Seconds between two looks for a target when none may be sent to.
+# Seconds until the next look for a target when none may be sent to; it doubles
+# up to the second figure, as each look may cost a message to each gate.
 POLL = 0.02
+POLL_MOST = 0.16
 # Part of its time after which a request takes a doubted target where no sound
 # one is known: waiting longer leaves no time for an answer.
 INSIST_SHARE = 0.5
 # Gates that are asked for a free slot before a request waits at one.
-MAX_REFUSALS = 6
+MAX_REFUSALS = 4
+# Gates, the least filled ones, that may say that waiting takes too long before
+# the request is given up: it then has its final answer at once.
+MAX_TOO_LONG = 3
 # Bodies from this size on follow only once the gate lets the request start:
 # a refusal then costs the head alone, bytes.
 FOLLOWING_BYTES = 1024
@@ -76,6 +81,9 @@
     # Whether it waits where no slot is free.
     wait: bool = False
     refusals: int = 0
+    # Gates that could not take it in time although it would wait.
+    too_long: int = 0
+    polls: int = 0
     # Attempts that may have run.
     runs: int = 0
     held: "Holding | None" = None
@@ -145,7 +153,8 @@
                 if not self._worth_waiting(request, walk):
                     return result
                 if not self._accept_more(walk):
-                    await asyncio.sleep(POLL)
+                    await asyncio.sleep(min(POLL_MOST, POLL * 2**walk.polls))
+                    walk.polls += 1
                 walk.refused.clear()
                 continue
             if not self._pay(request, walk, now):
@@ -222,6 +231,10 @@
             elif ending.reason in _PASSING_BY:
                 walk.refused.add(choice.target)
                 walk.refusals += 1
+                if walk.wait and ending.reason is Reason.BUSY:
+                    walk.too_long += 1
+                    if walk.too_long >= MAX_TOO_LONG:
+                        return False
                 if walk.refusals >= MAX_REFUSALS:
                     walk.wait = True
                 if ending.reason is Reason.UNPROVEN:
