--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -167,16 +167,16 @@
     def _accept_more(self, walk: _Walk) -> bool:
         """Accepts a worse target, where that is left; True when it is.
 
-        First one with a slot free that was proven of late, then to wait for
-        such a one, then any that is sound.
+        First one with a slot free that was proven of late; then an idle one
+        that nothing proved, or to wait. While idle ones are left, waiting
+        longer at the others would waste them.
         """
-        if not walk.wait:
-            walk.wait = True
-            return True
-        if walk.unproven and not walk.sound:
-            walk.sound = True
-            return True
-        return False
+        if walk.wait and walk.sound >= walk.unproven:
+            return False
+        walk.wait = True
+        walk.sound = walk.sound or walk.unproven
+        walk.too_long = 0
+        return True
 
     def _too_late(
         self, request: exchange.Request, walk: _Walk, now: float
@@ -233,12 +233,12 @@
                 walk.refusals += 1
                 if walk.wait and ending.reason is Reason.BUSY:
                     walk.too_long += 1
-                    if walk.too_long >= MAX_TOO_LONG:
-                        return False
-                if walk.refusals >= MAX_REFUSALS:
-                    walk.wait = True
                 if ending.reason is Reason.UNPROVEN:
                     walk.unproven = True
+                if walk.refusals >= MAX_REFUSALS and self._accept_more(walk):
+                    walk.refused.clear()
+                if walk.too_long >= MAX_TOO_LONG:
+                    return False
             return request.body.again and not sink.begun
         self._arrived(walk, choice)
         walk.runs += 1
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -218,6 +218,24 @@
     play(work, [[], []], first=first)
 
 
+def test_an_idle_target_is_used_before_waiting_at_a_busy_one():
+    async def work(fleet):
+        for number, one in enumerate(fleet.proxies):
+            one.beside.site_by_target[f"t{number}"].gate.slots = 1
+        for target in fleet.targets:
+            target.script.append("hold")
+        asked = [asyncio.create_task(fleet.ask(0)) for _ in range(2)]
+        await helper.until(
+            lambda: all(len(t.received) == 1 for t in fleet.targets)
+        )
+        for target in fleet.targets:
+            target.release.set()
+        assert [(await one).status for one in asked] == [200, 200]
+
+    first = record(1, r=route("non_idempotent", **{"timeout-ms": 60000}))
+    play(work, [[], []], first=first)
+
+
 def test_a_process_without_configuration_is_not_ready_and_says_so():
     async def work(fleet):
         assert not fleet.proxies[0].ready()
