A doubted target that mostly does well goes before waiting

Cause: while many targets lose some of their answers nearly all are doubted, and work that must not repeat waited until refused, though most would end well.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -37,6 +37,8 @@
 PROBE_AGE = 0.5
 # Seconds between two scouts of this entry to one target.
 SCOUT_GAP = 0.25
+# Share of good outcomes from which a doubted target is better than to wait on.
+PROMISING = 0.5
 # Part of a slot that must seem free: reports of load fade, so a target that was
 # full a moment ago is not asked again at once.
 MARGIN = 0.3
@@ -107,6 +109,7 @@
         self.state = info.state
         self.version = 0
         self.latency = 0.0
+        self.well = 1.0
         self.rank = xxhash.xxh3_64_intdigest(info.name.encode())
         self._proven_at = float("-inf")
         self._untested_until = float("-inf")
@@ -125,6 +128,7 @@
         self.version = load.version
         self.state = load.state
         self.latency = load.latency
+        self.well = load.well
         self._proven_at = max(self._proven_at, now - load.proof)
         if load.proof > gate.PROOF_MOST:
             self._untested_until = now + UNTESTED_FOR
@@ -250,8 +254,9 @@
             tried: Targets that it was sent to already.
             now: Monotonic seconds.
             refused: Targets that can't take it just now. While one of them is
-                sound, no doubted one is taken in its place: one that fails at
-                once always has a slot free, and would draw all that waits.
+                sound, a doubted one is taken in its place only if most of its
+                requests end well: one that fails at once always has a slot
+                free, and would draw all that waits.
         """
         group = self._group_by_service.get(wish.service)
         if group is None:
@@ -267,8 +272,8 @@
             view = self._test(sound, doubted, now)
         if view is None:
             pool = sound or shedding
-            if hopeless and wish.insist is gate.Insist.ANY:
-                pool = doubted
+            if not pool and wish.insist is gate.Insist.ANY:
+                pool = [v for v in doubted if hopeless or v.well >= PROMISING]
             if not wish.wait:
                 pool = [v for v in pool if v.load(now) <= v.slots - MARGIN]
             if not pool:
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -22,6 +22,9 @@
 # Before the first answer; a guess between the services we know, seconds.
 LATENCY_GUESS = 0.15
 LATENCY_GAIN = 0.1
+# Weight of the last outcome in the share of those that ended well: three bad
+# ones in a row bring it below one half.
+WELL_GAIN = 0.25
 # Times the usual latency of the service after which a request is overdue.
 # Work scatters with a sigma of up to 0.8, and one request in a hundred takes
 # three to five times as long without anything being wrong.
@@ -126,6 +129,8 @@
         self.doubt = doubt.Doubt()
         self.version = 1
         self.latency = LATENCY_GUESS
+        # Share of the last few requests that ended well.
+        self.well = 1.0
         # Until when the target is slow after its start, by its own word.
         self.cold_until = 0.0
         # Usual latency of the service's other targets; 0 while unknown.
@@ -164,6 +169,7 @@
             self.version,
             round(self.latency, 4),
             round(min(NO_PROOF, now - self.doubt.proven_at), 2),
+            round(self.well, 2),
         )
 
     # Requests.
@@ -219,6 +225,8 @@
             self._note_latency(took)
             if took > self._overdue_age():
                 sign = Sign.OVERDUE
+        if sign is not None:
+            self.well += WELL_GAIN * ((sign is Sign.WELL) - self.well)
         decisions: list[Decision] = []
         if sign is not None and not self._known_late(running, sign):
             decisions += self.note(sign, now)
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -82,6 +82,7 @@
         version: Counter of the state; higher is newer in one boot.
         latency: Median of its latency in seconds; 0 when unknown.
         proof: Seconds since it last accepted a request.
+        well: Share of its last requests that ended well, 0 to 1.
     """
 
     in_flight: int
@@ -91,6 +92,7 @@
     version: int
     latency: float
     proof: float = 0.0
+    well: float = 1.0
 
 
 # Frames on the stream between two processes.
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -35,7 +35,7 @@
 POLL_MOST = 0.16
 # Part of its time after which a request takes a doubted target where no sound
 # one is known: waiting longer leaves no time for an answer.
-INSIST_SHARE = 0.5
+INSIST_SHARE = 0.25
 # Gates that are asked for a free slot before a request waits at one.
 MAX_REFUSALS = 4
 # Gates, the least filled ones, that may say that waiting takes too long before
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -31,8 +31,8 @@
     return found
 
 
-def load(state=State.IN_SERVICE, running=0, version=2, proof=0.0):
-    return messages.Load(running, 0, 4, state, version, 0.1, proof)
+def load(state=State.IN_SERVICE, running=0, version=2, proof=0.0, well=0.2):
+    return messages.Load(running, 0, 4, state, version, 0.1, proof, well)
 
 
 def wish(**changes) -> chooser.Wish:
@@ -68,6 +68,15 @@
     assert found.choose(asked, busy, 10.0).target == "a"
 
 
+def test_a_doubted_target_that_mostly_does_well_is_better_than_waiting():
+    found = made("a", "b")
+    found.report("a", load(State.SUSPECT, well=0.8), 10.0)
+    asked = wish(insist=gate.Insist.ANY, wait=True)
+    busy = frozenset({"b"})
+    assert found.choose(asked, frozenset(), 10.0, busy).target == "a"
+    assert found.choose(wish(wait=True), frozenset(), 10.0, busy) is None
+
+
 def test_repeatable_work_tests_doubted_targets_now_and_then():
     found = made("a", "b")
     found.report("a", load(State.SUSPECT), 10.0)
