--- a/forklift/shell/admin.py
+++ b/forklift/shell/admin.py
@@ -197,7 +197,7 @@
     said = msgspec.json.decode(call.body, type=report.Announce)
     _check(call.name, said)
     proxy = admin.proxy
-    proxy.seen(
+    proxy.announced.seen(
         announcement.Announcement(
             call.name,
             said.service,
@@ -223,7 +223,7 @@
 @handles("DELETE", "targets/")
 async def leave(admin: Admin, call: Call) -> server.Response:
     """A target is gone."""
-    admin.proxy.left(call.name)
+    admin.proxy.announced.left(call.name)
     return json(reports.status(admin.proxy))
 
 
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -56,8 +56,6 @@
         self._decision_by_id: dict[object, asyncio.Future] = {}
         self._detached: set[asyncio.Task] = set()
         self.running = 0
-        # Starts are refused while this process is stopping for good.
-        self.closed = False
 
     # Targets.
 
@@ -100,7 +98,7 @@
             wire.Lost: The sink is gone.
         """
         site = self.site_by_target.get(target)
-        if site is None or self.closed:
+        if site is None:
             return exchange.not_run(Reason.UNKNOWN_TARGET)
         if not self.fences.may_start(ticket.id):
             return self._fenced(ticket)
@@ -216,7 +214,7 @@
     def _launch(self, site: Site, ticket: gate.Ticket) -> Reason | None:
         """The first byte is about to be sent: the point of no return."""
         now = self._clock.monotonic()
-        if site.gate.leaving or self.closed:
+        if site.gate.leaving:
             return Reason.DRAINING
         if ticket.deadline <= now:
             return Reason.DEADLINE
--- /dev/null
+++ b/forklift/shell/neighbours.py
@@ -0,0 +1,202 @@
+"""What this process and its peers tell each other of themselves."""
+
+import random
+import zlib
+from collections.abc import Callable
+
+import structlog
+
+from forklift import catalog
+from forklift import chooser as choosers
+from forklift import gate
+from forklift import gossip
+from forklift import membership
+from forklift import messages
+from forklift import ports
+from forklift.shell import beside as besides
+from forklift.shell import clock as clocks
+from forklift.shell import registry
+
+_log = structlog.get_logger(__name__)
+State = messages.TargetState
+
+# Processes that a new one asks for all they know.
+JOIN_THROUGH = 3
+# Seconds between two offers of the configuration to one peer, and the age
+# from which a version is offered: younger ones peers read themselves.
+OFFER_PERIOD = 1.0
+OFFER_AGE = 0.7
+
+
+class Neighbours:
+    """Membership, and what travels with it."""
+
+    def __init__(
+        self,
+        own: messages.ProcessInfo,
+        rng: random.Random,
+        clock: clocks.SystemClock,
+        in_force: catalog.InForce,
+        chooser: choosers.Chooser,
+        beside: besides.Beside,
+        send: Callable[[str, messages.Control], object],
+        on_record: Callable[[bytes, str], None],
+        on_gone: Callable[[str], None],
+    ):
+        self.directory = membership.Directory(own, membership.KEEP_ALL)
+        self.gossip = gossip.Gossip(self.directory, rng)
+        self.met = False
+        self._rng = rng
+        self._clock = clock
+        self._in_force = in_force
+        self._chooser = chooser
+        self._beside = beside
+        self._send_to = send
+        self._on_record = on_record
+        self._on_gone = on_gone
+        self._offered_at_by_name: dict[str, float] = {}
+        # Targets that an earlier run of a process had let go.
+        self._leaving_by_process: dict[str, tuple[str, ...]] = {}
+
+    async def meet(self, store: ports.Registry) -> None:
+        """Makes this process known and finds others, by the store."""
+        own = self.directory.own
+        data = messages.encode(messages.announcement(own))
+        await registry.meet(store, self._rng, own.name, data, self._members)
+        self.met = True
+
+    def tick(self, now: float) -> None:
+        """Lets time pass."""
+        self._send(self.gossip.tick(now))
+        self._learn()
+
+    def leave(self) -> None:
+        """Tells peers that this process is leaving."""
+        self._send(self.gossip.leave())
+
+    def _members(self, data_by_name: dict[str, bytes]) -> None:
+        """Others announced themselves on the store.
+
+        A few of them are asked for all they know; gossip brings the rest.
+        """
+        now = self._clock.monotonic()
+        for name, data in data_by_name.items():
+            if name == self.directory.own.name:
+                continue
+            try:
+                record = messages.decode_record(data)
+            except messages.Malformed as error:
+                _log.warning("member_malformed", name=name, detail=str(error))
+                continue
+            self.directory.hear(record.info, now)
+        names = self.directory.alive()
+        for name in self._rng.sample(names, min(JOIN_THROUGH, len(names))):
+            info = self.directory.member_by_name[name].info
+            join = self.gossip.join(info.control)
+            self._send_to(join.address, join.message)
+        self._learn()
+
+    def receive(self, message: messages.Control) -> None:
+        """A control message arrived."""
+        now = self._clock.monotonic()
+        if isinstance(message, messages.CatalogOffer):
+            if message.version > self._in_force.catalog.version:
+                record = zlib.decompress(message.packed)
+                self._on_record(record, "peer")
+            return
+        if isinstance(message, messages.LeavingTargets):
+            for name in message.names:
+                self._on_gone(name)
+            return
+        if isinstance(message.sender, messages.ProcessInfo):
+            self._remind(message.sender)
+        self._send(self.gossip.receive(message, now))
+        sender = message.sender
+        if isinstance(sender, messages.ProcessInfo):
+            self.met = True
+            self._offer(sender, now)
+        self._learn()
+
+    def _remind(self, peer: messages.ProcessInfo) -> None:
+        """Tells a process that started again which targets it had let go."""
+        known = self.directory.member_by_name.get(peer.name)
+        if known is not None and known.info.boot != peer.boot:
+            leaving = tuple(
+                target.name
+                for target in known.info.targets
+                if target.state in (State.DRAINING, State.LEFT)
+            )
+            if leaving:
+                self._leaving_by_process[peer.name] = leaving
+        names = self._leaving_by_process.get(peer.name, ())
+        held = {target.name for target in peer.targets}
+        if known is None or known.info.boot == peer.boot:
+            names = tuple(name for name in names if name in held)
+        if names:
+            sender = messages.sender(self.directory.own)
+            reminder = messages.LeavingTargets(sender, names)
+            self._send_to(peer.control, reminder)
+
+    def _offer(self, peer: messages.ProcessInfo, now: float) -> None:
+        """Hands the configuration to a peer that is behind."""
+        current = self._in_force.catalog
+        if peer.config >= current.version:
+            return
+        if peer.config and now - self._in_force.since < OFFER_AGE:
+            return
+        last = self._offered_at_by_name.get(peer.name, float("-inf"))
+        if now - last < OFFER_PERIOD:
+            return
+        self._offered_at_by_name[peer.name] = now
+        sender = messages.sender(self.directory.own)
+        packed = zlib.compress(current.source)
+        offer = messages.CatalogOffer(sender, current.version, packed)
+        self._send_to(peer.control, offer)
+
+    def _send(self, sends: list[gossip.Send]) -> None:
+        for send in sends:
+            self._send_to(send.address, send.message)
+
+    def _learn(self) -> None:
+        """Takes news of members over into the choice of targets."""
+        for name, info in self.directory.take_changes():
+            if info is None:
+                self._chooser.forget(name)
+            else:
+                self._chooser.learn(info)
+        usable = sum(
+            1 for m in self.directory.member_by_name.values() if m.usable
+        )
+        self._chooser.processes = usable + 1
+
+    def describe(self) -> bool:
+        """Describes this process anew; True when that is news."""
+        targets = tuple(
+            self._info(site.gate)
+            for site in self._beside.site_by_target.values()
+        )
+        if targets == self.directory.own.targets:
+            return False
+        self.directory.update_own(targets=targets)
+        return True
+
+    def _info(self, found: gate.Gate) -> messages.TargetInfo:
+        """What every process is told: only what seldom changes.
+
+        Doubt and load come and go within seconds; they travel on answers and
+        to those that send here.
+        """
+        return messages.TargetInfo(
+            found.name,
+            found.service,
+            self.directory.own.domain,
+            found.slots,
+            found.state,
+            1,
+        )
+
+    def tell_all(self) -> None:
+        """Tells peers of this process's targets at once."""
+        if self.describe():
+            self._learn()
+            self.gossip.spread(self.directory.own.name)
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -7,24 +7,21 @@
 import asyncio
 import random
 import secrets
-import zlib
 
 import structlog
 
-from forklift import announcement
 from forklift import catalog
 from forklift import chooser
 from forklift import dialect
 from forklift import errors
 from forklift import figures
 from forklift import gate
-from forklift import gossip
 from forklift import invariants
-from forklift import membership
 from forklift import messages
 from forklift import policy
 from forklift import ports
 from forklift import settings
+from forklift.shell import announced
 from forklift.shell import beside
 from forklift.shell import clock as clocks
 from forklift.shell import control
@@ -33,26 +30,18 @@
 from forklift.shell import framing
 from forklift.shell import ingress
 from forklift.shell import links
+from forklift.shell import neighbours
 from forklift.shell import registry
 from forklift.shell import served as serving
-from forklift.shell import upstream
 from forklift.shell import wire
 
 _log = structlog.get_logger(__name__)
 Reason = messages.Reason
-State = messages.TargetState
 
 TICK = 0.05
 # Ticks between beats on links, and between checks that can wait.
 BEAT_EVERY = 2
 SLOW_EVERY = 10
-# Seconds between two offers of the configuration to one peer, and the age
-# from which a version is offered: younger ones peers read themselves.
-OFFER_PERIOD = 1.0
-OFFER_AGE = 0.7
-# Seconds without a heartbeat after which a target is taken for gone. Targets
-# send one every 1.5 s here, and one may come seconds late.
-TARGET_LEASE = 8.0
 # A gap between two ticks this long means that the process was paused.
 PAUSE = 1.0
 # Seconds after SIGTERM during which callers still come, as the platform has
@@ -64,11 +53,6 @@
 # Peers that sent a request within these seconds hear at once of a doubt about
 # its target; others learn it from the refusal, should they send one.
 NEWS_FOR = 3.0
-# Times that a new process asks for the target beside it, and the pause between.
-LOOKS_BESIDE = 3
-LOOK_PAUSE = 0.3
-# Processes that a new one asks for all they know.
-JOIN_THROUGH = 3
 # A process that met nobody is ready after this time alone, seconds.
 READY_ALONE = 3.0
 
@@ -95,16 +79,9 @@
         self._servers: list[asyncio.Server] = []
         self._served: set[serving.Served] = set()
         self.policy = load_policy(read)
-        self._heard_by_target: dict[str, float] = {}
-        self._left: set[str] = set()
-        self._sequence = announcement.Sequence()
-        self._offered_at_by_name: dict[str, float] = {}
-        # Targets that an earlier run of a process had let go.
-        self._leaving_by_process: dict[str, tuple[str, ...]] = {}
         self._started_at = self.clock.monotonic()
         self._last_tick = self._started_at
         self.incarnation = 1
-        self.met = False
         self.stopping = False
         self.figures = figures.Figures()
         self.in_force = catalog.InForce()
@@ -116,12 +93,12 @@
         own = self.settings.process
         bounds = self.settings.budget
         self.control = control.Control(
-            own.control, self.boot, self._key, self.clock.wall, self._receive
-        )
-        self.directory = membership.Directory(
-            self._describe_first(), membership.KEEP_ALL
+            own.control,
+            self.boot,
+            self._key,
+            self.clock.wall,
+            lambda message: self.neighbours.receive(message),
         )
-        self.gossip = gossip.Gossip(self.directory, self._rng)
         self.chooser = chooser.Chooser(
             own.name,
             own.domain,
@@ -132,6 +109,26 @@
         self.beside = beside.Beside(
             self._names, self.program, self.clock, self._target_changed
         )
+        self.announced = announced.Announced(
+            self.settings,
+            self._names,
+            self.in_force,
+            self.beside,
+            self.clock,
+            lambda: self.neighbours.tell_all(),
+        )
+        self.neighbours = neighbours.Neighbours(
+            self._describe_first(),
+            self._rng,
+            self.clock,
+            self.in_force,
+            self.chooser,
+            self.beside,
+            self.control.send,
+            self._record,
+            self.announced.left,
+        )
+        self.directory = self.neighbours.directory
         self.links = links.Links(
             self.directory,
             self.chooser.paths,
@@ -207,8 +204,8 @@
         )
         follower = registry.Follower(self.store, self._rng, self._record)
         self.spawn(follower.run())
-        self.spawn(self._meet())
-        self.spawn(self._look_beside())
+        self.spawn(self.neighbours.meet(self.store))
+        self.spawn(self.announced.look_beside())
         self.spawn(self._tick_for_ever())
         _log.info("started", process=own.name, boot=self.boot)
 
@@ -225,8 +222,7 @@
         self.stopping = True
         self.ingress.stopping = True
         _log.info("stopping", running=self.running())
-        for name in list(self.beside.site_by_target):
-            self.beside.drain(name)
+        self.announced.stop()
         while self.clock.monotonic() < lame_until:
             await asyncio.sleep(STOP_POLL)
         self._servers[0].close()
@@ -237,8 +233,7 @@
         invariants.nothing_cut_off(
             self.running(), self.clock.monotonic() >= until
         )
-        for send in self.gossip.leave():
-            self.control.send(send.address, send.message)
+        self.neighbours.leave()
         await asyncio.sleep(STOP_POLL)
         _log.info("stopped", cut_off=self.running())
         await self.close()
@@ -261,6 +256,7 @@
     def reload(self, read: settings.Settings) -> None:
         """Takes other settings; those of [process] stay until a restart."""
         self.settings = read
+        self.announced.settings = read
         self.policy = load_policy(read)
         bounds = read.budget
         self.chooser.bound(
@@ -277,7 +273,7 @@
         if self.stopping or not self.in_force.known:
             return False
         age = self.clock.monotonic() - self._started_at
-        return self.met or age >= READY_ALONE
+        return self.neighbours.met or age >= READY_ALONE
 
     def spawn(self, work) -> None:
         """Runs a coroutine beside, until the process ends."""
@@ -303,10 +299,7 @@
         now = self.clock.monotonic()
         if not self.in_force.offer(found, source, now):
             return
-        for site in self.beside.site_by_target.values():
-            service = found.services_by_name.get(site.gate.service)
-            if service is not None:
-                site.pool.most = service.connections
+        self.announced.follow(found)
         self.directory.update_own(config=found.version)
 
     def _find(self, host: str, path: str) -> ingress.Found | None:
@@ -315,98 +308,6 @@
             return None
         return ingress.Found(route, route.pick(self._rng))
 
-    # Targets.
-
-    def seen(self, said: announcement.Announcement) -> None:
-        """The target on this instance announced itself."""
-        now = self.clock.monotonic()
-        if not self._sequence.newer(said.name, said.sequence):
-            return
-        if said.name in self._left:
-            return
-        self._heard_by_target[said.name] = now
-        site = self.beside.site_by_target.get(said.name)
-        if site is None:
-            if said.leaving:
-                # Never used here, so there is nothing to end.
-                self._left.add(said.name)
-                return
-            site = self._add_target(said)
-        elif said.leaving:
-            self.beside.drain(said.name)
-        site.gate.cold_until = now + said.cold
-        if self.stopping:
-            self.beside.drain(said.name)
-
-    async def _look_beside(self) -> None:
-        """Finds the target beside a process that started again.
-
-        Its next heartbeat may be more than a second away. Its health endpoint
-        tells its name, and whether it is leaving.
-        """
-        own = self.settings.platform
-        if not own.target or not own.service:
-            return
-        for _ in range(LOOKS_BESIDE):
-            while not self.in_force.known:
-                await asyncio.sleep(TICK)
-            service = self.in_force.catalog.services_by_name.get(own.service)
-            if self.beside.site_by_target or self.stopping or service is None:
-                return
-            found = await upstream.probe(
-                own.target, service.health, self._names
-            )
-            if found is not None and found.well and found.slots:
-                self._found_beside(found)
-                return
-            await asyncio.sleep(LOOK_PAUSE)
-
-    def _found_beside(self, found: upstream.Health) -> None:
-        own = self.settings
-        known = found.target in self.beside.site_by_target
-        if known or found.target in self._left or self.stopping:
-            return
-        self._heard_by_target[found.target] = self.clock.monotonic()
-        self._add_target(
-            announcement.Announcement(
-                found.target,
-                own.platform.service,
-                own.platform.target,
-                own.process.domain,
-                found.slots,
-                leaving=False,
-                sequence=-1,
-            )
-        )
-
-    def left(self, name: str) -> None:
-        """A target is about to end, or has."""
-        self._left.add(name)
-        if name in self.beside.site_by_target:
-            self.beside.leave(name)
-            _log.info("target_left", target=name)
-
-    def _add_target(self, said: announcement.Announcement) -> beside.Site:
-        for name, site in list(self.beside.site_by_target.items()):
-            if site.pool.address == said.address and name != said.name:
-                # The address has another target now.
-                self.left(name)
-        service = self.in_force.catalog.services_by_name.get(said.service)
-        most = service.connections if service else 100
-        site = beside.Site(
-            gate.Gate(said.name, said.service, said.slots),
-            upstream.Pool(said.address, most, self.clock.monotonic),
-        )
-        self.beside.add(said.name, site)
-        _log.info(
-            "target_joined",
-            target=said.name,
-            service=said.service,
-            address=said.address,
-        )
-        self._tell_all()
-        return site
-
     def _target_changed(self, changed: gate.Gate) -> None:
         """A target's state changed: those who send to it hear at once."""
         load = changed.load(self.clock.monotonic())
@@ -425,159 +326,12 @@
             sign=str(changed.doubt.sign),
         )
         if changed.leaving:
-            self._tell_all()
+            self.neighbours.tell_all()
 
     def _standing(self, standing: messages.Standing) -> None:
         now = self.clock.monotonic()
         self.chooser.report(standing.target, standing.load, now)
 
-    def _expire_targets(self, now: float) -> None:
-        for name, heard in list(self._heard_by_target.items()):
-            if now - heard <= TARGET_LEASE:
-                continue
-            del self._heard_by_target[name]
-            site = self.beside.site_by_target.pop(name, None)
-            if site is not None:
-                _log.warning("target_expired", target=name)
-                site.pool.close()
-                self._tell_all()
-
-    # Others.
-
-    async def _meet(self) -> None:
-        own = self.directory.own
-        data = messages.encode(messages.announcement(own))
-        await registry.meet(
-            self.store, self._rng, own.name, data, self._members
-        )
-        self.met = True
-
-    def _members(self, data_by_name: dict[str, bytes]) -> None:
-        """Others announced themselves on the store.
-
-        A few of them are asked for all they know; gossip brings the rest.
-        """
-        now = self.clock.monotonic()
-        for name, data in data_by_name.items():
-            if name == self.directory.own.name:
-                continue
-            try:
-                record = messages.decode_record(data)
-            except messages.Malformed as error:
-                _log.warning("member_malformed", name=name, detail=str(error))
-                continue
-            self.directory.hear(record.info, now)
-        names = self.directory.alive()
-        for name in self._rng.sample(names, min(JOIN_THROUGH, len(names))):
-            info = self.directory.member_by_name[name].info
-            join = self.gossip.join(info.control)
-            self.control.send(join.address, join.message)
-        self._learn()
-
-    def _receive(self, message: messages.Control) -> None:
-        """A control message arrived."""
-        now = self.clock.monotonic()
-        if isinstance(message, messages.CatalogOffer):
-            if message.version > self.in_force.catalog.version:
-                self._record(zlib.decompress(message.packed), "peer")
-            return
-        if isinstance(message, messages.LeavingTargets):
-            for name in message.names:
-                self.left(name)
-            return
-        if isinstance(message.sender, messages.ProcessInfo):
-            self._remind(message.sender)
-        self._send(self.gossip.receive(message, now))
-        sender = message.sender
-        if isinstance(sender, messages.ProcessInfo):
-            self.met = True
-            self._offer(sender, now)
-        self._learn()
-
-    def _remind(self, peer: messages.ProcessInfo) -> None:
-        """Tells a process that started again which targets it had let go."""
-        known = self.directory.member_by_name.get(peer.name)
-        if known is not None and known.info.boot != peer.boot:
-            leaving = tuple(
-                target.name
-                for target in known.info.targets
-                if target.state in (State.DRAINING, State.LEFT)
-            )
-            if leaving:
-                self._leaving_by_process[peer.name] = leaving
-        names = self._leaving_by_process.get(peer.name, ())
-        held = {target.name for target in peer.targets}
-        if known is None or known.info.boot == peer.boot:
-            names = tuple(name for name in names if name in held)
-        if names:
-            sender = messages.sender(self.directory.own)
-            reminder = messages.LeavingTargets(sender, names)
-            self.control.send(peer.control, reminder)
-
-    def _offer(self, peer: messages.ProcessInfo, now: float) -> None:
-        """Hands the configuration to a peer that is behind."""
-        current = self.in_force.catalog
-        if peer.config >= current.version:
-            return
-        if peer.config and now - self.in_force.since < OFFER_AGE:
-            return
-        last = self._offered_at_by_name.get(peer.name, float("-inf"))
-        if now - last < OFFER_PERIOD:
-            return
-        self._offered_at_by_name[peer.name] = now
-        sender = messages.sender(self.directory.own)
-        packed = zlib.compress(current.source)
-        offer = messages.CatalogOffer(sender, current.version, packed)
-        self.control.send(peer.control, offer)
-
-    def _send(self, sends: list[gossip.Send]) -> None:
-        for send in sends:
-            self.control.send(send.address, send.message)
-
-    def _learn(self) -> None:
-        """Takes news of members over into the choice of targets."""
-        for name, info in self.directory.take_changes():
-            if info is None:
-                self.chooser.forget(name)
-            else:
-                self.chooser.learn(info)
-        usable = sum(
-            1 for m in self.directory.member_by_name.values() if m.usable
-        )
-        self.chooser.processes = usable + 1
-
-    def _describe(self) -> bool:
-        """Describes this process anew; True when that is news."""
-        targets = tuple(
-            self._info(site.gate)
-            for site in self.beside.site_by_target.values()
-        )
-        if targets == self.directory.own.targets:
-            return False
-        self.directory.update_own(targets=targets)
-        return True
-
-    def _info(self, found: gate.Gate) -> messages.TargetInfo:
-        """What every process is told: only what seldom changes.
-
-        Doubt and load come and go within seconds; they travel on answers and
-        to those that send here.
-        """
-        return messages.TargetInfo(
-            found.name,
-            found.service,
-            self.settings.process.domain,
-            found.slots,
-            found.state,
-            1,
-        )
-
-    def _tell_all(self) -> None:
-        """Tells peers of this process's targets at once."""
-        if self._describe():
-            self._learn()
-            self.gossip.spread(self.directory.own.name)
-
     # Peers' requests.
 
     async def _serve_peer(
@@ -698,17 +452,16 @@
         self._observe()
         now = self.clock.monotonic()
         self.beside.tick(now)
-        self._send(self.gossip.tick(now))
         if count % BEAT_EVERY == 0:
             self.links.tick()
         if count % SLOW_EVERY == 0:
             self.ingress.tick(now)
-            self._expire_targets(now)
-            self._describe()
+            self.announced.expire(now)
+            self.neighbours.describe()
             for site in self.beside.site_by_target.values():
                 usual = self.chooser.usual_latency(site.gate.service)
                 site.gate.usual = usual
-        self._learn()
+        self.neighbours.tick(now)
 
     def _observe(self) -> None:
         """Notices a pause of this process, before anything else is done.
--- a/forklift/shell/serve.py
+++ b/forklift/shell/serve.py
@@ -31,7 +31,7 @@
         read, store.Store(read.platform.store), store.decode, names.DIALECT
     )
     front = admin.Admin(proxy)
-    calls = doors.Doors(proxy.seen, proxy.left, proxy.ready)
+    calls = doors.Doors(proxy.announced.seen, proxy.announced.left, proxy.ready)
     heartbeats = server.Server(calls.heartbeat)
     readiness = server.Server(calls.readiness)
     stop = asyncio.Event()
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -93,7 +93,7 @@
         said = announcement.Announcement(
             f"t{number}", "s", self.targets[number].address, "d", 4, False, 1
         )
-        one.seen(dataclasses.replace(said, **changes))
+        one.announced.seen(dataclasses.replace(said, **changes))
 
     def meets(self) -> bool:
         return all(
@@ -189,7 +189,7 @@
 
 def test_a_target_that_left_is_not_taken_back():
     async def work(fleet):
-        fleet.proxies[0].left("t0")
+        fleet.proxies[0].announced.left("t0")
         fleet.announce(fleet.proxies[0], 0, sequence=5)
         assert (await fleet.ask(0)).status == 200
         assert fleet.targets[0].received == []
@@ -290,7 +290,7 @@
 def test_one_that_started_again_is_reminded_of_what_had_left():
     async def work(fleet):
         old = fleet.proxies.pop(0)
-        old.left("t0")
+        old.announced.left("t0")
         other = fleet.proxies[0]
         await helper.until(lambda: len(other.chooser.views("s")) == 1)
         fixed = dataclasses.replace(
@@ -304,7 +304,7 @@
         new = proxy.Proxy(read, store, adapter.decode, dialect.OWN)
         fleet.proxies.insert(0, new)
         await new.start()
-        await helper.until(lambda: "t0" in new._left)
+        await helper.until(lambda: "t0" in new.announced.gone)
         # A heartbeat that was late comes to the new run.
         fleet.announce(new, 0)
         assert "t0" not in new.beside.site_by_target
@@ -318,7 +318,7 @@
         said = announcement.Announcement(
             "t9", "s", fleet.targets[0].address, "d", 4, False, 1
         )
-        one.seen(said)
+        one.announced.seen(said)
         site = one.beside.site_by_target["t0"]
         assert site.gate.state is State.LEFT
         assert (await fleet.ask()).status == 200
