--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -236,6 +236,31 @@
     play(work, [[], []], first=first)
 
 
+def test_what_no_gate_takes_in_time_is_given_up_at_once():
+    async def work(fleet):
+        for number, one in enumerate(fleet.proxies):
+            found = one.beside.site_by_target[f"t{number}"].gate
+            found.slots = 1
+            # One run takes longer than any request has.
+            found.latency = 100.0
+        for target in fleet.targets:
+            target.script.append("hold")
+        held = [asyncio.create_task(fleet.ask(0)) for _ in range(3)]
+        await helper.until(
+            lambda: all(len(t.received) == 1 for t in fleet.targets)
+        )
+        sends = fleet.proxies[0].forwarder.sends
+        answer = await fleet.ask(0)
+        assert answer.status == 503
+        assert fleet.proxies[0].forwarder.sends <= sends + 3 * len(held)
+        for target in fleet.targets:
+            target.release.set()
+        assert [(await one).status for one in held] == [200] * 3
+
+    first = record(1, r=route("non_idempotent", **{"timeout-ms": 60000}))
+    play(work, [[], [], []], first=first)
+
+
 def test_a_process_without_configuration_is_not_ready_and_says_so():
     async def work(fleet):
         assert not fleet.proxies[0].ready()
