--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -35,6 +35,11 @@
 PROBE_SHARE = 0.5
 # Seconds without a proof after which a target is worth a test.
 PROBE_AGE = 0.5
+# The same while requests of the service fail here, and the seconds that this
+# holds after a failure: whatever else is sound must be in use then.
+PROBE_SHARE_IN_TROUBLE = 0.9
+PROBE_AGE_IN_TROUBLE = 0.3
+TROUBLE_LASTS = 2.0
 # Seconds between two scouts of this entry to one target.
 SCOUT_GAP = 0.25
 # Share of good outcomes from which a doubted target is better than to wait on.
@@ -155,6 +160,7 @@
 
     def __init__(self, bounds: BudgetBounds):
         self.view_by_target: dict[str, View] = {}
+        self.failed_at = float("-inf")
         self.subset: list[str] | None = None
         self.budget = budget.Budget(bounds.ratio, bounds.window, bounds.reserve)
 
@@ -269,7 +275,8 @@
         )
         view = None
         if wish.repeatable and wish.scout:
-            view = self._test(sound, doubted, now)
+            troubled = now - group.failed_at < TROUBLE_LASTS
+            view = self._test(sound, doubted, troubled, now)
         if view is None:
             pool = sound or shedding
             if not pool and wish.insist is gate.Insist.ANY:
@@ -302,6 +309,10 @@
         if load is not None:
             view.report(load, now)
 
+    def failed(self, service: str, now: float) -> None:
+        """A request of a service failed at its target."""
+        self._group(service).failed_at = now
+
     # Repeats.
 
     def request(self, service: str, now: float) -> None:
@@ -344,7 +355,11 @@
         return sound, shedding, doubted
 
     def _test(
-        self, sound: list[View], doubted: list[View], now: float
+        self,
+        sound: list[View],
+        doubted: list[View],
+        troubled: bool,
+        now: float,
     ) -> View | None:
         """A target that is worth a test by a request that may repeat."""
         due = [view for view in doubted if now >= view.next_scout]
@@ -352,12 +367,14 @@
         full = all(view.load(now) >= view.slots for view in sound)
         if due and (full or self._rng.random() < SCOUT_SHARE):
             return self._rng.choice(due)
-        if self._rng.random() >= PROBE_SHARE:
+        share = PROBE_SHARE_IN_TROUBLE if troubled else PROBE_SHARE
+        if self._rng.random() >= share:
             return None
+        age = PROBE_AGE_IN_TROUBLE if troubled else PROBE_AGE
         spare = [
             view
             for view in sound
-            if view.proof(now) > PROBE_AGE and view.load(now) < view.slots
+            if view.proof(now) > age and view.load(now) < view.slots
         ]
         if not spare:
             return None
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -241,6 +241,7 @@
                     return False
             return request.body.again and not sink.begun
         self._arrived(walk, choice)
+        self._note_failure(request, ending)
         walk.runs += 1
         if not request.repeatable:
             invariants.at_most_once(walk.runs, request.id)
@@ -259,6 +260,15 @@
         )
         return True
 
+    def _note_failure(
+        self, request: exchange.Request, ending: exchange.Ending
+    ) -> None:
+        program: policy.Service = self._program(request.service)
+        answered = ending.outcome is Outcome.ANSWERED
+        if not answered or program.is_failure(ending.status):
+            now = self._clock.monotonic()
+            self._chooser.failed(request.service, now)
+
     def _arrived(self, walk: _Walk, choice: choosers.Choice) -> None:
         walk.sends += 1
         walk.paid = False
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -89,6 +89,24 @@
     assert 1 <= tests <= 2.0 / chooser.SCOUT_GAP + 1
 
 
+def test_spare_targets_are_tested_more_while_requests_fail():
+    def tests(troubled: bool) -> int:
+        found = made("a", "b", "c")
+        count = 0
+        for step in range(400):
+            now = 10.0 + step * 0.02
+            if troubled:
+                found.failed("s", now)
+            choice = found.choose(wish(repeatable=True), frozenset(), now)
+            # What is used is proven for a moment, as its guard tells.
+            found.ended("s", choice, load(), now)
+            count += choice.target != usual
+        return count
+
+    usual = made("a", "b", "c").choose(wish(), frozenset(), 10.0).target
+    assert tests(troubled=True) > tests(troubled=False) > 0
+
+
 def test_a_repeat_tests_nobody():
     found = made("a", "b")
     found.report("a", load(State.SUSPECT), 10.0)
