A target is back with the next run of its process

Cause: a process that stopped as planned told its target as leaving. Peers reminded its next run never to use that target again, and entries kept their view of it as gone although process and target were back. Change: a stopping process pauses its target, which is told apart from leaving; a view begins anew with each run of the process.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -23,7 +23,7 @@
 from forklift import spread
 
 State = messages.TargetState
-_GONE = (State.DRAINING, State.LEFT)
+_GONE = (State.PAUSED, State.DRAINING, State.LEFT)
 
 # Targets of one service that this entry sends to at most.
 SUBSET = 64
@@ -103,9 +103,15 @@
 class View:
     """What the entry knows of one target."""
 
-    def __init__(self, info: messages.TargetInfo, process: str, near: bool):
+    def __init__(
+        self,
+        info: messages.TargetInfo,
+        process: messages.ProcessInfo,
+        near: bool,
+    ):
         self.name = info.name
-        self.process = process
+        self.process = process.name
+        self.boot = process.boot
         self.near = near
         self.slots = max(1, info.slots)
         self.in_flight = 0
@@ -417,11 +423,14 @@
     ) -> None:
         group = self._group(target.service)
         view = group.view_by_target.get(target.name)
-        if view is not None and view.process == info.name:
+        same = view is not None and view.process == info.name
+        if same and view.boot == info.boot:
             view.follow(target)
             return
+        # A process that started again begins anew, as its target may have been
+        # paused only because the earlier run stopped.
         near = target.domain == self._domain
-        group.view_by_target[target.name] = View(target, info.name, near)
+        group.view_by_target[target.name] = View(target, info, near)
         group.subset = None
 
     def _remove(self, service: str, name: str, process: str) -> None:
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -153,7 +153,7 @@
     @property
     def leaving(self) -> bool:
         """Whether the target starts no request any more."""
-        return self.state in (State.DRAINING, State.LEFT)
+        return self.state in (State.PAUSED, State.DRAINING, State.LEFT)
 
     def load(self, now: float) -> messages.Load:
         """Its load and state, as others are told."""
@@ -245,11 +245,18 @@
 
     def drain(self) -> list[Decision]:
         """The target is leaving: nothing starts any more."""
-        if self.state is State.IN_SERVICE:
+        if self.state in (State.IN_SERVICE, State.PAUSED):
             self.state = State.DRAINING
             self.version += 1
         return self._refuse_all(Reason.DRAINING)
 
+    def pause(self) -> list[Decision]:
+        """This process stops, and its target lives on: nothing starts here."""
+        if self.state is State.IN_SERVICE:
+            self.state = State.PAUSED
+            self.version += 1
+        return self._refuse_all(Reason.DRAINING)
+
     def leave(self) -> list[Decision]:
         """The target is gone."""
         if self.state is not State.LEFT:
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -54,6 +54,8 @@
     IN_SERVICE = "in-service"
     SUSPECT = "suspect"
     SHEDDING = "shedding"
+    # The process beside it stops; the target itself lives on.
+    PAUSED = "paused"
     DRAINING = "draining"
     LEFT = "left"
 
--- a/forklift/shell/announced.py
+++ b/forklift/shell/announced.py
@@ -71,7 +71,7 @@
             self._beside.drain(said.name)
         site.gate.cold_until = now + said.cold
         if self.stopping:
-            self._beside.drain(said.name)
+            self._beside.pause(said.name)
 
     def left(self, name: str) -> None:
         """A target is about to end, or has."""
@@ -84,7 +84,7 @@
         """This process stops: its targets take nothing new."""
         self.stopping = True
         for name in list(self._beside.site_by_target):
-            self._beside.drain(name)
+            self._beside.pause(name)
 
     def follow(self, current: catalog.Catalog) -> None:
         """Takes the bounds of a new configuration."""
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -68,6 +68,11 @@
         site = self.site_by_target[name]
         self._settle(site, site.gate.drain())
 
+    def pause(self, name: str) -> None:
+        """This process stops: a target takes no new request through it."""
+        site = self.site_by_target[name]
+        self._settle(site, site.gate.pause())
+
     def leave(self, name: str) -> None:
         """A target is gone."""
         site = self.site_by_target[name]
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -143,6 +143,16 @@
     assert picks(found, wish()) == set()
 
 
+def test_a_target_is_back_with_the_next_run_of_its_process():
+    found = made("a")
+    paused = helper.target_info("a", state=State.PAUSED)
+    found.learn(helper.info("p-a", targets=(paused,)))
+    assert picks(found, wish()) == set()
+    back = helper.target_info("a")
+    found.learn(helper.info("p-a", targets=(back,), boot=99))
+    assert picks(found, wish()) == {"a"}
+
+
 def test_an_avoided_path_is_not_taken():
     found = made("a", "b")
     found.paths.path_failed("p-a", "silent", 10.0)
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -337,6 +337,37 @@
     play(work, [[], []])
 
 
+def test_a_target_is_back_after_a_planned_stop_of_its_process():
+    async def work(fleet):
+        old = fleet.proxies.pop(0)
+        other = fleet.proxies[0]
+        fixed = dataclasses.replace(
+            old.settings.process,
+            peer=old.directory.own.peer,
+            control=old.directory.own.control,
+        )
+        await old.stop()
+        await helper.until(lambda: len(picked(other)) == 1)
+        read = dataclasses.replace(old.settings, process=fixed)
+        store = adapter.Store(fleet.server.address)
+        new = proxy.Proxy(read, store, adapter.decode, dialect.OWN)
+        fleet.proxies.insert(0, new)
+        await new.start()
+        await helper.until(lambda: new.neighbours.met)
+        fleet.announce(new, 0, sequence=2)
+        await helper.until(lambda: len(picked(other)) == 2)
+        assert new.announced.gone == set()
+
+    def picked(one: proxy.Proxy) -> list[str]:
+        return [
+            view.name
+            for view in one.chooser.views("s")
+            if view.state is State.IN_SERVICE
+        ]
+
+    play(work, [[], []])
+
+
 def test_an_address_used_again_ends_the_target_before():
     async def work(fleet):
         one = fleet.proxies[0]
