Close gaps that breaking the code on purpose showed

Cause: with `Fences.may_start` always true, or the bound of a route on targets ignored, no test failed. New tests: fences; a route's bound on targets; the budget over processes; the final answer at the route's limit; a hang-up through another process; a fence around a silent path; a guard that was paused; an early answer to a long body; a target without heartbeats; membership. The test of a caller that leaves work that must not repeat found a fault: its answer, read whole, was lost to the gate (no sign, no latency) and its connection closed. It is now read to its end and dropped. Also: a target's lease follows the platform's heartbeat instead of a figure of two sites; port 0 everywhere in lab and demo, processes say where they listen; peers lost and back are logged; an admin address that is taken ends no process; processes meet again every 150 to 300 s, as a long cut makes them forget each other.

--- a/forklift/__init__.py
+++ b/forklift/__init__.py
@@ -1,3 +1,3 @@
-"""forklift: a proxy fleet for back ends with gray failures."""
+"""forklift: a proxy fleet for targets with gray failures."""
 
 VERSION = "0.1.0"
--- a/forklift/ini.py
+++ b/forklift/ini.py
@@ -101,7 +101,7 @@
 
 
 def address(value: str) -> str:
-    """An IP number with a port.
+    """An IP number with a port; port 0 lets the system choose one.
 
     >>> address("127.0.0.1:80")
     '127.0.0.1:80'
@@ -109,7 +109,7 @@
     host, _, port = value.strip().rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        in_range = 0 < int(port) < 65536
+        in_range = 0 <= int(port) < 65536
     except ValueError:
         in_range = False
     if not in_range:
--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -17,6 +17,10 @@
     return value.strip()
 
 
+# The system chooses such a port anew for each listener.
+ANY_PORT = ":0"
+
+
 @dataclasses.dataclass(frozen=True)
 class Process:
     """Section [process]: who and where this process is."""
@@ -56,6 +60,11 @@
     target: str = ini.key(
         _optional_address, "address of the target on this instance, ip:port", ""
     )
+    heartbeat_ms: int = ini.key(
+        ini.whole(10, 3_600_000),
+        "milliseconds between heartbeats of a target",
+        1500,
+    )
     grace: float = ini.key(
         ini.number(0.5, 3600),
         "seconds from SIGTERM until the process is killed",
@@ -169,7 +178,7 @@
         for field in ("heartbeats", "ready")
     ]
     for section, field, address in listeners:
-        if address in seen:
+        if address in seen and not address.endswith(ANY_PORT):
             reader.report(
                 section,
                 field,
--- a/forklift/shell/admin.py
+++ b/forklift/shell/admin.py
@@ -80,6 +80,11 @@
                 f"can't listen on {address} ({error}); check [process] admin"
             ) from error
 
+    @property
+    def address(self) -> str:
+        """Where it listens; empty while it does not."""
+        return self._server.address
+
     def close(self) -> None:
         """Stops listening."""
         self._server.close()
--- a/forklift/shell/announced.py
+++ b/forklift/shell/announced.py
@@ -16,9 +16,10 @@
 
 _log = structlog.get_logger(__name__)
 
-# Seconds without a heartbeat after which a target is taken for gone. Targets
-# send one every 1.5 s here, and one may come seconds late.
-TARGET_LEASE = 8.0
+# Heartbeats that may be missing before a target is taken for gone, and the
+# seconds that one may be late.
+MISSED_HEARTBEATS = 3
+HEARTBEAT_LATE = 3.5
 # Times that a new process asks for the target beside it, and the pause between.
 LOOKS_BESIDE = 3
 LOOK_PAUSE = 0.3
@@ -95,8 +96,10 @@
 
     def expire(self, now: float) -> None:
         """Forgets targets that sent no heartbeat for long."""
+        period = self.settings.platform.heartbeat_ms / 1000
+        lease = MISSED_HEARTBEATS * period + HEARTBEAT_LATE
         for name, heard in list(self._heard_by_target.items()):
-            if now - heard <= TARGET_LEASE:
+            if now - heard <= lease:
                 continue
             del self._heard_by_target[name]
             site = self._beside.site_by_target.pop(name, None)
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -37,6 +37,38 @@
     pool: upstream.Pool
 
 
+class _Leaving:
+    """The sink of a request that may outlive its sender.
+
+    Once the sender is gone its answer is read to the end and dropped: how it
+    ended still tells of the target, and its connection can be used again.
+    """
+
+    def __init__(self, sink: exchange.Sink):
+        self._sink = sink
+        self.gone = False
+
+    @property
+    def begun(self) -> bool:
+        """See `exchange.Sink`."""
+        return self._sink.begun
+
+    async def start(self, head: exchange.Head) -> None:
+        """See `exchange.Sink`."""
+        if not self.gone:
+            await self._sink.start(head)
+
+    async def data(self, piece: bytes) -> None:
+        """See `exchange.Sink`."""
+        if not self.gone:
+            await self._sink.data(piece)
+
+    async def end(self) -> None:
+        """See `exchange.Sink`."""
+        if not self.gone:
+            await self._sink.end()
+
+
 class Beside:
     """The asyncio side of the gates."""
 
@@ -107,14 +139,15 @@
             return exchange.not_run(Reason.UNKNOWN_TARGET)
         if not self.fences.may_start(ticket.id):
             return self._fenced(ticket)
-        work = self._admitted(site, ticket, request, sink)
         if ticket.repeatable:
-            return await work
-        task = asyncio.create_task(work)
+            return await self._admitted(site, ticket, request, sink)
+        kept = _Leaving(sink)
+        task = asyncio.create_task(self._admitted(site, ticket, request, kept))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             if self.fences.started(ticket.id):
+                kept.gone = True
                 self._detached.add(task)
                 task.add_done_callback(self._forget)
             else:
--- a/forklift/shell/links.py
+++ b/forklift/shell/links.py
@@ -56,7 +56,7 @@
                 return await asyncio.shield(opening)
         except TimeoutError as error:
             now = self._clock.monotonic()
-            self._paths.path_failed(process, "slow to open", now)
+            self._fail(process, "slow to open", now)
             raise errors.PeerUnreachable(process, "slow to open") from error
 
     def _begin(self, process: str) -> asyncio.Task:
@@ -85,6 +85,7 @@
             else:
                 self._paths.settled(process)
         for process in self._paths.silent(now):
+            _log.warning("peer_lost", process=process, cause="silent")
             link = self.link_by_process.get(process)
             if link is not None:
                 link.give_up_repeatable()
@@ -117,32 +118,41 @@
         now = self._clock.monotonic
         member = self._directory.member_by_name.get(process)
         if member is None:
-            self._paths.path_failed(process, "unknown", now())
+            self._fail(process, "unknown", now())
             raise errors.PeerUnreachable(process, "not in the directory")
         try:
             link = await peers.open_link(
                 member.info.peer, self._hello(), self._key
             )
         except (OSError, TimeoutError, wire.Lost, peers.Refused) as error:
-            self._paths.path_failed(process, "unreachable", now())
+            self._fail(process, "unreachable", now())
             detail = str(error) or type(error).__name__
             raise errors.PeerUnreachable(process, detail) from error
         if link.peer.name != process:
             link.close()
-            self._paths.path_failed(process, "another answers", now())
+            self._fail(process, "another answers", now())
             raise errors.PeerUnreachable(process, "another process answers")
-        link.on_sign = lambda: self._paths.heard(process)
+        link.on_sign = lambda: self._hear(process)
         if self._on_standing is not None:
             link.on_standing = self._on_standing
         link.on_lost = lambda: self._lost(process, link)
         # It has just shown that both ways are open.
-        self._paths.heard(process)
+        self._hear(process)
         self.link_by_process[process] = link
         return link
 
+    def _fail(self, process: str, cause: str, now: float) -> None:
+        if self._paths.usable(process):
+            _log.warning("peer_lost", process=process, cause=cause)
+        self._paths.path_failed(process, cause, now)
+
+    def _hear(self, process: str) -> None:
+        if self._paths.heard(process):
+            _log.info("peer_back", process=process)
+
     def _lost(self, process: str, link: peers.Link) -> None:
         """A connection broke: the path is avoided until a new one opens."""
         if self.link_by_process.get(process) is not link:
             return
         del self.link_by_process[process]
-        self._paths.path_failed(process, "lost", self._clock.monotonic())
+        self._fail(process, "lost", self._clock.monotonic())
--- a/forklift/shell/neighbours.py
+++ b/forklift/shell/neighbours.py
@@ -63,7 +63,6 @@
         own = self.directory.own
         data = messages.encode(messages.announcement(own))
         await registry.meet(store, self._rng, own.name, data, self._members)
-        self.met = True
 
     def tick(self, now: float) -> None:
         """Lets time pass."""
@@ -79,6 +78,7 @@
 
         A few of them are asked for all they know; gossip brings the rest.
         """
+        self.met = True
         now = self._clock.monotonic()
         for name, data in data_by_name.items():
             if name == self.directory.own.name:
@@ -88,7 +88,9 @@
             except messages.Malformed as error:
                 _log.warning("member_malformed", name=name, detail=str(error))
                 continue
-            self.directory.hear(record.info, now)
+            # It may be of an earlier run than what is known by now.
+            rumor = messages.Rumor(messages.Liveness.ALIVE, record.info)
+            self.directory.apply(rumor, now)
         names = self.directory.alive()
         for name in self._rng.sample(names, min(JOIN_THROUGH, len(names))):
             info = self.directory.member_by_name[name].info
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -207,7 +207,14 @@
         self.spawn(self.neighbours.meet(self.store))
         self.spawn(self.announced.look_beside())
         self.spawn(self._tick_for_ever())
-        _log.info("started", process=own.name, boot=self.boot)
+        _log.info(
+            "started",
+            process=own.name,
+            boot=self.boot,
+            caller=self.caller_address,
+            peer=self.directory.own.peer,
+            control=self.control.address,
+        )
 
     @property
     def caller_address(self) -> str:
--- a/forklift/shell/registry.py
+++ b/forklift/shell/registry.py
@@ -18,6 +18,9 @@
 # First pause after a failure, and the longest, seconds.
 PAUSE_FIRST = 0.2
 PAUSE_MOST = 0.8
+# Seconds between two meetings at most: half of the time after which processes
+# forget each other, at two calls each.
+MEET_EVERY = 300.0
 
 
 class _Pause:
@@ -97,10 +100,24 @@
     data: bytes,
     on_members: Callable[[dict[str, bytes]], None],
 ) -> None:
-    """Announces this process and reads who else did, until both worked.
+    """Announces this process and reads who else did, for ever.
 
     Whoever announces itself later finds this process and makes itself known.
+    It is done again now and then: processes that a long cut kept apart have
+    forgotten each other and would meet nowhere else.
     """
+    while True:
+        await _meet_once(registry, rng, name, data, on_members)
+        await asyncio.sleep(MEET_EVERY * (0.5 + rng.random() / 2))
+
+
+async def _meet_once(
+    registry: ports.Registry,
+    rng: random.Random,
+    name: str,
+    data: bytes,
+    on_members: Callable[[dict[str, bytes]], None],
+) -> None:
     pause = _Pause(rng)
     announced = False
     while True:
--- a/forklift/shell/serve.py
+++ b/forklift/shell/serve.py
@@ -4,6 +4,8 @@
 import gc
 import signal
 
+import structlog
+
 from forklift import errors
 from forklift import settings
 from forklift.platform import doors
@@ -14,6 +16,7 @@
 from forklift.shell import reload
 from forklift.shell import server
 
+_log = structlog.get_logger(__name__)
 GC_THRESHOLD = 20_000
 
 
@@ -37,9 +40,16 @@
     stop = asyncio.Event()
     front.on_drain_all = stop.set
     await proxy.start()
-    await front.open()
+    await _open_front(front)
     await _open(heartbeats, read.platform.heartbeats, "heartbeats")
     await _open(readiness, read.platform.ready, "ready")
+    _log.info(
+        "listening",
+        caller=proxy.caller_address,
+        heartbeats=heartbeats.address,
+        ready=readiness.address,
+        admin=front.address,
+    )
     _settle_memory()
     watcher = reload.Watcher(path, read, proxy.reload)
     loop = asyncio.get_running_loop()
@@ -54,6 +64,14 @@
     front.close()
 
 
+async def _open_front(front: admin.Admin) -> None:
+    """Callers are served even where operators can't ask."""
+    try:
+        await front.open()
+    except errors.UserError as error:
+        _log.error("admin_unavailable", detail=str(error))
+
+
 async def _open(opened: server.Server, address: str, key: str) -> None:
     try:
         await opened.open(address)
--- a/forklift_lab/programs.py
+++ b/forklift_lab/programs.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
-import os
+import json
 import pathlib
 import signal
 import sys
@@ -16,7 +16,6 @@
 from forklift.platform import names
 from forklift.shell import client
 from forklift.shell import server
-from forklift.shell import wire
 from forklift_lab import scripted
 from forklift_lab import store
 
@@ -73,33 +72,27 @@
 
 
 _LISTENERS = ("caller", "peer", "control", "admin", "heartbeats", "ready")
+# Each process lets the system choose its ports and says which they are.
+_ANY = "127.0.0.1:0"
+_POLL = 0.02
+START_WITHIN = 60.0
 
 
-async def place(name: str, domain: str, service: str) -> Place:
-    """A place with addresses of its own on loopback.
+def unplaced(name: str, domain: str, service: str) -> Place:
+    """A place whose addresses the system is to choose."""
+    return Place(name, domain, service, **dict.fromkeys(_LISTENERS, _ANY))
 
-    Another program's process is to listen there, so ports can't be asked for
-    by listening on port 0. Each is on an IP number of its own instead, so that
-    nothing else on the machine takes one in between.
-    """
-    host = _hosts.pop()
-    addresses = {}
-    for field in _LISTENERS:
-        listener = await asyncio.start_server(_nothing, host, 0)
-        addresses[field] = wire.bound_address(listener)
-        listener.close()
-    return Place(name, domain, service, **addresses)
-
-
-# IP numbers of loopback; the process id keeps two runs apart.
-_hosts = [
-    f"127.{40 + n // 200}.{os.getpid() % 250 + 1}.{n % 200 + 1}"
-    for n in range(2000)
-]
 
-
-async def _nothing(reader, writer) -> None:
-    writer.close()
+def addresses(log: pathlib.Path) -> dict[str, str]:
+    """What the last run that writes a log listens on; empty until it says."""
+    found: dict[str, str] = {}
+    for line in log.read_text().splitlines():
+        if not line.startswith("{"):
+            continue
+        read = json.loads(line)
+        if read["event"] in ("started", "listening"):
+            found.update({k: v for k, v in read.items() if k in _LISTENERS})
+    return found if len(found) == len(_LISTENERS) else {}
 
 
 class Programs:
@@ -133,18 +126,22 @@
         self, name: str, domain: str, service: str, program=PROGRAM
     ) -> Place:
         """Starts a target, and a process beside it."""
-        found = await place(name, domain, service)
         target = scripted.ScriptedTarget(names=names.DIALECT, name=f"i-{name}")
         await self._stack.enter_async_context(target)
-        self.places.append(found)
         self.target_by_name[name] = target
-        await self.start(found, program)
+        await self.start(unplaced(name, domain, service), program)
+        log = self.folder / f"{name}.log"
+        async with asyncio.timeout(START_WITHIN):
+            while not addresses(log):
+                await asyncio.sleep(_POLL)
+        found = Place(name, domain, service, **addresses(log))
+        self.places.append(found)
         task = asyncio.create_task(self._beat(found, target))
         self._tasks.add(task)
         return found
 
     async def start(self, found: Place, program=PROGRAM) -> None:
-        """Starts the process of a place."""
+        """Starts the process of a place, where it listened before."""
         path = self.folder / f"{found.name}.ini"
         target = self.target_by_name[found.name]
         path.write_text(
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -114,6 +114,7 @@
         "app-addr": "10.0.0.1:9",
         "port-range.0": "1",
         "port-range.1": "2",
+        "heartbeat-ms": "1500",
         "bounds.grace-s": "6",
         "bounds.retry-budget-ratio": "0.2",
         "bounds.budget-window-s": "10",
--- /dev/null
+++ b/test/test_membership.py
@@ -0,0 +1,64 @@
+"""Who is there, and what overrides what."""
+
+import random
+
+from forklift import gossip
+from forklift import membership
+from forklift import messages
+from test import helper
+
+Liveness = messages.Liveness
+
+
+def made() -> membership.Directory:
+    return membership.Directory(helper.info("own"), membership.KEEP_ALL)
+
+
+def rumor(liveness=Liveness.ALIVE, **changes) -> messages.Rumor:
+    return messages.Rumor(liveness, helper.info("a", **changes))
+
+
+def test_a_process_without_targets_is_kept_as_well():
+    known = made()
+    assert known.apply(rumor(), 0.0)
+    assert "a" in known.member_by_name
+
+
+def test_a_new_run_whose_clock_was_set_back_speaks_for_itself():
+    known = made()
+    known.apply(rumor(boot=1, started=100.0), 0.0)
+    back = helper.info("a", boot=2, started=98.0)
+    assert not known.hear(back, 1.0)
+    known.judge("a", Liveness.SUSPECT, 2.0)
+    assert known.hear(back, 3.0)
+    assert known.member_by_name["a"].info.boot == 2
+
+
+def test_old_news_of_an_earlier_run_overrides_nothing():
+    known = made()
+    known.apply(rumor(boot=2, started=100.0), 0.0)
+    known.judge("a", Liveness.SUSPECT, 1.0)
+    assert not known.apply(rumor(boot=1, started=50.0), 2.0)
+    assert known.member_by_name["a"].info.boot == 2
+
+
+def test_a_process_taken_for_dead_is_asked_whether_it_is_back():
+    known = made()
+    known.apply(rumor(), 0.0)
+    talk = gossip.Gossip(known, random.Random(1))
+    known.judge("a", Liveness.DEAD, 1.0)
+    asked = [send.address for send in talk.tick(2.0)]
+    assert asked == ["a"]
+
+
+def test_news_that_comes_together_is_told_together():
+    known = made()
+    talk = gossip.Gossip(known, random.Random(1))
+    for number in range(10):
+        info = helper.info(f"n{number}")
+        known.apply(messages.Rumor(Liveness.ALIVE, info), 0.0)
+        talk.spread(info.name)
+    told = talk.tick(100.0)
+    pings = [s for s in told if isinstance(s.message, messages.Ping)]
+    assert len(pings) <= gossip.FAN_OUT + 1
+    assert max(len(ping.message.rumors) for ping in pings) >= 9
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -7,6 +7,7 @@
 import pytest
 
 from forklift import announcement
+from forklift import chooser
 from forklift import dialect
 from forklift import messages
 from forklift import settings
@@ -261,6 +262,128 @@
     play(work, [[], [], []], first=first)
 
 
+def test_repeatable_work_is_sent_to_no_more_targets_than_its_route_allows():
+    async def work(fleet):
+        assert (await fleet.ask()).status == 500
+        assert fleet.runs() == 2
+
+    play(work, [["error"] * 9] * 4)
+
+
+def test_the_budget_bounds_repeats():
+    async def work(fleet):
+        fleet.proxies[0].chooser.bound(chooser.BudgetBounds(0.0, 1000.0, 3.0))
+        for _ in range(5):
+            await fleet.ask()
+        assert fleet.runs() <= 5 + 3
+
+    play(work, [["error"] * 30])
+
+
+def test_work_that_hangs_has_its_final_answer_at_the_routes_limit():
+    async def work(fleet):
+        assert (await fleet.ask()).status == 504
+        assert fleet.runs() == 1
+
+    first = record(1, r=route("non_idempotent", **{"timeout-ms": 200}))
+    play(work, [["hang"], ["hang"]], first=first)
+
+
+def test_a_hang_up_reaches_the_target_through_another_process():
+    async def work(fleet):
+        fleet.proxies[0].beside.drain("t0")
+        fleet.targets[1].script.append("hang")
+        asked = asyncio.create_task(fleet.ask(0))
+        await helper.until(lambda: len(fleet.targets[1].received) == 1)
+        asked.cancel()
+        await helper.until(lambda: fleet.targets[1].hung_up >= 1)
+
+    play(work, [[], []])
+
+
+def test_what_must_not_repeat_runs_to_its_end_though_its_caller_is_gone():
+    async def work(fleet):
+        fleet.proxies[0].beside.drain("t0")
+        target = fleet.targets[1]
+        target.script.append("hold")
+        asked = asyncio.create_task(fleet.ask(0))
+        await helper.until(lambda: len(target.received) == 1)
+        asked.cancel()
+        other = fleet.proxies[1].beside
+        await helper.until(lambda: other._detached)
+        target.release.set()
+        await helper.until(lambda: not other._detached)
+        # The connection was returned whole: nothing was broken off.
+        assert other.site_by_target["t1"].pool.open == 1
+
+    first = record(1, r=route("non_idempotent"))
+    play(work, [[], []], first=first)
+
+
+def test_what_must_not_repeat_is_fenced_around_a_silent_path():
+    async def work(fleet):
+        entry = fleet.proxies[0]
+        entry.beside.drain("t0")
+        link = await entry.links.get("p1")
+        await entry.links.get("p2")
+        # One way is cut: what is sent to p1 is lost, and nothing says so.
+        link._frames.send = lambda frame: None
+        fleet.proxies[2].beside.drain("t2")
+        await helper.until(
+            lambda: (
+                sum(
+                    view.state is State.IN_SERVICE
+                    for view in entry.chooser.views("s")
+                )
+                == 1
+            )
+        )
+        asked = asyncio.create_task(fleet.ask(0))
+        await helper.until(lambda: not entry.chooser.paths.usable("p1"))
+        fences = fleet.proxies[1].beside.fences
+        await helper.until(lambda: len(fences) == 1)
+        # Proven not to run there, it goes to another one in time.
+        fleet.announce(fleet.proxies[2], 2, name="t9", sequence=1)
+        assert (await asked).status == 200
+        assert fleet.targets[1].received == []
+
+    first = record(1, r=route("non_idempotent", **{"timeout-ms": 60000}))
+    play(work, [[], [], []], first=first)
+
+
+def test_a_guard_that_was_paused_refuses_what_is_older():
+    async def work(fleet):
+        fleet.proxies[0].beside.drain("t0")
+        await fleet.proxies[0].links.get("p1")
+        fleet.proxies[1].incarnation += 1
+        seen = []
+        served = fleet.proxies[1].beside.run
+
+        async def run(*arguments):
+            seen.append(arguments)
+            return await served(*arguments)
+
+        fleet.proxies[1].beside.run = run
+        assert (await fleet.ask(0)).status == 200
+        # The first send was refused as stale before it came to the gate.
+        assert len(seen) == 1
+        assert fleet.proxies[0].forwarder.sends >= 2
+
+    play(work, [[], []])
+
+
+def test_a_target_without_heartbeats_for_long_is_gone():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        now = one.clock.monotonic()
+        one.announced.expire(now + 1.0)
+        assert "t0" in one.beside.site_by_target
+        one.announced.expire(now + 1000.0)
+        assert one.beside.site_by_target == {}
+
+    play(work, [[]])
+
+
 def test_a_process_without_configuration_is_not_ready_and_says_so():
     async def work(fleet):
         assert not fleet.proxies[0].ready()
--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -193,6 +193,32 @@
     helper.run(work())
 
 
+def test_an_early_answer_to_a_long_body_ends_its_connection():
+    async def work():
+        more = asyncio.Event()
+
+        async def rest():
+            yield b"first"
+            await more.wait()
+            yield b"never"
+
+        async with scripted.ScriptedTarget() as target:
+            pool = pool_of(target)
+            sink = Sink()
+            # The stand-in reads bodies by their length and answers at once
+            # where it finds none.
+            long = exchange.Body(b"", rest())
+            sent = request(1, length=-1, body=long)
+            assert await go(pool, sent, sink) == 200
+            assert sink.body == scripted.BODY
+            assert pool.open == 0
+            assert await go(pool, request(2), Sink()) == 200
+            assert target.connections == 2
+            pool.close()
+
+    helper.run(work())
+
+
 def test_a_cancelled_request_closes_its_connection():
     async def work():
         async with scripted.ScriptedTarget("hang") as target:
