Count calls of repeated runs, and no reserve before others are met

After all lost power, processes that knew nobody yet each took the whole reserve (30 repeats); and runs repeated at the other service (110) made calls here that the budget did not count: it had granted 133. Change: none of the reserve before others were met; each repeat charges the other services with `calls`, a setting; 0.9 of the allowance is used, 0.85 before.

--- a/forklift/budget.py
+++ b/forklift/budget.py
@@ -8,9 +8,9 @@
 
 import collections
 
-# Part of the allowance that is used; the rest covers calls that repeated runs
-# make themselves, which no process can see (trials: about 0.7 calls a run).
-USED_SHARE = 0.85
+# Part of the allowance that is used; the rest covers what is on its way when
+# the window moves.
+USED_SHARE = 0.9
 
 
 class Window:
@@ -50,7 +50,12 @@
         self._reserve = reserve
         self._requests = Window(window)
         self._repeats = Window(window)
-        self._most_processes = 1
+        self._charged = 0.0
+        self._charges: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self._window = window
+        self._most_processes = 0
         self.refused = 0
 
     def bound(self, ratio: float, window: float, reserve: float) -> None:
@@ -59,6 +64,7 @@
         self._reserve = reserve
         self._requests.seconds = window
         self._repeats.seconds = window
+        self._window = window
 
     def request(self, now: float) -> None:
         """A request of the service was taken from a caller."""
@@ -69,14 +75,35 @@
 
         Args:
             now: Monotonic seconds.
-            processes: Processes known, this one too. Fewer than before may
-                mean a cut, so the most ever known divides the reserve.
+            processes: Processes known, this one too; 0 before any were met:
+                many may have started with this one, so none of the reserve
+                is its own yet. Fewer than before may mean a cut, so the most
+                ever known divides the reserve.
         """
         self._most_processes = max(self._most_processes, processes)
-        reserve = self._reserve / self._most_processes
+        reserve = 0.0
+        if self._most_processes:
+            reserve = self._reserve / self._most_processes
         allowed = self._ratio * self._requests.count(now) + reserve
-        if self._repeats.count(now) + 1 > USED_SHARE * allowed:
+        used = self._repeats.count(now) + self._called(now)
+        if used + 1 > USED_SHARE * allowed:
             self.refused += 1
             return False
         self._repeats.add(now)
         return True
+
+    def charge(self, now: float, calls: float) -> None:
+        """A repeat of another service may make calls to this one.
+
+        Args:
+            now: Monotonic seconds.
+            calls: Calls that it makes, on average.
+        """
+        self._charges.append((now, calls))
+        self._charged += calls
+
+    def _called(self, now: float) -> float:
+        """Calls within the window that repeats of other services may make."""
+        while self._charges and self._charges[0][0] <= now - self._window:
+            self._charged -= self._charges.popleft()[1]
+        return self._charged
--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -93,11 +93,14 @@
         ratio: Repeats allowed for each request of a service.
         window: Seconds over which both are counted.
         reserve: Repeats allowed beside, in each window.
+        calls: Calls to each other service that one run makes at most, on
+            average; those of a repeated run count as repeats there.
     """
 
     ratio: float = 0.1
     window: float = 10.0
     reserve: float = 5.0
+    calls: float = 1.0
 
 
 class View:
@@ -190,7 +193,8 @@
         self._bounds = bounds
         self._group_by_service: dict[str, _Group] = {}
         self._targets_by_process: dict[str, dict[str, str]] = {}
-        self.processes = 1
+        # Processes known, this one too; 0 before any were met.
+        self.processes = 0
         self.picks = 0
 
     def bound(self, bounds: BudgetBounds) -> None:
@@ -327,7 +331,12 @@
 
     def spend(self, service: str, now: float) -> bool:
         """Takes one repeat from the budget of a service, if it has one."""
-        return self._group(service).budget.spend(now, self.processes)
+        if not self._group(service).budget.spend(now, self.processes):
+            return False
+        for name, group in self._group_by_service.items():
+            if name != service:
+                group.budget.charge(now, self._bounds.calls)
+        return True
 
     def repeats_refused(self, service: str) -> int:
         """Repeats of a service that the budget refused here."""
--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -94,6 +94,11 @@
     reserve: float = ini.key(
         ini.number(0, 1_000_000), "repeats beside, in each window", 5.0
     )
+    calls: float = ini.key(
+        ini.number(0, 1000),
+        "calls to each other service that one run makes at most, on average",
+        1.0,
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/forklift/shell/neighbours.py
+++ b/forklift/shell/neighbours.py
@@ -46,6 +46,9 @@
         self.directory = membership.Directory(own, membership.KEEP_ALL)
         self.gossip = gossip.Gossip(self.directory, rng)
         self.met = False
+        # Whether the number of processes is known: one that was only spoken to
+        # by another knows two of many.
+        self._counted = False
         self._rng = rng
         self._clock = clock
         self._in_force = in_force
@@ -79,6 +82,7 @@
         A few of them are asked for all they know; gossip brings the rest.
         """
         self.met = True
+        self._counted = True
         now = self._clock.monotonic()
         for name, data in data_by_name.items():
             if name == self.directory.own.name:
@@ -113,6 +117,8 @@
         if isinstance(message.sender, messages.ProcessInfo):
             self._remind(message.sender)
         self._send(self.gossip.receive(message, now))
+        if isinstance(message, messages.SyncReply):
+            self._counted = True
         sender = message.sender
         if isinstance(sender, messages.ProcessInfo):
             self.met = True
@@ -166,10 +172,9 @@
                 self._chooser.forget(name)
             else:
                 self._chooser.learn(info)
-        usable = sum(
-            1 for m in self.directory.member_by_name.values() if m.usable
-        )
-        self._chooser.processes = usable + 1
+        if self._counted:
+            known = len(self.directory.member_by_name)
+            self._chooser.processes = known + 1
 
     def describe(self) -> bool:
         """Describes this process anew; True when that is news."""
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -91,7 +91,6 @@
 
     def _build(self) -> None:
         own = self.settings.process
-        bounds = self.settings.budget
         self.control = control.Control(
             own.control,
             self.boot,
@@ -104,7 +103,7 @@
             own.domain,
             self._rng,
             self.program,
-            chooser.BudgetBounds(bounds.ratio, bounds.window, bounds.reserve),
+            _bounds(self.settings),
         )
         self.beside = beside.Beside(
             self._names, self.program, self.clock, self._target_changed
@@ -265,10 +264,7 @@
         self.settings = read
         self.announced.settings = read
         self.policy = load_policy(read)
-        bounds = read.budget
-        self.chooser.bound(
-            chooser.BudgetBounds(bounds.ratio, bounds.window, bounds.reserve)
-        )
+        self.chooser.bound(_bounds(self.settings))
 
     def running(self) -> int:
         """Requests in flight in any role."""
@@ -496,3 +492,10 @@
     if not file:
         return policy.BUILT_IN
     return policy.parse(file, settings.read_file(file))
+
+
+def _bounds(read: settings.Settings) -> chooser.BudgetBounds:
+    bounds = read.budget
+    return chooser.BudgetBounds(
+        bounds.ratio, bounds.window, bounds.reserve, bounds.calls
+    )
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -35,6 +35,15 @@
     assert granted <= 2
 
 
+def test_processes_that_started_again_and_know_nobody_spend_no_reserve():
+    """All start at once; the sum keeps the bound before they have met."""
+    parts = [budget.Budget(0.0, WINDOW, 20.0) for _ in range(10)]
+    granted = sum(part.spend(0.0, 0) for part in parts for _ in range(30))
+    assert granted == 0
+    granted = sum(part.spend(1.0, 10) for part in parts for _ in range(30))
+    assert 0 < granted <= 20
+
+
 def test_old_repeats_are_forgotten():
     part = budget.Budget(0.0, WINDOW, 2.0)
     assert part.spend(0.0, 1)
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -107,6 +107,23 @@
     assert tests(troubled=True) > tests(troubled=False) > 0
 
 
+def test_a_repeat_also_charges_the_services_that_its_run_may_call():
+    """Calls of a repeated run are repeats at the service that is called."""
+    found = chooser.Chooser(
+        "p",
+        "d",
+        random.Random(1),
+        policy.BUILT_IN.program,
+        chooser.BudgetBounds(0.0, 10.0, 20.0, calls=1.0),
+    )
+    found.processes = 1
+    found.request("called", 0.0)
+    spent = sum(found.spend("caller", 1.0) for _ in range(10))
+    left = sum(found.spend("called", 2.0) for _ in range(100))
+    assert spent == 10
+    assert spent + left <= 20
+
+
 def test_a_repeat_tests_nobody():
     found = made("a", "b")
     found.report("a", load(State.SUSPECT), 10.0)
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -277,12 +277,35 @@
         fleet.proxies[0].chooser.bound(chooser.BudgetBounds(0.0, 1000.0, 3.0))
         for _ in range(8):
             assert (await fleet.ask()).status == 500
-        # Of the three that two processes share, 0.85 of this one's half.
+        # Of the three that two processes share, 0.9 of this one's half.
         assert fleet.runs() == 8 + 1
 
     play(work, [["error"] * 30, ["error"] * 30])
 
 
+def test_a_process_counts_others_only_once_it_has_met_them():
+    async def work(fleet):
+        fleet.store.go_away()
+        process = settings.Process("new", "d", ANY, ANY, ANY, ANY)
+        platform = settings.Platform(fleet.server.address, ANY, ANY)
+        store = adapter.Store(fleet.server.address)
+        new = proxy.Proxy(
+            settings.Settings(process, platform),
+            store,
+            adapter.decode,
+            dialect.OWN,
+        )
+        fleet.proxies.append(new)
+        await new.start()
+        # News is taken over, and still nobody else is known.
+        new.neighbours.tick(new.clock.monotonic())
+        assert new.chooser.processes == 0
+        fleet.store.away = False
+        await helper.until(lambda: new.chooser.processes == 4)
+
+    play(work, [[], [], []])
+
+
 def test_no_policy_sends_work_that_must_not_repeat_again():
     async def work(fleet):
         text = "[policy]\nname = p\n[service default]\nretry = true\n"
