Keep the target beside an entry in use when it is idle

Change: the process beside a target that took nothing for 0.7 s sends it its next request that may repeat, after 1.3 s any while two failed within 2 s.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -40,6 +40,12 @@
 PROBE_SHARE_IN_TROUBLE = 0.9
 PROBE_AGE_IN_TROUBLE = 0.3
 TROUBLE_LASTS = 2.0
+# Seconds without a proof after which the target beside this entry gets the next
+# request that may repeat, and, while many fail here, the next of any kind.
+# A target that serves must see work within 2 s (the floor on capacity is counted
+# over so long); the second figure leaves the time until a request comes by.
+IDLE_BESIDE = 0.7
+IDLE_BESIDE_FAILING = 1.3
 # Seconds between two scouts of this entry to one target.
 SCOUT_GAP = 0.25
 # Share of good outcomes from which a doubted target is better than to wait on.
@@ -79,10 +85,12 @@
     Attributes:
         target: Its name.
         process: Name of the process beside it.
+        insist: How much doubt the request must accept to be let in there.
     """
 
     target: str
     process: str
+    insist: gate.Insist = gate.Insist.PROVEN
 
 
 @dataclasses.dataclass(frozen=True)
@@ -169,7 +177,9 @@
 
     def __init__(self, bounds: BudgetBounds):
         self.view_by_target: dict[str, View] = {}
+        # When the last two requests failed here, the later one first.
         self.failed_at = float("-inf")
+        self.failed_before = float("-inf")
         self.subset: list[str] | None = None
         self.budget = budget.Budget(bounds.ratio, bounds.window, bounds.reserve)
 
@@ -283,9 +293,11 @@
             [view for view in views if view.name not in refused]
             for views in known
         )
-        view = None
-        if wish.repeatable and wish.scout:
-            troubled = now - group.failed_at < TROUBLE_LASTS
+        troubled = now - group.failed_at < TROUBLE_LASTS
+        failing = now - group.failed_before < TROUBLE_LASTS
+        view = self._idle_beside(wish, sound, failing, now)
+        insist = gate.Insist.PROVEN if view is None else gate.Insist.SOUND
+        if view is None and wish.repeatable and wish.scout:
             view = self._test(sound, doubted, troubled, now)
         if view is None:
             pool = sound or shedding
@@ -301,7 +313,7 @@
         view.in_flight += 1
         view.picked += 1
         self.picks += 1
-        return Choice(view.name, view.process)
+        return Choice(view.name, view.process, insist)
 
     def ended(
         self,
@@ -321,7 +333,9 @@
 
     def failed(self, service: str, now: float) -> None:
         """A request of a service failed at its target."""
-        self._group(service).failed_at = now
+        group = self._group(service)
+        group.failed_before = group.failed_at
+        group.failed_at = now
 
     # Repeats.
 
@@ -369,6 +383,22 @@
                 sound.append(view)
         return sound, shedding, doubted
 
+    def _idle_beside(
+        self, wish: Wish, sound: list[View], failing: bool, now: float
+    ) -> View | None:
+        """The target beside this entry, if it went without work for long.
+
+        Every entry sees to its own, so that each sound target is in use
+        whatever the order in which others fill them.
+        """
+        if not wish.scout or not (wish.repeatable or failing):
+            return None
+        age = IDLE_BESIDE if wish.repeatable else IDLE_BESIDE_FAILING
+        for view in sound:
+            if view.process == self._name and view.proof(now) > age:
+                return view if view.load(now) < view.slots else None
+        return None
+
     def _test(
         self,
         sound: list[View],
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -301,6 +301,7 @@
         result = None
         holding = Holding(sink, self._is_failure(request))
         insist = self._insist(walk, self._clock.monotonic())
+        insist = max(insist, choice.insist)
         try:
             if choice.process == self._name:
                 result = await self._run_here(
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -457,6 +457,7 @@
         self.beside.tick(now)
         if count % BEAT_EVERY == 0:
             self.links.tick()
+            self._look_beside(now)
         if count % SLOW_EVERY == 0:
             self.ingress.tick(now)
             self.announced.expire(now)
@@ -466,6 +467,11 @@
                 site.gate.usual = usual
         self.neighbours.tick(now)
 
+    def _look_beside(self, now: float) -> None:
+        """Keeps the choice of targets up to date on those beside."""
+        for site in self.beside.site_by_target.values():
+            self.chooser.report(site.gate.name, site.gate.load(now), now)
+
     def _observe(self) -> None:
         """Notices a pause of this process, before anything else is done.
 
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -16,9 +16,11 @@
 State = messages.TargetState
 
 
-def made(*names: str, domains: dict | None = None) -> chooser.Chooser:
+def made(
+    *names: str, domains: dict | None = None, process: str = "p"
+) -> chooser.Chooser:
     found = chooser.Chooser(
-        "p",
+        process,
         "d",
         random.Random(1),
         policy.BUILT_IN.program,
@@ -107,6 +109,42 @@
     assert tests(troubled=True) > tests(troubled=False) > 0
 
 
+def test_the_target_beside_is_never_left_without_work():
+    """A floor on capacity needs each sound target in use within 2 s."""
+
+    def longest_pause(asked, troubled: bool) -> float:
+        found = made("a", "b", "c", process="p-c")
+        used_at, longest = 10.0, 0.0
+        for step in range(400):
+            now = 10.0 + step * 0.1
+            if troubled:
+                found.failed("s", now)
+            # What its gate tells this entry ten times a second.
+            found.report("c", load(proof=now - used_at), now)
+            choice = found.choose(asked, frozenset(), now)
+            found.ended("s", choice, None, now)
+            if choice.target == "c":
+                assert choice.insist >= gate.Insist.SOUND
+                longest = max(longest, now - used_at)
+                used_at = now
+        return max(longest, now - used_at)
+
+    for troubled in (False, True):
+        assert longest_pause(wish(repeatable=True), troubled) < 1.0
+    assert longest_pause(wish(), troubled=True) < 1.6
+
+
+def test_work_that_must_not_repeat_is_no_test_while_all_goes_well():
+    usual = made("a", "b").choose(wish(), frozenset(), 10.0).target
+    idle = "b" if usual == "a" else "a"
+    found = made("a", "b", process=f"p-{idle}")
+    assert picks(found, wish()) == {usual}
+    found.failed("s", 9.0)
+    assert picks(found, wish()) == {usual}
+    found.failed("s", 9.5)
+    assert picks(found, wish()) == {idle}
+
+
 def test_a_repeat_also_charges_the_services_that_its_run_may_call():
     """Calls of a repeated run are repeats at the service that is called."""
     found = chooser.Chooser(
