--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -40,10 +40,10 @@
 PROBE_SHARE_IN_TROUBLE = 0.9
 PROBE_AGE_IN_TROUBLE = 0.3
 TROUBLE_LASTS = 2.0
-# Seconds without a proof after which the target beside this entry gets the next
-# request that may repeat, and, while many fail here, the next of any kind.
-# A target that serves must see work within 2 s (the floor on capacity is counted
-# over so long); the second figure leaves the time until a request comes by.
+# Seconds without a proof after which the target beside this entry gets the
+# next request that may repeat, and, while many fail here, the next of any kind.
+# A target that serves must see work within 2 s, over which the floor on
+# capacity is counted; what is left of that is the time until a request comes.
 IDLE_BESIDE = 0.7
 IDLE_BESIDE_FAILING = 1.3
 # Seconds between two scouts of this entry to one target.
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -9,26 +9,23 @@
 import itertools
 import random
 
-import msgspec
 import structlog
 
 from forklift import chooser as choosers
-from forklift import errors
 from forklift import gate
 from forklift import invariants
 from forklift import messages
 from forklift import policy
 from forklift.shell import beside as besides
 from forklift.shell import exchange
+from forklift.shell import holding as holdings
 from forklift.shell import links as linking
-from forklift.shell import peers
+from forklift.shell import sending
 
 _log = structlog.get_logger(__name__)
 Outcome = messages.Outcome
 Reason = messages.Reason
 
-# The guard's own word on a deadline gets this long to arrive, seconds.
-DEADLINE_GRACE = 0.05
 # Seconds until the next look for a target when none may be sent to; it doubles
 # up to the second figure, as each look may cost a message to each gate.
 POLL = 0.02
@@ -41,15 +38,8 @@
 # Gates, the least filled ones, that may say that waiting takes too long before
 # the request is given up: it then has its final answer at once.
 MAX_TOO_LONG = 3
-# Bodies from this size on follow only once the gate lets the request start:
-# a refusal then costs the head alone, bytes.
-FOLLOWING_BYTES = 1024
-# Other processes that are asked to reach a guard when the own path is silent.
-RELAYS = 2
 # Seconds after which to come back when no target was free.
 RETRY_AFTER = 0.5
-# Answers up to this size are held until whole, bytes.
-HOLD_BYTES = 262_144
 # What arrived at a target though it did not run.
 _ARRIVED = (Reason.SHED,)
 # A refusal of this kind says nothing that the view of the target tells too.
@@ -86,7 +76,7 @@
     polls: int = 0
     # Attempts that may have run.
     runs: int = 0
-    held: "Holding | None" = None
+    held: holdings.Holding | None = None
 
 
 class Forwarder:
@@ -103,15 +93,16 @@
         clock,
         rng: random.Random,
     ):
-        self._rng = rng
         self._name = name
         self._boot = boot
         self._chooser = chooser
         self._beside = beside
-        self._links = links
         self._program = program
         self._clock = clock
         self._seqs = itertools.count(1)
+        self.sender = sending.Sender(
+            name, boot, links, beside, self.next_seq, clock, rng
+        )
         self.sends = 0
         self.repeats = 0
 
@@ -299,7 +290,7 @@
     ) -> exchange.Result:
         self.sends += 1
         result = None
-        holding = Holding(sink, self._is_failure(request))
+        holding = holdings.Holding(sink, self._is_failure(request))
         insist = self._insist(walk, self._clock.monotonic())
         insist = max(insist, choice.insist)
         try:
@@ -308,8 +299,8 @@
                     request, walk, choice, holding, insist
                 )
             else:
-                result = await self._send(
-                    request, walk, choice, holding, insist
+                result = await self.sender.send(
+                    request, choice, holding, insist, walk.wait
                 )
             if holding.holds:
                 walk.held = holding
@@ -350,203 +341,3 @@
             walk.wait,
         )
         return await self._beside.run(choice.target, ticket, request, sink)
-
-    async def _send(
-        self,
-        request: exchange.Request,
-        walk: _Walk,
-        choice: choosers.Choice,
-        sink: exchange.Sink,
-        insist: gate.Insist,
-    ) -> exchange.Result:
-        try:
-            link = await self._links.get(choice.process)
-        except errors.PeerUnreachable:
-            return exchange.not_run(Reason.PEER_LOST, RETRY_AFTER)
-        remaining = request.deadline - self._clock.monotonic()
-        if remaining <= 0:
-            return exchange.not_run(Reason.DEADLINE)
-        seq = self.next_seq()
-        start = _start(link, seq, choice.target, request, remaining, insist)
-        left = request.aim - self._clock.monotonic()
-        start = msgspec.structs.replace(
-            start, aim=round(left, 3), wait=walk.wait
-        )
-        to_boot = link.peer.boot
-        try:
-            async with asyncio.timeout(remaining + DEADLINE_GRACE):
-                if request.repeatable:
-                    return await link.ask(start, request, sink)
-                return await self._ask_once(link, start, request, sink)
-        except TimeoutError:
-            result = exchange.unknown(Reason.TIMEOUT)
-        if request.repeatable or sink.begun:
-            return result
-        if await self._fence(choice.process, seq, to_boot):
-            return exchange.not_run(Reason.FENCED, 0.0, result.load)
-        return result
-
-    async def _ask_once(
-        self,
-        link: peers.Link,
-        start: messages.RequestStart,
-        request: exchange.Request,
-        sink: exchange.Sink,
-    ) -> exchange.Result:
-        """Sends what must not repeat; asks around where its path is silent.
-
-        Another process may still reach the guard, and the guard's word that
-        the request never starts lets it go elsewhere in time.
-        """
-        process = link.peer.name
-        answer = asyncio.create_task(link.ask(start, request, sink))
-        silence = asyncio.create_task(link.silenced.wait())
-        try:
-            await asyncio.wait(
-                (answer, silence), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not answer.done() and not sink.begun:
-                around = self._fence_around(process, start.seq, link.peer.boot)
-                if await around and not sink.begun:
-                    return exchange.not_run(Reason.FENCED)
-            result = await answer
-        finally:
-            silence.cancel()
-            answer.cancel()
-        lost = result.ending.reason is Reason.PEER_LOST
-        unknown = result.ending.outcome is Outcome.UNKNOWN
-        if not (lost and unknown) or sink.begun:
-            return result
-        if await self._fence(process, start.seq, link.peer.boot):
-            return exchange.not_run(Reason.FENCED, 0.0, result.load)
-        return result
-
-    async def _fence(self, process: str, seq: int, to_boot: int) -> bool:
-        """Asks the guard for proof that a request never starts."""
-        try:
-            link = await self._links.get(process)
-        except errors.PeerUnreachable:
-            return await self._fence_around(process, seq, to_boot)
-        return await link.fence(self._boot, seq, to_boot)
-
-    async def _fence_around(self, process: str, seq: int, to_boot: int) -> bool:
-        """Asks the guard through others, as the own path is silent."""
-        names = self._links.others(process)
-        chosen = self._rng.sample(names, min(RELAYS, len(names)))
-        asked = [self._relayed(name, process, seq, to_boot) for name in chosen]
-        for answer in asyncio.as_completed(asked):
-            if await answer:
-                _log.info("fenced_around", process=process, seq=seq)
-                return True
-        return False
-
-    async def _relayed(
-        self, relay: str, process: str, seq: int, to_boot: int
-    ) -> bool:
-        try:
-            link = await self._links.get(relay)
-        except errors.PeerUnreachable:
-            return False
-        return await link.fence(self._boot, seq, to_boot, process)
-
-    async def relay(self, fence: messages.Fence) -> bool:
-        """Passes another entry's question on to a guard."""
-        if fence.to == self._name:
-            own = fence.to_boot == self._boot
-            return own and self._beside.fence((fence.boot, fence.seq))
-        try:
-            link = await self._links.get(fence.to)
-        except errors.PeerUnreachable:
-            return False
-        return await link.fence(fence.boot, fence.seq, fence.to_boot)
-
-
-def _start(
-    link: peers.Link,
-    seq: int,
-    target: str,
-    request: exchange.Request,
-    remaining: float,
-    insist: gate.Insist,
-) -> messages.RequestStart:
-    small = len(request.body.first) < FOLLOWING_BYTES
-    complete = request.body.complete and small
-    return messages.RequestStart(
-        id=link.next_id(),
-        seq=seq,
-        service=request.service,
-        target=target,
-        method=request.method,
-        path=request.path,
-        headers=request.headers,
-        request_id=request.id,
-        remaining=round(remaining, 4),
-        repeatable=request.repeatable,
-        incarnation=link.incarnation,
-        length=request.length,
-        body=request.body.first if complete else b"",
-        complete=complete,
-        route="",
-        origin=request.origin,
-        priority=request.priority,
-        insist=insist,
-    )
-
-
-class Holding:
-    """Holds a small answer back until it is whole.
-
-    One that breaks off never begins, so the caller sees a clear failure, and
-    one that failed can be replaced by another target's.
-    """
-
-    def __init__(self, sink: exchange.Sink, is_failure):
-        self._sink = sink
-        self._is_failure = is_failure
-        self._head: exchange.Head | None = None
-        self._body = bytearray()
-        self._whole = False
-
-    @property
-    def begun(self) -> bool:
-        """See `exchange.Sink`."""
-        return self._sink.begun
-
-    @property
-    def holds(self) -> bool:
-        """Whether a whole answer is held back."""
-        return self._head is not None and self._whole and not self.begun
-
-    async def start(self, head: exchange.Head) -> None:
-        """See `exchange.Sink`."""
-        if 0 <= head.length <= HOLD_BYTES:
-            self._head = head
-            return
-        await self._sink.start(head)
-
-    async def data(self, piece: bytes) -> None:
-        """See `exchange.Sink`."""
-        if self._head is None:
-            await self._sink.data(piece)
-        else:
-            self._body += piece
-
-    async def end(self) -> None:
-        """See `exchange.Sink`."""
-        self._whole = True
-        if self._head is None:
-            await self._sink.end()
-            return
-        failed = self._is_failure is not None
-        failed = failed and self._is_failure(self._head.status)
-        if not failed:
-            await self.flush()
-
-    async def flush(self) -> exchange.Result:
-        """Passes the held answer on."""
-        head = self._head
-        await self._sink.start(head)
-        if self._body:
-            await self._sink.data(bytes(self._body))
-        await self._sink.end()
-        return exchange.answered(head.status, head.target, head.load)
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -396,7 +396,7 @@
             self._serve_peer,
             self._fence,
             lambda: _log.warning("peer_refused", peer=frames.peer),
-            self.forwarder.relay,
+            self.forwarder.sender.relay,
         )
         lost = frames.on_lost
 
