Send slow requests that may repeat to a second target, within the budget

Ruled out: a fixed delay, as services differ by a factor of four. Change: after two to three times the service's usual latency, so that an answer of full worth is still possible, a second attempt goes to a free, sound target; it may use half of the budget of repeats. One answer goes out, by a turn that only one attempt takes; the other is cancelled.

--- a/forklift/budget.py
+++ b/forklift/budget.py
@@ -70,7 +70,7 @@
         """A request of the service was taken from a caller."""
         self._requests.add(now)
 
-    def spend(self, now: float, processes: int) -> bool:
+    def spend(self, now: float, processes: int, share: float = 1.0) -> bool:
         """Takes one repeat, if this process still has one.
 
         Args:
@@ -79,6 +79,7 @@
                 many may have started with this one, so none of the reserve
                 is its own yet. Fewer than before may mean a cut, so the most
                 ever known divides the reserve.
+            share: Part of the allowance that this repeat may be the last of.
         """
         self._most_processes = max(self._most_processes, processes)
         reserve = 0.0
@@ -86,7 +87,7 @@
             reserve = self._reserve / self._most_processes
         allowed = self._ratio * self._requests.count(now) + reserve
         used = self._repeats.count(now) + self._called(now)
-        if used + 1 > USED_SHARE * allowed:
+        if used + 1 > USED_SHARE * share * allowed:
             self.refused += 1
             return False
         self._repeats.add(now)
--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -343,9 +343,16 @@
         """A request was taken from a caller: it earns a part of a repeat."""
         self._group(service).budget.request(now)
 
-    def spend(self, service: str, now: float) -> bool:
-        """Takes one repeat from the budget of a service, if it has one."""
-        if not self._group(service).budget.spend(now, self.processes):
+    def spend(self, service: str, now: float, share: float = 1.0) -> bool:
+        """Takes one repeat from the budget of a service, if it has one.
+
+        Args:
+            service: Name of the service.
+            now: Monotonic seconds.
+            share: Part of the budget that this kind of repeat may use up.
+        """
+        spent = self._group(service).budget
+        if not spent.spend(now, self.processes, share):
             return False
         for name, group in self._group_by_service.items():
             if name != service:
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -40,6 +40,15 @@
 MAX_TOO_LONG = 3
 # Seconds after which to come back when no target was free.
 RETRY_AFTER = 0.5
+# Times the usual latency of a service after which a request that may repeat
+# is also sent to a second target, and the least such time. One request in a
+# hundred takes three times as long with nothing wrong; where an answer of full
+# worth could still come from a second target, less than that is waited.
+HEDGE_FACTOR = 3.0
+HEDGE_LEAST = 2.0
+# Part of the budget of repeats up to which second sends are made: the rest is
+# left to requests that failed.
+HEDGE_SHARE = 0.5
 # What arrived at a target though it did not run.
 _ARRIVED = (Reason.SHED,)
 # A refusal of this kind says nothing that the view of the target tells too.
@@ -77,6 +86,23 @@
     # Attempts that may have run.
     runs: int = 0
     held: holdings.Holding | None = None
+    turn: holdings.Turn = dataclasses.field(default_factory=holdings.Turn)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Attempt:
+    """One target that a request is sent to, and what holds its answer."""
+
+    choice: choosers.Choice
+    holding: holdings.Holding
+
+
+@dataclasses.dataclass(frozen=True)
+class _Tried:
+    """An attempt that is over."""
+
+    choice: choosers.Choice
+    result: exchange.Result
 
 
 class Forwarder:
@@ -105,6 +131,7 @@
         )
         self.sends = 0
         self.repeats = 0
+        self.hedges = 0
 
     def next_seq(self) -> int:
         """A request number never used before in this boot."""
@@ -151,8 +178,9 @@
             if not self._pay(request, walk, now):
                 self._chooser.ended(request.service, choice, None, now)
                 return result
-            result = await self._attempt(request, walk, choice, sink)
-            if not self._go_on(request, walk, choice, result, sink):
+            tried = await self._hedged(request, walk, choice, sink)
+            result = tried.result
+            if not self._go_on(request, walk, tried.choice, result, sink):
                 return result
 
     def _accept_more(self, walk: _Walk) -> bool:
@@ -281,16 +309,118 @@
             )
         )
 
-    async def _attempt(
+    async def _hedged(
+        self,
+        request: exchange.Request,
+        walk: _Walk,
+        first: choosers.Choice,
+        sink: exchange.Sink,
+    ) -> _Tried:
+        """Makes an attempt, and a second beside it where it takes long.
+
+        A target may be slow, or silent, and the request is late or lost if it
+        waits for it. The first good answer counts; the other is cancelled.
+        """
+        patience = self._patience(request, walk)
+        attempt = self._prepare(request, walk, first, sink)
+        if patience is None:
+            result = await self._attempt(request, walk, attempt)
+            return _Tried(first, result)
+        task = asyncio.create_task(self._attempt(request, walk, attempt))
+        attempt_by_task = {task: attempt}
+        try:
+            await asyncio.wait(attempt_by_task, timeout=patience)
+            second = None
+            if not task.done() and walk.turn.taken_by is None:
+                second = self._second(request, walk, first)
+            if second is not None:
+                attempt = self._prepare(request, walk, second, sink)
+                task = asyncio.create_task(
+                    self._attempt(request, walk, attempt)
+                )
+                attempt_by_task[task] = attempt
+            return await self._first_good(request, walk, attempt_by_task, sink)
+        finally:
+            for task in attempt_by_task:
+                task.cancel()
+            await asyncio.gather(*attempt_by_task, return_exceptions=True)
+
+    async def _first_good(
+        self,
+        request: exchange.Request,
+        walk: _Walk,
+        attempt_by_task: dict[asyncio.Task[exchange.Result], _Attempt],
+        sink: exchange.Sink,
+    ) -> _Tried:
+        """Waits for the attempt that answers, or for the last to fail."""
+        while True:
+            done, _ = await asyncio.wait(
+                attempt_by_task, return_when=asyncio.FIRST_COMPLETED
+            )
+            task = done.pop()
+            attempt = attempt_by_task.pop(task)
+            tried = _Tried(attempt.choice, task.result())
+            answers = walk.turn.taken_by is attempt.holding
+            if answers or not attempt_by_task:
+                return tried
+            self._go_on(request, walk, tried.choice, tried.result, sink)
+
+    def _patience(self, request: exchange.Request, walk: _Walk) -> float | None:
+        """Seconds until a second attempt; None where there is none."""
+        usual = self._chooser.usual_latency(request.service)
+        once = not request.repeatable or not request.body.again
+        if once or usual <= 0 or walk.sends + 2 > request.attempts:
+            return None
+        now = self._clock.monotonic()
+        in_time = request.aim - now - usual
+        patience = max(HEDGE_LEAST * usual, min(HEDGE_FACTOR * usual, in_time))
+        return patience if now + patience + usual < request.deadline else None
+
+    def _second(
+        self,
+        request: exchange.Request,
+        walk: _Walk,
+        first: choosers.Choice,
+    ) -> choosers.Choice | None:
+        """A free, sound target for a second attempt, if one may be made."""
+        now = self._clock.monotonic()
+        wish = choosers.Wish(request.service, True, scout=False)
+        passed = frozenset(walk.tried | {first.target})
+        refused = frozenset(walk.refused)
+        second = self._chooser.choose(wish, passed, now, refused)
+        if second is None:
+            return None
+        if not self._chooser.spend(request.service, now, HEDGE_SHARE):
+            self._chooser.ended(request.service, second, None, now)
+            return None
+        walk.paid = True
+        self.hedges += 1
+        _log.info(
+            "hedge",
+            request=request.id,
+            target=first.target,
+            second=second.target,
+            seconds=round(now - walk.started, 3),
+        )
+        return second
+
+    def _prepare(
         self,
         request: exchange.Request,
         walk: _Walk,
         choice: choosers.Choice,
         sink: exchange.Sink,
+    ) -> _Attempt:
+        is_failure = self._is_failure(request)
+        holding = holdings.Holding(sink, is_failure, walk.turn)
+        return _Attempt(choice, holding)
+
+    async def _attempt(
+        self, request: exchange.Request, walk: _Walk, attempt: _Attempt
     ) -> exchange.Result:
         self.sends += 1
         result = None
-        holding = holdings.Holding(sink, self._is_failure(request))
+        choice, holding = attempt.choice, attempt.holding
         insist = self._insist(walk, self._clock.monotonic())
         insist = max(insist, choice.insist)
         try:
@@ -306,6 +436,8 @@
                 walk.held = holding
             return result
         finally:
+            if not holding.begun:
+                walk.turn.give_back(holding)
             now = self._clock.monotonic()
             load = result.load if result is not None else None
             self._chooser.ended(request.service, choice, load, now)
--- a/forklift/shell/holding.py
+++ b/forklift/shell/holding.py
@@ -6,15 +6,35 @@
 HOLD_BYTES = 262_144
 
 
+class Turn:
+    """The right to answer, which one of several attempts takes."""
+
+    def __init__(self):
+        self.taken_by: Holding | None = None
+
+    def take(self, holding: "Holding") -> bool:
+        """Takes it, if it is free; True when this attempt has it."""
+        if self.taken_by is None:
+            self.taken_by = holding
+        return self.taken_by is holding
+
+    def give_back(self, holding: "Holding") -> None:
+        """An attempt that passed nothing on is over."""
+        if self.taken_by is holding:
+            self.taken_by = None
+
+
 class Holding:
     """Holds a small answer back until it is whole.
 
     One that breaks off never begins, so the caller sees a clear failure, and
-    one that failed can be replaced by another target's.
+    one that failed can be replaced by another target's. Of attempts that run
+    beside each other one answers; what the others bring is dropped.
     """
 
-    def __init__(self, sink: exchange.Sink, is_failure):
+    def __init__(self, sink: exchange.Sink, is_failure, turn: Turn):
         self._sink = sink
+        self._turn = turn
         self._is_failure = is_failure
         self._head: exchange.Head | None = None
         self._body = bytearray()
@@ -34,25 +54,26 @@
         """See `exchange.Sink`."""
         if 0 <= head.length <= HOLD_BYTES:
             self._head = head
-            return
-        await self._sink.start(head)
+        elif self._turn.take(self):
+            await self._sink.start(head)
 
     async def data(self, piece: bytes) -> None:
         """See `exchange.Sink`."""
-        if self._head is None:
-            await self._sink.data(piece)
-        else:
+        if self._head is not None:
             self._body += piece
+        elif self._turn.take(self):
+            await self._sink.data(piece)
 
     async def end(self) -> None:
         """See `exchange.Sink`."""
         self._whole = True
         if self._head is None:
-            await self._sink.end()
+            if self._turn.take(self):
+                await self._sink.end()
             return
         failed = self._is_failure is not None
         failed = failed and self._is_failure(self._head.status)
-        if not failed:
+        if not failed and self._turn.take(self):
             await self.flush()
 
     async def flush(self) -> exchange.Result:
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -84,6 +84,7 @@
             lambda: [
                 (proxy.forwarder.sends, {"kind": "all"}),
                 (proxy.forwarder.repeats, {"kind": "repeat"}),
+                (proxy.forwarder.hedges, {"kind": "hedge"}),
             ],
         )
 
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -61,7 +61,7 @@
         if self.first:
             self.store.configure(self.first)
         for number, script in enumerate(self.scripts):
-            target = scripted.ScriptedTarget(*script)
+            target = scripted.ScriptedTarget(*script, name=f"t{number}")
             self.targets.append(await self._stack.enter_async_context(target))
             await self.start(number)
         if self.first:
@@ -337,6 +337,53 @@
     play(work, [[], []])
 
 
+def share_script(fleet, *entries: str) -> None:
+    """Whichever target is asked next follows the next entry."""
+    shared = list(entries)
+    for target in fleet.targets:
+        target.script = shared
+    for view in fleet.proxies[0].chooser.views("s"):
+        view.latency = 0.02
+
+
+def test_a_slow_request_that_may_repeat_is_also_sent_to_a_second_target():
+    async def work(fleet):
+        share_script(fleet, "hold")
+        answer = await fleet.ask()
+        assert (answer.status, answer.body) == (200, scripted.BODY)
+        assert fleet.runs() == 2
+        assert fleet.proxies[0].forwarder.hedges == 1
+
+    first = record(1, r=route(**{"timeout-ms": 60000}))
+    play(work, [[], [], []], first=first)
+
+
+def test_the_first_target_still_answers_where_the_second_one_fails():
+    async def work(fleet):
+        share_script(fleet, "hold", "error")
+        asked = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 2)
+        for target in fleet.targets:
+            target.release.set()
+        answer = await asked
+        assert (answer.status, answer.body) == (200, scripted.BODY)
+        assert fleet.runs() == 2
+
+    first = record(1, r=route(**{"timeout-ms": 60000}))
+    play(work, [[], [], []], first=first)
+
+
+def test_work_that_must_not_repeat_is_never_sent_to_a_second_target():
+    async def work(fleet):
+        share_script(fleet, "hold")
+        assert (await fleet.ask()).status == 504
+        assert fleet.runs() == 1
+        assert fleet.proxies[0].forwarder.hedges == 0
+
+    first = record(1, r=route("non_idempotent", **{"timeout-ms": 400}))
+    play(work, [[], [], []], first=first)
+
+
 def test_work_that_hangs_has_its_final_answer_at_the_routes_limit():
     async def work(fleet):
         assert (await fleet.ask()).status == 504
