Compress frames between failure domains

Cause: heads are 60 to 70% of the bytes between processes, and repeat. Bodies and small frames go as they are; within a failure domain nothing is compressed. A frame that expands beyond the bound ends the connection.

--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -108,12 +108,15 @@
         boot: Random identity of this run of the process.
         incarnation: Rises when the process finds that it was paused.
         nonce: Random bytes that the other side's proof must cover.
+        compress: Whether both sides compress what follows; the side that
+            opened the connection decides.
     """
 
     name: str
     boot: int
     incarnation: int
     nonce: bytes
+    compress: bool = False
 
 
 class Proof(_Wire, tag=2):
--- a/forklift/shell/framing.py
+++ b/forklift/shell/framing.py
@@ -8,6 +8,7 @@
 import hmac
 import secrets
 import struct
+import zlib
 from collections.abc import Callable
 
 import structlog
@@ -19,6 +20,53 @@
 _PREFIX = struct.Struct("!I")
 WINDOW = 262_144
 NONCE_BYTES = 16
+# Marks a compressed frame in its length.
+_COMPRESSED = 1 << 31
+# Smaller frames gain nothing, bytes.
+COMPRESS_FROM = 64
+# A window of 4 KB holds the last ten heads or so, which is where a head
+# repeats; both ways cost 35 KB of memory a connection.
+_WINDOW_BITS = -12
+_MEMORY_LEVEL = 4
+# What ends each flushed piece of a deflate stream; it is not sent (RFC 7692).
+_FLUSHED = b"\0\0\xff\xff"
+
+
+class _Deflate:
+    """Compresses the frames of one connection, each against those before."""
+
+    def __init__(self):
+        self._stream = zlib.compressobj(
+            wbits=_WINDOW_BITS, memLevel=_MEMORY_LEVEL
+        )
+
+    def pack(self, data: bytes) -> bytes:
+        """Compresses one frame."""
+        packed = self._stream.compress(data)
+        packed += self._stream.flush(zlib.Z_SYNC_FLUSH)
+        return packed.removesuffix(_FLUSHED)
+
+
+class _Inflate:
+    """Expands the compressed frames of one connection, in their order."""
+
+    def __init__(self):
+        self._stream = zlib.decompressobj(wbits=_WINDOW_BITS)
+
+    def expand(self, packed: bytes) -> bytes:
+        """Expands one frame.
+
+        Raises:
+            messages.Malformed: It is damaged, or larger than a frame may be.
+        """
+        most = messages.MAX_FRAME_BYTES
+        try:
+            data = self._stream.decompress(packed + _FLUSHED, most)
+        except zlib.error as error:
+            raise messages.Malformed(str(error)) from error
+        if self._stream.unconsumed_tail:
+            raise messages.Malformed(f"expands to over {most} bytes")
+        return data
 
 
 class Frames(asyncio.Protocol):
@@ -35,6 +83,11 @@
         self.on_lost: Callable[[], None] = lambda: None
         self.lost = False
         self.peer = ""
+        # Whether what is sent from now on is compressed, other than bodies,
+        # which mostly are already.
+        self.compress = False
+        self._deflate: _Deflate | None = None
+        self._inflate: _Inflate | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See `asyncio.Protocol`."""
@@ -77,7 +130,16 @@
         if self.lost or self.transport is None:
             raise wire.Lost("peer connection lost")
         data = messages.encode(frame)
-        self.transport.write(_PREFIX.pack(len(data)) + data)
+        mark = 0
+        if self._gains(frame, data):
+            self._deflate = self._deflate or _Deflate()
+            data = self._deflate.pack(data)
+            mark = _COMPRESSED
+        self.transport.write(_PREFIX.pack(mark | len(data)) + data)
+
+    def _gains(self, frame: messages.Frame, data: bytes) -> bool:
+        large = len(data) >= COMPRESS_FROM
+        return self.compress and large and not isinstance(frame, messages.Body)
 
     async def drain(self) -> None:
         """Waits until the other side takes bytes again.
@@ -92,7 +154,8 @@
     def _split(self) -> None:
         start = 0
         while len(self._buffer) - start >= _PREFIX.size:
-            (size,) = _PREFIX.unpack_from(self._buffer, start)
+            (prefix,) = _PREFIX.unpack_from(self._buffer, start)
+            size = prefix & ~_COMPRESSED
             if size > messages.MAX_FRAME_BYTES:
                 raise messages.Malformed(f"a frame of {size} bytes")
             end = start + _PREFIX.size + size
@@ -100,6 +163,9 @@
                 break
             data = bytes(self._buffer[start + _PREFIX.size : end])
             start = end
+            if prefix & _COMPRESSED:
+                self._inflate = self._inflate or _Inflate()
+                data = self._inflate.expand(data)
             self.on_frame(messages.decode_frame(data))
         del self._buffer[:start]
 
--- a/forklift/shell/links.py
+++ b/forklift/shell/links.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 import structlog
 
 from forklift import errors
@@ -120,10 +121,11 @@
         if member is None:
             self._fail(process, "unknown", now())
             raise errors.PeerUnreachable(process, "not in the directory")
+        # Bytes within a failure domain are cheaper than the time to pack them.
+        far = member.info.domain != self._directory.own.domain
+        hello = msgspec.structs.replace(self._hello(), compress=far)
         try:
-            link = await peers.open_link(
-                member.info.peer, self._hello(), self._key
-            )
+            link = await peers.open_link(member.info.peer, hello, self._key)
         except (OSError, TimeoutError, wire.Lost, peers.Refused) as error:
             self._fail(process, "unreachable", now())
             detail = str(error) or type(error).__name__
--- a/forklift/shell/peers.py
+++ b/forklift/shell/peers.py
@@ -77,6 +77,7 @@
     def open(self) -> None:
         """Says hello."""
         self._frames.send(self._own)
+        self._frames.compress = self._own.compress
 
     async def ask(
         self,
--- a/forklift/shell/served.py
+++ b/forklift/shell/served.py
@@ -107,6 +107,7 @@
         if isinstance(frame, messages.Hello):
             self.peer = frame
             self._frames.send(self._own)
+            self._frames.compress = frame.compress
             digest = framing.prove(self._key, self._own.nonce, frame.nonce)
             self._frames.send(messages.Proof(digest))
         elif isinstance(frame, messages.Proof):
--- /dev/null
+++ b/test/test_framing.py
@@ -0,0 +1,88 @@
+"""Frames between processes: cut, compressed, bounded."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from forklift import messages
+from forklift.shell import framing
+
+few = hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+
+
+class Transport:
+    """Hands what is written to the other side, in pieces of any size."""
+
+    def __init__(self, other: framing.Frames, rng: random.Random):
+        self.other = other
+        self.rng = rng
+        self.sent = 0
+        self.aborted = False
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+    def write(self, data: bytes) -> None:
+        self.sent += len(data)
+        while data:
+            size = self.rng.randint(1, len(data))
+            self.other.data_received(data[:size])
+            data = data[size:]
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+def connected(compress: bool) -> tuple[framing.Frames, list, Transport]:
+    sender, receiver = framing.Frames(), framing.Frames()
+    transport = Transport(receiver, random.Random(1))
+    sender.connection_made(transport)
+    receiver.connection_made(Transport(sender, random.Random(2)))
+    received: list[messages.Frame] = []
+    receiver.on_frame = received.append
+    sender.compress = compress
+    return sender, received, transport
+
+
+def head(number: int) -> messages.AnswerStart:
+    headers = (
+        (b"content-type", b"application/json"),
+        (b"request-id", f"{number:032x}".encode()),
+    )
+    return messages.AnswerStart(
+        number, f"{number:032x}", 200, headers, 400, "target", None
+    )
+
+
+def test_frames_arrive_as_they_were_sent_compressed_or_not():
+    sent = [head(1), messages.Body(1, b"x" * 400, True), messages.Beat(1, True)]
+    sent += [head(number) for number in range(2, 50)]
+    sizes = {}
+    for compress in (False, True):
+        sender, received, transport = connected(compress)
+        for frame in sent:
+            sender.send(frame)
+        assert received == sent
+        sizes[compress] = transport.sent
+    assert sizes[True] < sizes[False] / 2
+
+
+def test_a_frame_that_expands_without_bound_is_refused():
+    sender, received, _ = connected(False)
+    receiver = sender.transport.other
+    bomb = framing._Deflate().pack(b"\0" * (messages.MAX_FRAME_BYTES * 4))
+    prefix = framing._PREFIX.pack(framing._COMPRESSED | len(bomb))
+    receiver.data_received(prefix + bomb)
+    assert receiver.transport.aborted
+    assert received == []
+
+
+@hypothesis.given(strategies.binary(max_size=200), strategies.booleans())
+@few
+def test_damaged_frames_end_the_connection_and_nothing_else(data, marked):
+    sender, received, _ = connected(False)
+    receiver = sender.transport.other
+    mark = framing._COMPRESSED if marked else 0
+    receiver.data_received(framing._PREFIX.pack(mark | len(data)) + data)
+    assert receiver.transport.aborted or len(received) == 1
