A soak: real processes, random overlapping faults, promises checked

Relays stand between each process and its store, target and peers, for which a process may now be told where peers reach it ([process] peer_public).

--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -35,6 +35,11 @@
     admin: str = ini.key(
         ini.address, "address for operators and metrics, ip:port"
     )
+    peer_public: str = ini.key(
+        _optional_address,
+        "address at which peers reach `peer`, where it is another; ip:port",
+        "",
+    )
     key: str = ini.key(
         ini.text, "key shared by all processes; empty trusts the network", ""
     )
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -198,7 +198,7 @@
             ) from error
         # Port 0 lets the system choose, and others must be told which.
         self.directory.update_own(
-            peer=wire.bound_address(self._servers[1]),
+            peer=own.peer_public or wire.bound_address(self._servers[1]),
             control=self.control.address,
         )
         follower = registry.Follower(self.store, self._rng, self._record)
@@ -211,7 +211,7 @@
             process=own.name,
             boot=self.boot,
             caller=self.caller_address,
-            peer=self.directory.own.peer,
+            peer=wire.bound_address(self._servers[1]),
             control=self.control.address,
         )
 
--- a/forklift_lab/__init__.py
+++ b/forklift_lab/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the platform and its targets, and a demo; it never ships."""
+"""Stand-ins of platform and targets, a demo, a soak; it never ships."""
 
 import sys
 
@@ -7,6 +7,7 @@
 import forklift
 from forklift import errors
 from forklift_lab import demo
+from forklift_lab import soak
 from forklift_lab import store
 
 
@@ -18,6 +19,7 @@
 
 cli.add_command(store.command)
 cli.add_command(demo.command)
+cli.add_command(soak.command)
 
 
 def main() -> None:
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -29,12 +29,14 @@
         head: Its head, up to the empty line.
         body: Its body.
         connection: Number of the connection it came on.
+        at: Loop seconds when it arrived.
     """
 
     def __init__(self, head: bytes, body: bytes, connection: int):
         self.head = head
         self.body = body
         self.connection = connection
+        self.at = asyncio.get_running_loop().time()
 
     def field(self, name: bytes) -> bytes:
         """The value of a header field, empty where there is none."""
@@ -215,8 +217,11 @@
         names: dialects.Dialect = dialects.OWN,
         name: str = "t",
         slots: int = 4,
+        strict: bool = False,
     ):
         self.name = name
+        # Whether it refuses what was meant for a target of another name.
+        self.strict = strict
         self.slots = slots
         self.leaving = False
         self.script = list(script)
@@ -229,6 +234,12 @@
         # Lets requests go that are held.
         self.release = asyncio.Event()
         self.address = ""
+        # Where others reach it, if that is another address.
+        self.public = ""
+        # Loop seconds when its word that it leaves was acknowledged, by name.
+        self.left_at_by_name: dict[str, float] = {}
+        # Its name when each request arrived.
+        self.names_received: list[str] = []
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -245,7 +256,7 @@
     def heartbeat(self, service: str, domain: str, sequence: int) -> bytes:
         """The body of a heartbeat, as the platform's targets send it."""
         said = {
-            "address": self.address,
+            "address": self.public or self.address,
             "info": {
                 "service": service,
                 "version": "v1",
@@ -285,7 +296,12 @@
                 if received.head.startswith(_HEALTH):
                     connection.send(self._health(connection))
                     continue
+                expected = received.field(self.names.expected).decode()
+                if self.strict and expected != self.name:
+                    await _misdirected(connection, received)
+                    continue
                 self.received.append(received)
+                self.names_received.append(self.name)
                 name = self.script.pop(0) if self.script else "well"
                 self.played.append(name)
                 await fault_by_name[name](connection, received)
