Tell news mostly nearby; compress control messages that carry much

Cause: after heads were compressed, descriptions of processes were most of the bytes between failure domains: all are told to each when the fleet starts. Change: that, and messages from 256 bytes on are compressed, to a third.

--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -133,9 +133,27 @@
         self._news = False
         self._news_at = now
         self._next_spread = now + SPREAD_PERIOD
+        return [self._ping(peer, None) for peer in self._mostly_near()]
+
+    def _mostly_near(self) -> list[str]:
+        """Peers to tell news: any one, the others in our failure domain.
+
+        Bytes between failure domains are dear, and one teller in each of them
+        reaches the rest there.
+        """
         peers = self.peers()
-        chosen = self._rng.sample(peers, min(FAN_OUT, len(peers)))
-        return [self._ping(peer, None) for peer in chosen]
+        if not peers:
+            return []
+        chosen = [self._rng.choice(peers)]
+        others = [name for name in peers if name not in chosen]
+        near = [name for name in others if self._near(name)]
+        pool = near if len(near) >= FAN_OUT - 1 else others
+        count = min(FAN_OUT - 1, len(pool))
+        return chosen + self._rng.sample(pool, count)
+
+    def _near(self, name: str) -> bool:
+        info = self.directory.member_by_name[name].info
+        return info.domain == self.directory.own.domain
 
     def receive(self, message: messages.Control, now: float) -> list[Send]:
         """Takes a ping, pong or sync in and answers it."""
--- a/forklift/shell/control.py
+++ b/forklift/shell/control.py
@@ -10,6 +10,7 @@
 import collections
 import hmac
 import struct
+import zlib
 from collections.abc import Callable
 
 import pynng
@@ -23,6 +24,11 @@
 MAX_SOCKETS = 96
 MAX_AGE = 10.0
 SEND_BUFFER = 64
+# Larger messages are compressed, bytes: news of several processes shrinks to a
+# third, a single description hardly.
+COMPRESS_FROM = 256
+# The first byte of what zlib makes; no message of ours begins with it.
+_ZLIB = 0x78
 
 # One loop on one thread decides; nng's own threads only move bytes. Its
 # defaults start 30 of them, these settings start 6 (docs/DESIGN.md).
@@ -92,7 +98,7 @@
 
     def send(self, address: str, message: messages.Control) -> bool:
         """See `ports.Transport`."""
-        data = messages.encode(message)
+        data = _pack(messages.encode(message))
         if self._key:
             data = self._seal(address, data)
         try:
@@ -139,7 +145,7 @@
         try:
             if self._key:
                 data = self._unseal(data)
-            message = messages.decode_control(data)
+            message = messages.decode_control(_unpack(data))
         except messages.Malformed as error:
             self.refused += 1
             _log.warning("control_refused", detail=str(error))
@@ -187,3 +193,34 @@
     def _code(self, address: str, header: bytes, data: bytes) -> bytes:
         text = address.encode() + b"\0" + header + data
         return hmac.digest(self._key, text, "sha256")[:_CODE_BYTES]
+
+
+def _pack(data: bytes) -> bytes:
+    """Compresses what gains by it.
+
+    >>> len(_pack(b"x" * 1000)) < 100
+    True
+    """
+    return zlib.compress(data) if len(data) >= COMPRESS_FROM else data
+
+
+def _unpack(data: bytes) -> bytes:
+    r"""Expands what was compressed.
+
+    >>> _unpack(_pack(b"x" * 1000)) == b"x" * 1000, _unpack(b"\x91")
+    (True, b'\x91')
+
+    Raises:
+        messages.Malformed: It is damaged, or larger than a message may be.
+    """
+    if data[:1] != bytes((_ZLIB,)):
+        return data
+    stream = zlib.decompressobj()
+    most = messages.MAX_CONTROL_BYTES
+    try:
+        found = stream.decompress(data, most)
+    except zlib.error as error:
+        raise messages.Malformed(str(error)) from error
+    if not stream.eof:
+        raise messages.Malformed(f"cut short, or expands to over {most} bytes")
+    return found
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -62,3 +62,44 @@
     pings = [s for s in told if isinstance(s.message, messages.Ping)]
     assert len(pings) <= gossip.FAN_OUT + 1
     assert max(len(ping.message.rumors) for ping in pings) >= 9
+
+
+def test_news_reaches_every_domain_though_it_is_mostly_told_nearby():
+    infos = {
+        f"{domain}{number}": helper.info(f"{domain}{number}", domain=domain)
+        for domain in "xyz"
+        for number in range(8)
+    }
+
+    def knows(talk: gossip.Gossip) -> bool:
+        member = talk.directory.member_by_name.get("x0")
+        return member is None or bool(member.info.targets)
+
+    rng = random.Random(1)
+    talk_by_name = {}
+    for name, own in infos.items():
+        known = membership.Directory(own, membership.KEEP_ALL)
+        for other in infos.values():
+            if other is not own:
+                known.apply(messages.Rumor(Liveness.ALIVE, other), 0.0)
+        talk_by_name[name] = gossip.Gossip(known, rng)
+    first = talk_by_name["x0"]
+    first.directory.update_own(targets=(helper.target_info("t"),))
+    first.spread("x0")
+    far_by_step = []
+    for step in range(400):
+        now = 10.0 + step * gossip.SPREAD_PERIOD
+        sent = [
+            (name, send)
+            for name, talk in talk_by_name.items()
+            for send in talk.tick(now)
+        ]
+        for _, send in sent:
+            talk_by_name[send.address].receive(send.message, now)
+        far_by_step.append([name[0] != s.address[0] for name, s in sent])
+        if all(knows(talk) for talk in talk_by_name.values()):
+            break
+    assert all(knows(talk) for talk in talk_by_name.values())
+    # The first step also has the ping that each sends once a second.
+    news = [far for step in far_by_step[1:6] for far in step]
+    assert sum(news) < len(news) / 2
