Work that must not repeat shuns targets whose requests mostly fail

Change: such work goes to a doubted target only if half of its last requests ended well; else it is refused in time as not run, and its caller may come back. Work that may repeat still goes there, which tests the target. Two tests said that such work goes to any doubted target where there is no other: replaced by ones that say where it may go and where not.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -282,7 +282,9 @@
             refused: Targets that can't take it just now. While one of them is
                 sound, a doubted one is taken in its place only if most of its
                 requests end well: one that fails at once always has a slot
-                free, and would draw all that waits.
+                free, and would draw all that waits. Work that must not repeat
+                never goes to one whose requests mostly fail: that it did not
+                run can be told, and it may come back.
         """
         group = self._group_by_service.get(wish.service)
         if group is None:
@@ -302,7 +304,8 @@
         if view is None:
             pool = sound or shedding
             if not pool and wish.insist is gate.Insist.ANY:
-                pool = [v for v in doubted if hopeless or v.well >= PROMISING]
+                last = hopeless and wish.repeatable
+                pool = [v for v in doubted if last or v.well >= PROMISING]
             if not wish.wait:
                 pool = [v for v in pool if v.load(now) <= v.slots - MARGIN]
             if not pool:
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -57,8 +57,13 @@
     assert picks(found, wish()) == {"b"}
     found.report("b", load(State.SUSPECT), 10.0)
     assert picks(found, wish()) == set()
-    assert picks(found, wish(insist=gate.Insist.ANY)) <= {"a", "b"}
-    assert picks(found, wish(insist=gate.Insist.ANY))
+    # Not even where there is no other: most of its requests fail.
+    insisting = wish(insist=gate.Insist.ANY)
+    assert picks(found, insisting) == set()
+    repeatable = wish(insist=gate.Insist.ANY, repeatable=True)
+    assert picks(found, repeatable) == {"a", "b"}
+    found.report("a", load(State.SUSPECT, well=0.8), 10.0)
+    assert picks(found, insisting) == {"a"}
 
 
 def test_a_doubted_target_draws_nothing_while_sound_ones_are_busy():
@@ -67,7 +72,8 @@
     asked = wish(insist=gate.Insist.ANY, wait=True)
     busy = frozenset({"b"})
     assert found.choose(asked, frozenset(), 10.0, busy) is None
-    assert found.choose(asked, busy, 10.0).target == "a"
+    last = wish(insist=gate.Insist.ANY, wait=True, repeatable=True)
+    assert found.choose(last, busy, 10.0).target == "a"
 
 
 def test_a_doubted_target_that_mostly_does_well_is_better_than_waiting():
