--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -68,6 +68,8 @@
         aim: Monotonic seconds up to which an answer has its full worth.
         wait: Whether it waits for a slot as long as it can; else it is
             refused where that takes long, as its sender may know a better one.
+        start_by: Monotonic seconds by which it must have started; it is
+            refused then, as its answer would come too late to wait for.
     """
 
     id: tuple[int, int]
@@ -77,6 +79,12 @@
     insist: Insist = Insist.PROVEN
     aim: float = math.inf
     wait: bool = True
+    start_by: float = math.inf
+
+    @property
+    def latest_start(self) -> float:
+        """Monotonic seconds after which it starts no more."""
+        return min(self.deadline, self.start_by)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,6 +195,7 @@
         ahead = sum(1 for entry in self._waiting if entry[0] <= place)
         wait = (ahead + 1) * self.latency / self.slots
         late = now + wait + self.latency > ticket.deadline
+        late = late or now + wait > ticket.start_by
         full = self.waiting >= QUEUE_FACTOR * self.slots
         patient = ticket.wait or wait <= SHORT_WAIT
         if not patient or late or full:
@@ -299,7 +308,7 @@
     def _unfit(self, ticket: Ticket, now: float) -> Reason | None:
         if self.leaving:
             return Reason.DRAINING
-        if ticket.deadline <= now:
+        if ticket.latest_start <= now:
             return Reason.DEADLINE
         if ticket.insist is Insist.ANY:
             return None
@@ -349,9 +358,13 @@
         return self._waiting.pop(0)[1]
 
     def _expire(self, now: float) -> list[Decision]:
-        late = [e[1] for e in self._waiting if e[1].deadline <= now]
-        self._waiting = [e for e in self._waiting if e[1].deadline > now]
-        return [self._refuse(ticket, Reason.DEADLINE) for ticket in late]
+        waiting = [entry[1] for entry in self._waiting]
+        late = [ticket for ticket in waiting if ticket.latest_start <= now]
+        self._waiting = [e for e in self._waiting if e[1].latest_start > now]
+        return [
+            self._refuse(ticket, Reason.DEADLINE, self.latency)
+            for ticket in late
+        ]
 
     def _refuse_doubted(self) -> list[Decision]:
         """Those that wait go elsewhere; none of them has run."""
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from typing import TypeAlias
 
 import msgspec
@@ -152,6 +153,7 @@
         aim: Seconds left, when sent, for an answer of full worth; negative
             when that has passed.
         wait: Whether it waits for a slot, rather than being refused.
+        start_within: Seconds, when sent, within which it must have started.
     """
 
     id: int
@@ -174,6 +176,7 @@
     insist: int = 0
     aim: float = 0.0
     wait: bool = False
+    start_within: float = math.inf
 
 
 class Body(_Wire, tag=4):
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import random
 
 import structlog
@@ -33,6 +34,10 @@
 # Part of its time after which a request takes a doubted target where no sound
 # one is known: waiting longer leaves no time for an answer.
 INSIST_SHARE = 0.25
+# Part of its time within which a request must have left the queue of a gate,
+# the first time: one that waited so long in an overload mostly ends unserved,
+# and its caller is better told to come back while there is time for that.
+START_SHARE = 0.45
 # Gates that are asked for a free slot before a request waits at one.
 MAX_REFUSALS = 4
 # Gates, the least filled ones, that may say that waiting takes too long before
@@ -70,6 +75,8 @@
 
     started: float
     insist_at: float
+    # When it must have started for the first time.
+    start_by: float = math.inf
     tried: set[str] = dataclasses.field(default_factory=set)
     refused: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
@@ -150,7 +157,7 @@
         now = self._clock.monotonic()
         self._chooser.request(request.service, now)
         whole = request.deadline - now
-        walk = _Walk(now, now + INSIST_SHARE * whole)
+        walk = _Walk(now, now + INSIST_SHARE * whole, now + START_SHARE * whole)
         result = await self._walk(request, walk, sink)
         if walk.held is not None and not sink.begun:
             return await walk.held.flush()
@@ -210,9 +217,11 @@
         """Whether no answer can come in time any more."""
         if now >= request.deadline:
             return True
+        if walk.sends == 0:
+            # The first attempt is made whatever the time that is left.
+            return False
         usual = self._chooser.usual_latency(request.service)
-        # The first attempt is made whatever the time that is left.
-        return walk.sends > 0 and now + usual / 2 > request.deadline
+        return now + usual / 2 > request.deadline
 
     def _worth_waiting(self, request: exchange.Request, walk: _Walk) -> bool:
         # A repeat that no target takes now has an answer or an outcome.
@@ -430,14 +439,16 @@
         choice, holding = attempt.choice, attempt.holding
         insist = self._insist(walk, self._clock.monotonic())
         insist = max(insist, choice.insist)
+        # What ran once already is worth an answer as long as there is time.
+        start_by = math.inf if walk.sends else walk.start_by
         try:
             if choice.process == self._name:
                 result = await self._run_here(
-                    request, walk, choice, holding, insist
+                    request, walk, choice, holding, insist, start_by
                 )
             else:
                 result = await self.sender.send(
-                    request, choice, holding, insist, walk.wait
+                    request, choice, holding, insist, walk.wait, start_by
                 )
             if holding.holds:
                 walk.held = holding
@@ -469,6 +480,7 @@
         choice: choosers.Choice,
         sink: exchange.Sink,
         insist: gate.Insist,
+        start_by: float,
     ) -> exchange.Result:
         ticket = gate.Ticket(
             (self._boot, self.next_seq()),
@@ -478,5 +490,6 @@
             insist,
             request.aim,
             walk.wait,
+            start_by,
         )
         return await self._beside.run(choice.target, ticket, request, sink)
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -372,6 +372,7 @@
             gate.Insist(min(start.insist, gate.Insist.ANY)),
             now + start.aim,
             start.wait,
+            now + start.start_within,
         )
         return await self.beside.run(start.target, ticket, request, answerer)
 
--- a/forklift/shell/sending.py
+++ b/forklift/shell/sending.py
@@ -63,6 +63,7 @@
         sink: exchange.Sink,
         insist: gate.Insist,
         wait: bool,
+        start_by: float,
     ) -> exchange.Result:
         """Sends a request over the path to a guard.
 
@@ -72,6 +73,7 @@
             sink: Where the answer goes.
             insist: How much doubt about the target it accepts.
             wait: Whether it waits there for a slot.
+            start_by: Monotonic seconds by which it must have started there.
 
         Raises:
             wire.Lost: The sink is gone.
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -186,6 +186,26 @@
     assert [d.reason for d in refused] == [Reason.DEADLINE]
 
 
+def test_one_that_could_not_start_in_time_is_refused_long_before_its_end():
+    """Urgent ones may go ahead of it for ever; its caller is to be told."""
+    found = made(slots=1)
+    fill(found, 1)
+    waiting = ticket(priority=2, start_by=0.3)
+    assert isinstance(found.arrive(waiting, 0.0), gate.Wait)
+    found.arrive(ticket(priority=0), 0.1)
+    decisions = found.tick(0.3)
+    refused = [d for d in decisions if isinstance(d, gate.Refuse)]
+    assert [d.ticket for d in refused] == [waiting]
+    assert refused[0].retry_after > 0
+
+
+def test_a_wait_beyond_the_time_to_start_is_refused_at_once():
+    found = made(slots=1)
+    fill(found, 1)
+    decision = found.arrive(ticket(start_by=0.01), 0.0)
+    assert decision.reason is Reason.BUSY
+
+
 def test_load_tells_doubt_and_proof():
     found = made()
     assert found.load(2.0).proof == 2.0
