--- /dev/null
+++ b/forklift/walk.py
@@ -0,0 +1,178 @@
+"""One request on its way over targets: what it accepts next, step by step.
+
+Targets refuse, fail, or are busy; each answer changes what the request accepts
+afterwards, up to the point where it is given up. Time is handed in.
+"""
+
+import dataclasses
+import math
+
+from forklift import gate
+from forklift import messages
+
+Reason = messages.Reason
+
+# Seconds until the next look for a target when none may be sent to; it doubles
+# up to the second figure, as each look may cost a message to each gate.
+POLL = 0.02
+POLL_MOST = 0.16
+# Part of its time after which a request takes a doubted target where no sound
+# one is known: waiting longer leaves no time for an answer.
+INSIST_SHARE = 0.25
+# Part of its time within which a request must have left the queue of a gate,
+# the first time: one that waited so long in an overload mostly ends unserved,
+# and its caller is better told to come back while there is time for that.
+START_SHARE = 0.45
+# Gates that are asked for a free slot before a request waits at one.
+MAX_REFUSALS = 4
+# Gates, the least filled ones, that may say that waiting takes too long before
+# the request is given up: it then has its final answer at once.
+MAX_TOO_LONG = 3
+# Times the usual latency of a service after which a request that may repeat
+# is also sent to a second target, and the least such time. One request in a
+# hundred takes three times as long with nothing wrong; where an answer of full
+# worth could still come from a second target, less than that is waited.
+HEDGE_FACTOR = 3.0
+HEDGE_LEAST = 2.0
+# What arrived at a target though it did not run.
+_ARRIVED = (Reason.SHED,)
+# A refusal of this kind says nothing that the view of the target tells too.
+_PASSING_BY = (
+    Reason.BUSY,
+    Reason.STALE,
+    Reason.CONNECT_FAILED,
+    Reason.PEER_LOST,
+    Reason.UNKNOWN_TARGET,
+    Reason.DOUBTED,
+    Reason.UNPROVEN,
+    Reason.MISDIRECTED,
+)
+
+
+@dataclasses.dataclass
+class Walk:
+    """What became of a request so far, and what it accepts.
+
+    Attributes:
+        started: Monotonic seconds when it came.
+        deadline: Monotonic seconds.
+        tried: Targets that it arrived at.
+        refused: Targets that can't take it just now.
+        unproven: Those of them that refused for want of a proof.
+        sends: Arrivals at targets.
+        runs: Those of them that may have run.
+        paid: Whether the next arrival has been taken from the budget.
+        sound: Whether it accepts targets that nothing proved of late.
+        wait: Whether it waits where no slot is free.
+    """
+
+    started: float
+    deadline: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    refused: set[str] = dataclasses.field(default_factory=set)
+    unproven: set[str] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    runs: int = 0
+    paid: bool = False
+    sound: bool = False
+    wait: bool = False
+    _refusals: int = 0
+    _too_long: int = 0
+    _polls: int = 0
+
+    @property
+    def hopeless(self) -> bool:
+        """Whether enough gates said that waiting takes too long."""
+        return self._too_long >= MAX_TOO_LONG
+
+    @property
+    def start_by(self) -> float:
+        """When it must have started; what ran once already is not bound."""
+        if self.sends:
+            return math.inf
+        return self.started + START_SHARE * (self.deadline - self.started)
+
+    def insist(self, now: float) -> gate.Insist:
+        """How much doubt about a target it accepts by now."""
+        whole = self.deadline - self.started
+        if now >= self.started + INSIST_SHARE * whole:
+            return gate.Insist.ANY
+        return gate.Insist.SOUND if self.sound else gate.Insist.PROVEN
+
+    def accept_more(self) -> bool:
+        """Accepts a worse target, where that is left; True when it is.
+
+        First one with a slot free that was proven of late; then an idle one
+        that nothing proved; at last, to wait. While idle ones are left,
+        waiting at the others would waste them.
+        """
+        if self.unproven and not self.sound:
+            self.sound = True
+            # Those that are busy stay so; the idle ones are next.
+            self.refused -= self.unproven
+        elif not self.wait:
+            self.wait = True
+            self.refused.clear()
+        else:
+            return False
+        self._refusals = 0
+        self._too_long = 0
+        return True
+
+    def pause(self) -> float:
+        """Seconds until the next look, when nothing more can be accepted."""
+        seconds = min(POLL_MOST, POLL * 2**self._polls)
+        self._polls += 1
+        self.refused.clear()
+        return seconds
+
+    def not_run(self, target: str, reason: Reason | None) -> None:
+        """A target did not run it."""
+        if reason in _ARRIVED:
+            self._arrived(target)
+        if reason not in _PASSING_BY:
+            return
+        self.refused.add(target)
+        self._refusals += 1
+        if self.wait and reason is Reason.BUSY:
+            self._too_long += 1
+        if reason is Reason.UNPROVEN:
+            self.unproven.add(target)
+        if self._refusals >= MAX_REFUSALS:
+            self.accept_more()
+
+    def ran(self, target: str) -> None:
+        """A target ran it, or may have."""
+        self._arrived(target)
+        self.runs += 1
+
+    def too_late(self, usual: float, now: float) -> bool:
+        """Whether no answer can come in time any more.
+
+        Args:
+            usual: Usual latency of its service, seconds; 0 when unknown.
+            now: Monotonic seconds.
+        """
+        if now >= self.deadline:
+            return True
+        # The first attempt is made whatever the time that is left.
+        return self.sends > 0 and now + usual / 2 > self.deadline
+
+    def patience(self, usual: float, aim: float, now: float) -> float | None:
+        """Seconds until a second attempt beside the first; None for none.
+
+        Args:
+            usual: Usual latency of its service, seconds; 0 when unknown.
+            aim: Monotonic seconds up to which an answer has its full worth.
+            now: Monotonic seconds.
+        """
+        in_time = aim - now - usual
+        patience = max(HEDGE_LEAST * usual, min(HEDGE_FACTOR * usual, in_time))
+        if usual <= 0 or now + patience + usual >= self.deadline:
+            return None
+        return patience
+
+    def _arrived(self, target: str) -> None:
+        self.sends += 1
+        self.paid = False
+        self.tried.add(target)
--- /dev/null
+++ b/test/test_walk.py
@@ -0,0 +1,72 @@
+"""How a request goes over targets: what it accepts, step by step."""
+
+from forklift import gate
+from forklift import messages
+from forklift import walk
+
+Reason = messages.Reason
+
+
+def made() -> walk.Walk:
+    return walk.Walk(0.0, 10.0)
+
+
+def test_idle_targets_that_nothing_proved_go_before_waiting():
+    found = made()
+    found.not_run("busy", Reason.BUSY)
+    for number in range(walk.MAX_REFUSALS - 1):
+        found.not_run(f"idle-{number}", Reason.UNPROVEN)
+    assert found.refused == {"busy"}
+    assert found.insist(0.0) is gate.Insist.SOUND
+    assert not found.wait
+    for number in range(walk.MAX_REFUSALS):
+        found.not_run(f"idle-{number}", Reason.BUSY)
+    assert found.wait
+    assert found.refused == set()
+
+
+def test_doubt_is_accepted_late():
+    found = made()
+    assert found.insist(0.0) is gate.Insist.PROVEN
+    assert found.insist(10.0 * walk.INSIST_SHARE) is gate.Insist.ANY
+
+
+def test_it_is_given_up_once_enough_gates_say_that_waiting_takes_too_long():
+    found = made()
+    found.accept_more()
+    for number in range(walk.MAX_TOO_LONG):
+        assert not found.hopeless
+        found.not_run(f"full-{number}", Reason.BUSY)
+    assert found.hopeless
+
+
+def test_only_what_ran_nowhere_must_start_soon():
+    found = made()
+    assert found.start_by == 10.0 * walk.START_SHARE
+    found.ran("t")
+    assert found.start_by > 10.0
+
+
+def test_a_refusal_by_the_target_itself_is_an_arrival():
+    found = made()
+    found.paid = True
+    found.not_run("t", Reason.SHED)
+    assert (found.sends, found.runs, found.paid) == (1, 0, False)
+    found.not_run("u", Reason.BUSY)
+    assert found.sends == 1
+
+
+def test_a_repeat_needs_time_for_an_answer_and_a_first_attempt_none():
+    found = made()
+    assert not found.too_late(usual=2.0, now=9.5)
+    found.ran("t")
+    assert found.too_late(usual=2.0, now=9.5)
+    assert not found.too_late(usual=2.0, now=8.5)
+
+
+def test_a_second_attempt_waits_less_where_an_answer_can_still_be_in_time():
+    found = made()
+    assert found.patience(0.1, aim=5.0, now=0.0) == walk.HEDGE_FACTOR * 0.1
+    assert 0.2 <= found.patience(0.1, aim=0.35, now=0.0) < 0.3
+    assert found.patience(0.0, aim=5.0, now=0.0) is None
+    assert found.patience(0.1, aim=5.0, now=9.75) is None
