Log what a request that was given up met on its way

Cause: of a 503 the logs said only its reason; whether targets were free, and who refused, had to be guessed. Change: one line with the refusals by reason, the doubt accepted, and how the targets of its service stood as this entry saw them.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -6,6 +6,7 @@
 answer for those of others, which fades.
 """
 
+import collections
 import dataclasses
 import math
 import random
@@ -252,6 +253,19 @@
         group = self._group_by_service.get(service)
         return list(group.view_by_target.values()) if group else []
 
+    def count_by_state(self, service: str, now: float) -> dict[str, int]:
+        """How the targets of a service stand here, for logs and reports.
+
+        Those that can't be reached count as such, whatever their state is.
+        """
+        counts: collections.Counter[str] = collections.Counter()
+        for view in self.views(service):
+            full = view.load(now) > view.slots - MARGIN
+            state = "full" if full else str(view.state)
+            reached = self.paths.usable(view.process)
+            counts[state if reached else "not reached"] += 1
+        return dict(counts)
+
     def report(self, target: str, load: messages.Load, now: float) -> None:
         """A guard told of its target unasked."""
         for group in self._group_by_service.values():
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -118,11 +118,28 @@
         result = await self._go()
         if self._held is not None and not self._sink.begun:
             return await self._held.flush()
+        if result.ending.outcome is not Outcome.ANSWERED:
+            self._tell_why()
         if self._walk.runs and result.ending.outcome is Outcome.NOT_RUN:
             # The last target refused it, but an earlier one may have run it.
             return exchange.unknown(result.ending.reason)
         return result
 
+    def _tell_why(self) -> None:
+        """Logs what a request met on its way before it was given up."""
+        walk, service = self._walk, self._request.service
+        _log.info(
+            "given_up",
+            request=self._request.id,
+            service=service,
+            refusals=dict(walk.refusals_by_reason),
+            sends=walk.sends,
+            waits=walk.wait,
+            insist=walk.insist(self._now()).name.lower(),
+            targets=self._chooser.count_by_state(service, self._now()),
+            repeats_refused=self._chooser.repeats_refused(service),
+        )
+
     def _now(self) -> float:
         return self._forwarder.clock.monotonic()
 
--- a/forklift/walk.py
+++ b/forklift/walk.py
@@ -4,6 +4,7 @@
 afterwards, up to the point where it is given up. Time is handed in.
 """
 
+import collections
 import dataclasses
 import math
 
@@ -64,6 +65,7 @@
         paid: Whether the next arrival has been taken from the budget.
         sound: Whether it accepts targets that nothing proved of late.
         wait: Whether it waits where no slot is free.
+        refusals_by_reason: How often it was refused, for its story.
     """
 
     started: float
@@ -76,6 +78,9 @@
     paid: bool = False
     sound: bool = False
     wait: bool = False
+    refusals_by_reason: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     _refusals: int = 0
     _too_long: int = 0
     _polls: int = 0
@@ -128,6 +133,7 @@
 
     def not_run(self, target: str, reason: Reason | None) -> None:
         """A target did not run it."""
+        self.refusals_by_reason[str(reason or "")] += 1
         if reason in _ARRIVED:
             self._arrived(target)
         if reason not in _PASSING_BY:
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -66,6 +66,19 @@
     assert picks(found, insisting) == {"a"}
 
 
+def test_how_targets_stand_is_told_as_this_entry_sees_it():
+    found = made("a", "b", "c", "d")
+    found.report("a", load(State.SUSPECT), 10.0)
+    found.report("b", load(running=4), 10.0)
+    found.paths.path_failed("p-c", "silent", 10.0)
+    assert found.count_by_state("s", 10.0) == {
+        "suspect": 1,
+        "full": 1,
+        "not reached": 1,
+        "in-service": 1,
+    }
+
+
 def test_a_doubted_target_draws_nothing_while_sound_ones_are_busy():
     found = made("a", "b")
     found.report("a", load(State.SUSPECT), 10.0)
