--- a/forklift/shell/announced.py
+++ b/forklift/shell/announced.py
@@ -12,7 +12,8 @@
 from forklift import settings
 from forklift.shell import beside as besides
 from forklift.shell import clock as clocks
-from forklift.shell import upstream
+from forklift.shell import pool as pools
+from forklift.shell import probe
 
 _log = structlog.get_logger(__name__)
 
@@ -123,15 +124,13 @@
             service = self._in_force.catalog.services_by_name.get(own.service)
             if self._beside.site_by_target or self.stopping or service is None:
                 return
-            found = await upstream.probe(
-                own.target, service.health, self._names
-            )
+            found = await probe.ask(own.target, service.health, self._names)
             if found is not None and found.well and found.slots:
                 self._found_beside(found)
                 return
             await asyncio.sleep(LOOK_PAUSE)
 
-    def _found_beside(self, found: upstream.Health) -> None:
+    def _found_beside(self, found: probe.Health) -> None:
         own = self.settings
         known = found.target in self._beside.site_by_target
         if known or found.target in self.gone or self.stopping:
@@ -158,7 +157,7 @@
         most = service.connections if service else DEFAULT_CONNECTIONS
         site = besides.Site(
             gate.Gate(said.name, said.service, said.slots),
-            upstream.Pool(said.address, most, self._clock.monotonic),
+            pools.Pool(said.address, most, self._clock.monotonic),
         )
         self._beside.add(said.name, site)
         _log.info(
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -12,6 +12,7 @@
 from forklift import messages
 from forklift import policy
 from forklift.shell import exchange
+from forklift.shell import pool as pools
 from forklift.shell import upstream
 
 _log = structlog.get_logger(__name__)
@@ -34,7 +35,7 @@
     """
 
     gate: gate.Gate
-    pool: upstream.Pool
+    pool: pools.Pool
 
 
 class _Leaving:
@@ -229,7 +230,7 @@
                 )
             sign = self._sign(site.gate.service, status)
             result = exchange.answered(status, site.gate.name)
-        except upstream.NotSent as error:
+        except pools.NotSent as error:
             sign = _SIGN_BY_REASON.get(error.reason)
             result = exchange.not_run(error.reason)
         except upstream.AnswerBroken as error:
--- a/forklift/shell/client.py
+++ b/forklift/shell/client.py
@@ -139,7 +139,7 @@
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                found = tuple((bytes(n), bytes(v)) for n, v in head.headers)
+                found = http.fields(head)
                 return Response(head.status_code, found, bytes(body))
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionError("closed without an answer")
--- a/forklift/shell/http.py
+++ b/forklift/shell/http.py
@@ -85,6 +85,11 @@
 )
 
 
+def fields(event: h11.Request | h11.Response) -> Headers:
+    """The header fields of a message, as plain bytes."""
+    return tuple((bytes(name), bytes(value)) for name, value in event.headers)
+
+
 def problem(
     outcome: messages.Outcome, reason: messages.Reason, request_id: str
 ) -> Problem:
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -339,7 +339,7 @@
     def _request(
         self, event: h11.Request, body: exchange.Body
     ) -> tuple[exchange.Request | None, Reason | None]:
-        headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+        headers = http.fields(event)
         names = self._desk.dialect
         given = http.value(headers, names.request_id)
         request_id = given.decode("latin-1") if given else ""
@@ -444,7 +444,7 @@
         self, protocol: h11.Connection, event: h11.Request
     ) -> exchange.Body:
         """Reads a small body whole; a large one as it is taken."""
-        headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+        headers = http.fields(event)
         length = http.content_length(headers)
         if length > self._desk.limits().body_bytes:
             raise errors.BadRequest(
--- /dev/null
+++ b/forklift/shell/probe.py
@@ -0,0 +1,83 @@
+"""Asks the health endpoint of a target; a hint only, as it may lie."""
+
+import asyncio
+import dataclasses
+
+import h11
+import structlog
+
+from forklift import dialect as dialects
+from forklift.shell import http
+from forklift.shell import wire
+
+_log = structlog.get_logger(__name__)
+
+# Seconds for the whole question: a target beside answers within milliseconds,
+# and its next heartbeat comes soon anyway.
+PROBE_TIMEOUT = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Health:
+    """What a target's health endpoint said.
+
+    Attributes:
+        well: Whether it calls itself healthy and is not leaving.
+        target: Name that it gave itself, empty where it gave none.
+        slots: Requests that it runs at once; 0 where it told none.
+    """
+
+    well: bool
+    target: str
+    slots: int = 0
+
+
+async def ask(
+    address: str, path: str, dialect: dialects.Dialect
+) -> Health | None:
+    """Asks a health endpoint; a hint only, as it may lie.
+
+    Returns:
+        What it said; None where there was no answer.
+    """
+    connection = None
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            connection = await wire.connect(address)
+            return await _ask(connection, address, path, dialect)
+    except (OSError, TimeoutError, h11.ProtocolError) as error:
+        _log.info("probe_failed", address=address, detail=repr(error))
+        return None
+    finally:
+        if connection is not None:
+            connection.abort()
+
+
+async def _ask(
+    connection: wire.Connection,
+    address: str,
+    path: str,
+    dialect: dialects.Dialect,
+) -> Health | None:
+    protocol = h11.Connection(h11.CLIENT)
+    headers = [("host", address), ("connection", "close")]
+    request = h11.Request(method="GET", target=path, headers=headers)
+    data = protocol.send(request) + protocol.send(h11.EndOfMessage())
+    connection.write(data)
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await connection.read())
+        elif isinstance(event, h11.Response):
+            return _health(event, dialect)
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
+
+
+def _health(response: h11.Response, dialect: dialects.Dialect) -> Health:
+    headers = http.fields(response)
+    name = http.value(headers, dialect.target) or b""
+    load = (http.value(headers, dialect.load) or b"").split(b",")
+    told = len(load) == 3 and load[2].strip().isdigit()
+    slots = int(load[2]) if told else 0
+    return Health(response.status_code < 400, name.decode("latin-1"), slots)
--- a/forklift/shell/server.py
+++ b/forklift/shell/server.py
@@ -112,7 +112,7 @@
         body = await self._body(connection, protocol)
         if body is None:
             return False
-        headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
+        headers = http.fields(event)
         request = Request(
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
--- a/forklift/shell/upstream.py
+++ b/forklift/shell/upstream.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import re
 from collections.abc import Callable
@@ -21,27 +20,22 @@
 from forklift import messages
 from forklift.shell import exchange
 from forklift.shell import http
+from forklift.shell import pool as pools
 from forklift.shell import wire
 
 _log = structlog.get_logger(__name__)
 Reason = messages.Reason
 
-CONNECT_TIMEOUT = 1.0
 # Seconds that a connection may have been idle to be used again where the
 # target names no time of its own.
 IDLE_FOR = 0.8
 # Share of the time that a target names: its clock started before ours.
 IDLE_SHARE = 0.7
-# Work that must not repeat takes a connection only this soon after its last
-# use: a target may forget an idle one earlier than it says, and the reset
-# would leave the outcome unknown.
-IDLE_UNREPEATABLE = 2.0
 # Answers up to this size are held until whole, bytes.
 HOLD_BYTES = 262_144
 MAX_HEAD = 65_536
 # Answers to other requests that are dropped before a connection is given up.
 MAX_STRAY = 3
-PROBE_TIMEOUT = 1.0
 _BODILESS = (204, 304)
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
@@ -57,16 +51,6 @@
         )
 
 
-class NotSent(errors.ForkliftError):
-    """The target did not run the request."""
-
-    def __init__(self, reason: Reason, detail: str):
-        self.reason = reason
-        super().__init__(
-            f"the target did not run it ({detail}); another one may take it"
-        )
-
-
 @dataclasses.dataclass(frozen=True)
 class Head:
     """Head of a target's answer.
@@ -86,95 +70,12 @@
     idle: float
 
 
-@dataclasses.dataclass(frozen=True)
-class _Idle:
-    connection: wire.Connection
-    since: float
-    until: float
-
-
-class Pool:
-    """Connections to one target, within its limit."""
-
-    def __init__(self, address: str, most: int, now: Callable[[], float]):
-        self.address = address
-        self.most = most
-        self.open = 0
-        self.made = 0
-        self.reused = 0
-        self._now = now
-        self._idle: collections.deque[_Idle] = collections.deque()
-
-    async def take(self, repeatable: bool) -> wire.Connection:
-        """A connection that carries nothing.
-
-        Raises:
-            NotSent: The target can't be connected to.
-        """
-        self._drop_old()
-        while self._idle:
-            idle = self._idle.pop()
-            usable = not idle.connection.closed and not idle.connection.buffered
-            fresh = self._now() - idle.since < IDLE_UNREPEATABLE
-            if usable and (repeatable or fresh):
-                self.reused += 1
-                return idle.connection
-            self.discard(idle.connection)
-        if self.open >= self.most:
-            raise NotSent(Reason.BUSY, "its connections are in use")
-        return await self._connect()
-
-    def give(self, connection: wire.Connection, idle: float) -> None:
-        """Returns a connection whose answer was whole and its own."""
-        if idle <= 0 or connection.closed or connection.buffered:
-            self.discard(connection)
-            return
-        now = self._now()
-        self._idle.append(_Idle(connection, now, now + idle))
-
-    def discard(self, connection: wire.Connection) -> None:
-        """Closes a connection; whatever it still brings is never read."""
-        self.open -= 1
-        connection.abort()
-
-    def close(self) -> None:
-        """Closes all idle connections."""
-        while self._idle:
-            self.discard(self._idle.pop().connection)
-
-    async def _connect(self) -> wire.Connection:
-        self.open += 1
-        try:
-            connection = await asyncio.wait_for(
-                wire.connect(self.address), CONNECT_TIMEOUT
-            )
-        except (OSError, TimeoutError) as error:
-            self.open -= 1
-            detail = str(error) or "timeout"
-            raise NotSent(Reason.CONNECT_FAILED, detail) from error
-        except BaseException:
-            self.open -= 1
-            raise
-        self.made += 1
-        return connection
-
-    def _drop_old(self) -> None:
-        now = self._now()
-        kept: collections.deque[_Idle] = collections.deque()
-        for idle in self._idle:
-            if idle.until <= now or idle.connection.closed:
-                self.discard(idle.connection)
-            else:
-                kept.append(idle)
-        self._idle = kept
-
-
 class Run:
     """One request on one target."""
 
     def __init__(
         self,
-        pool: Pool,
+        pool: pools.Pool,
         request: exchange.Request,
         target: str,
         dialect: dialects.Dialect,
@@ -206,7 +107,7 @@
             The HTTP status, once the answer was passed on whole.
 
         Raises:
-            NotSent: The target did not run it.
+            pools.NotSent: The target did not run it.
             AnswerBroken: It was sent, and there is no whole answer.
             wire.Lost: The sink is gone.
         """
@@ -215,7 +116,7 @@
         try:
             reason = launch()
             if reason is not None:
-                raise NotSent(reason, "it may not start any more")
+                raise pools.NotSent(reason, "it may not start any more")
             await self._exchange(connection, load, sink)
             whole = True
         finally:
@@ -320,7 +221,7 @@
             if self._own(response):
                 break
             reading = await self._skip(connection, reading)
-        found = http.value(_headers(response), self._dialect.request_id)
+        found = http.value(http.fields(response), self._dialect.request_id)
         own = self._request.id
         invariants.own_answer(own, own if found is None else found.decode())
         self.head = self._check(response)
@@ -401,19 +302,21 @@
             raise AnswerBroken(Reason.TARGET_BROKE, str(error)) from error
 
     def _own(self, response: h11.Response) -> bool:
-        found = http.value(_headers(response), self._dialect.request_id)
+        found = http.value(http.fields(response), self._dialect.request_id)
         return found is None or found == self._request.id.encode()
 
     def _raise_not_run(self, response: h11.Response) -> None:
         status = response.status_code
         if status == 421:
-            raise NotSent(Reason.MISDIRECTED, "another target answers there")
-        headers = _headers(response)
+            raise pools.NotSent(
+                Reason.MISDIRECTED, "another target answers there"
+            )
+        headers = http.fields(response)
         if http.value(headers, self._dialect.not_run) is not None:
-            raise NotSent(Reason.SHED, f"it refused with {status}")
+            raise pools.NotSent(Reason.SHED, f"it refused with {status}")
 
     def _check(self, response: h11.Response) -> Head:
-        headers = _headers(response)
+        headers = http.fields(response)
         chunked = http.value(headers, b"transfer-encoding") is not None
         declared = http.value(headers, b"content-length")
         status = response.status_code
@@ -484,79 +387,9 @@
             self._held.clear()
 
 
-def _headers(response: h11.Response) -> http.Headers:
-    return tuple((bytes(n), bytes(v)) for n, v in response.headers)
-
-
 def _idle_time(headers: http.Headers) -> float:
     """Seconds that the connection may be idle, by the target's word."""
     found = _KEEP_ALIVE.search(http.value(headers, b"keep-alive") or b"")
     if found is None:
         return IDLE_FOR
     return int(found[1]) * IDLE_SHARE
-
-
-@dataclasses.dataclass(frozen=True)
-class Health:
-    """What a target's health endpoint said.
-
-    Attributes:
-        well: Whether it calls itself healthy and is not leaving.
-        target: Name that it gave itself, empty where it gave none.
-        slots: Requests that it runs at once; 0 where it told none.
-    """
-
-    well: bool
-    target: str
-    slots: int = 0
-
-
-async def probe(
-    address: str, path: str, dialect: dialects.Dialect
-) -> Health | None:
-    """Asks a health endpoint; a hint only, as it may lie.
-
-    Returns:
-        What it said; None where there was no answer.
-    """
-    connection = None
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT):
-            connection = await wire.connect(address)
-            return await _probe(connection, address, path, dialect)
-    except (OSError, TimeoutError, h11.ProtocolError) as error:
-        _log.info("probe_failed", address=address, detail=repr(error))
-        return None
-    finally:
-        if connection is not None:
-            connection.abort()
-
-
-async def _probe(
-    connection: wire.Connection,
-    address: str,
-    path: str,
-    dialect: dialects.Dialect,
-) -> Health | None:
-    protocol = h11.Connection(h11.CLIENT)
-    headers = [("host", address), ("connection", "close")]
-    request = h11.Request(method="GET", target=path, headers=headers)
-    data = protocol.send(request) + protocol.send(h11.EndOfMessage())
-    connection.write(data)
-    while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            protocol.receive_data(await connection.read())
-        elif isinstance(event, h11.Response):
-            return _health(event, dialect)
-        elif isinstance(event, h11.ConnectionClosed):
-            return None
-
-
-def _health(response: h11.Response, dialect: dialects.Dialect) -> Health:
-    headers = _headers(response)
-    name = http.value(headers, dialect.target) or b""
-    load = (http.value(headers, dialect.load) or b"").split(b",")
-    told = len(load) == 3 and load[2].strip().isdigit()
-    slots = int(load[2]) if told else 0
-    return Health(response.status_code < 400, name.decode("latin-1"), slots)
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -15,10 +15,10 @@
 from forklift import settings
 from forklift.platform import store as adapter
 from forklift.shell import client
+from forklift.shell import probe
 from forklift.shell import proxy
 from forklift.shell import registry
 from forklift.shell import server
-from forklift.shell import upstream
 from forklift_lab import scripted
 from forklift_lab import store as standin
 from test import helper
@@ -671,7 +671,7 @@
     async def work():
         async with scripted.ScriptedTarget(name="t0") as target:
             target.leaving = True
-            found = await upstream.probe(target.address, "/health", dialect.OWN)
-            assert found == upstream.Health(False, "t0", 4)
+            found = await probe.ask(target.address, "/health", dialect.OWN)
+            assert found == probe.Health(False, "t0", 4)
 
     helper.run(work())
--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -8,6 +8,7 @@
 from forklift import messages
 from forklift.shell import clock
 from forklift.shell import exchange
+from forklift.shell import pool as pools
 from forklift.shell import upstream
 from forklift_lab import scripted
 from test import helper
@@ -60,13 +61,13 @@
     return exchange.Request(**fields)
 
 
-async def go(pool: upstream.Pool, sent: exchange.Request, sink: Sink) -> int:
+async def go(pool: pools.Pool, sent: exchange.Request, sink: Sink) -> int:
     run = upstream.Run(pool, sent, "t-1", dialect.OWN, NOW)
     return await run.go(lambda: None, lambda: None, sink)
 
 
-def pool_of(target: scripted.ScriptedTarget) -> upstream.Pool:
-    return upstream.Pool(target.address, 10, NOW)
+def pool_of(target: scripted.ScriptedTarget) -> pools.Pool:
+    return pools.Pool(target.address, 10, NOW)
 
 
 def play(*script: str, requests: int = 1, **changes):
@@ -82,7 +83,7 @@
                 try:
                     sent = request(number, **changes)
                     outcomes.append(await go(pool, sent, sink))
-                except (upstream.NotSent, upstream.AnswerBroken) as error:
+                except (pools.NotSent, upstream.AnswerBroken) as error:
                     outcomes.append((type(error), error.reason))
             pool.close()
             return target, pool, sinks, outcomes
@@ -142,7 +143,7 @@
 )
 def test_a_refusal_is_not_run(fault, reason):
     _, _, sinks, outcomes = play(fault)
-    assert outcomes == [(upstream.NotSent, reason)]
+    assert outcomes == [(pools.NotSent, reason)]
     assert not sinks[0].begun
 
 
@@ -171,7 +172,7 @@
     async def work():
         async with scripted.ScriptedTarget() as target:
             pool = pool_of(target)
-        with pytest.raises(upstream.NotSent) as caught:
+        with pytest.raises(pools.NotSent) as caught:
             await go(pool, request(), Sink())
         assert caught.value.reason is Reason.CONNECT_FAILED
         assert pool.open == 0
@@ -185,7 +186,7 @@
             run = upstream.Run(
                 pool_of(target), request(), "t-1", dialect.OWN, NOW
             )
-            with pytest.raises(upstream.NotSent) as caught:
+            with pytest.raises(pools.NotSent) as caught:
                 await run.go(lambda: Reason.FENCED, lambda: None, Sink())
             assert caught.value.reason is Reason.FENCED
             assert target.received == []
