--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -1,16 +1,11 @@
-"""Picking targets, paths, stories, logs: no sockets."""
+"""Picking targets: no sockets."""
 
-import json
-import os
 import random
 
 from forklift import chooser
 from forklift import gate
 from forklift import messages
-from forklift import paths
 from forklift import policy
-from forklift import stories
-from forklift.shell import logs
 from test import helper
 
 State = messages.TargetState
@@ -235,56 +230,3 @@
     assert "a" in picks(found, wish(), 200) | picks(
         found, wish(repeatable=True), 200
     )
-
-
-def test_a_path_that_owes_a_sign_is_condemned_and_asked_again():
-    known = paths.Paths()
-    known.sent("p", 0.0)
-    assert known.silent(paths.SILENCE / 2) == []
-    assert known.silent(paths.SILENCE) == ["p"]
-    assert not known.usable("p")
-    assert known.to_beat(paths.SILENCE) == []
-    assert known.to_beat(paths.SILENCE + paths.AVOID_FIRST) == ["p"]
-    known.heard("p")
-    assert known.usable("p")
-
-
-def test_a_path_with_nothing_owed_is_never_silent():
-    known = paths.Paths()
-    known.sent("p", 0.0)
-    known.settled("p")
-    assert known.silent(100.0) == []
-
-
-def test_the_story_of_a_request_names_its_cause():
-    lines = [
-        {"event": "request", "request": "r1", "outcome": "unknown",
-         "reason": "target-broke", "status": 0, "timestamp": "3"},
-        {"event": "answer_broken", "request": "r1", "target": "t",
-         "timestamp": "2"},
-        {"event": "target_changed", "target": "t", "state": "suspect",
-         "timestamp": "2.5"},
-        {"event": "request", "request": "r2", "timestamp": "1"},
-    ]  # fmt: skip
-    read = stories.parse([json.dumps(line) for line in lines] + ["noise"])
-    told = stories.of_request(read, "r1")
-    assert [line.split()[1] for line in told[:2]] == [
-        "answer_broken:",
-        "request:",
-    ]
-    assert "broke the connection" in told[-1]
-    assert "may have run" in told[-1]
-    assert len(stories.of_target(read, "t")) == 2
-    assert stories.of_request(read, "unheard") == []
-
-
-def test_a_reader_that_stops_reading_loses_lines_and_blocks_nothing():
-    reader, pipe = os.pipe()
-    writer = logs.Writer(pipe)
-    before = logs.dropped_by_event.total()
-    line = "x" * 1000
-    for _ in range(2000):
-        writer.msg(line)
-    assert logs.dropped_by_event.total() > before
-    os.close(reader)
-    os.close(pipe)
