What waited at a gate for as long as it may is given up at once

Cause: after a gate had refused it for that, the entry asked further gates, which refused it at once, until its deadline: a caller waited for nothing, and each turn cost a message. Found by reading the loop, as the price of held requests had hardly fallen.

--- a/forklift/walk.py
+++ b/forklift/walk.py
@@ -81,14 +81,15 @@
     refusals_by_reason: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    _expired: bool = False
     _refusals: int = 0
     _too_long: int = 0
     _polls: int = 0
 
     @property
     def hopeless(self) -> bool:
-        """Whether enough gates said that waiting takes too long."""
-        return self._too_long >= MAX_TOO_LONG
+        """Whether gates said that waiting takes too long, or has taken so."""
+        return self._expired or self._too_long >= MAX_TOO_LONG
 
     @property
     def start_by(self) -> float:
@@ -136,6 +137,9 @@
         self.refusals_by_reason[str(reason or "")] += 1
         if reason in _ARRIVED:
             self._arrived(target)
+        if reason is Reason.DEADLINE:
+            # Any other gate would say the same, at once.
+            self._expired = True
         if reason not in _PASSING_BY:
             return
         self.refused.add(target)
--- a/test/test_walk.py
+++ b/test/test_walk.py
@@ -40,6 +40,12 @@
     assert found.hopeless
 
 
+def test_it_is_given_up_once_it_waited_for_as_long_as_it_may():
+    found = made()
+    found.not_run("t", Reason.DEADLINE)
+    assert found.hopeless
+
+
 def test_only_what_ran_nowhere_must_start_soon():
     found = made()
     assert found.start_by == 10.0 * walk.START_SHARE
