Compress only what the other side agrees to expand

Cause: while a fleet is replaced process by process, one that does not know of compression would take a compressed frame for one that is too long, and end the connection. Change: the asking side compresses once the other's Hello agrees.

--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -109,8 +109,8 @@
         boot: Random identity of this run of the process.
         incarnation: Rises when the process finds that it was paused.
         nonce: Random bytes that the other side's proof must cover.
-        compress: Whether both sides compress what follows; the side that
-            opened the connection decides.
+        compress: Whether both sides compress what follows: the side that
+            opened the connection asks for it, the other agrees.
     """
 
     name: str
--- a/forklift/shell/peers.py
+++ b/forklift/shell/peers.py
@@ -77,7 +77,6 @@
     def open(self) -> None:
         """Says hello."""
         self._frames.send(self._own)
-        self._frames.compress = self._own.compress
 
     async def ask(
         self,
@@ -243,6 +242,8 @@
     def _hello(self, hello: messages.Hello) -> None:
         self.peer = hello
         self.incarnation = hello.incarnation
+        # One that does not know of compression does not say that it will.
+        self._frames.compress = self._own.compress and hello.compress
         digest = framing.prove(self._key, self._own.nonce, hello.nonce)
         self._frames.send(messages.Proof(digest))
 
--- a/forklift/shell/served.py
+++ b/forklift/shell/served.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import msgspec
+
 from forklift import messages
 from forklift.shell import exchange
 from forklift.shell import framing
@@ -106,7 +108,9 @@
     def _frame(self, frame: messages.Frame) -> None:
         if isinstance(frame, messages.Hello):
             self.peer = frame
-            self._frames.send(self._own)
+            self._frames.send(
+                msgspec.structs.replace(self._own, compress=frame.compress)
+            )
             self._frames.compress = frame.compress
             digest = framing.prove(self._key, self._own.nonce, frame.nonce)
             self._frames.send(messages.Proof(digest))
--- /dev/null
+++ b/test/test_peers.py
@@ -0,0 +1,37 @@
+"""The side of a connection between processes that asks."""
+
+import pytest
+
+from forklift import messages
+from forklift.shell import framing
+from forklift.shell import peers
+from test import helper
+
+
+class Transport:
+    """Takes what is written."""
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+    def write(self, data: bytes) -> None:
+        self.written = data
+
+
+def hello(compress: bool) -> messages.Hello:
+    return messages.Hello("p", 1, 1, b"n" * framing.NONCE_BYTES, compress)
+
+
+@pytest.mark.parametrize("asks", [True, False])
+@pytest.mark.parametrize("agrees", [True, False])
+def test_frames_are_compressed_only_where_both_sides_want_it(asks, agrees):
+    async def work():
+        frames = framing.Frames()
+        frames.connection_made(Transport())
+        link = peers.Link(frames, hello(asks), b"key")
+        link.open()
+        assert not frames.compress
+        frames.on_frame(hello(agrees))
+        assert frames.compress == (asks and agrees)
+
+    helper.run(work())
