--- a/forklift/shell/sending.py
+++ b/forklift/shell/sending.py
@@ -88,8 +88,13 @@
             return exchange.not_run(Reason.DEADLINE)
         seq = self._next_seq()
         start = _start(link, seq, choice.target, request, remaining, insist)
-        left = request.aim - self._clock.monotonic()
-        start = msgspec.structs.replace(start, aim=round(left, 3), wait=wait)
+        now = self._clock.monotonic()
+        start = msgspec.structs.replace(
+            start,
+            aim=round(request.aim - now, 3),
+            wait=wait,
+            start_within=start_by - now,
+        )
         to_boot = link.peer.boot
         try:
             async with asyncio.timeout(remaining + DEADLINE_GRACE):
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -221,6 +221,24 @@
     play(work, [[], []], first=first)
 
 
+def test_a_gate_is_told_by_when_a_request_must_have_started():
+    async def work(fleet):
+        seen = []
+        serving = fleet.proxies[1].beside
+        run = serving.run
+
+        async def note(target, ticket, *rest):
+            seen.append(ticket)
+            return await run(target, ticket, *rest)
+
+        serving.run = note
+        fleet.proxies[0].beside.site_by_target["t0"].gate.drain()
+        assert (await fleet.ask(0)).status == 200
+        assert seen[0].start_by < seen[0].deadline
+
+    play(work, [[], []])
+
+
 def test_an_idle_target_is_used_before_waiting_at_a_busy_one():
     async def work(fleet):
         for number, one in enumerate(fleet.proxies):
