--- /dev/null
+++ b/forklift/shell/answering.py
@@ -0,0 +1,82 @@
+"""The answer to one request of a caller, on its way out in its turn."""
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from forklift.shell import exchange
+from forklift.shell import http
+from forklift.shell import wire
+
+# Seconds a caller may go without taking or giving a byte of a body.
+STALL = 20.0
+
+
+class Answer:
+    """The sink of an answer that goes to a caller, in its turn."""
+
+    def __init__(
+        self,
+        connection: wire.Connection,
+        last: Callable[["Answer"], bool],
+        protocol: h11.Connection,
+        method: bytes,
+        turn: asyncio.Future | None,
+    ):
+        self._connection = connection
+        self._last = last
+        self.protocol = protocol
+        self._turn = turn
+        self.method = method
+        # The head waits for the first bytes of the body: one packet, not two.
+        self._unsent = b""
+        self.begun = False
+        self.status = 0
+        self.over = asyncio.get_running_loop().create_future()
+
+    async def start(self, head: exchange.Head) -> None:
+        """See `exchange.Sink`."""
+        if self._turn is not None and not self._turn.done():
+            await asyncio.shield(self._turn)
+        sent = list(head.headers)
+        if head.length >= 0:
+            sent.append((b"content-length", str(head.length).encode()))
+        elif self.method != b"HEAD" and head.status not in (204, 304):
+            sent.append((b"transfer-encoding", b"chunked"))
+        if self._last(self) and not http.closes(sent):
+            sent.append((b"connection", b"close"))
+        self.begun = True
+        self.status = head.status
+        response = h11.Response(status_code=head.status, headers=sent)
+        self._unsent = self.protocol.send(response)
+        if head.length < 0:
+            # The body may take its time.
+            self._flush(b"")
+
+    async def data(self, piece: bytes) -> None:
+        """See `exchange.Sink`."""
+        if self.method == b"HEAD":
+            return
+        self._flush(self.protocol.send(h11.Data(piece)))
+        if not self._connection.congested:
+            return
+        try:
+            async with asyncio.timeout(STALL):
+                await self._connection.drain()
+        except TimeoutError as error:
+            raise wire.Lost("the caller takes no bytes") from error
+
+    async def end(self) -> None:
+        """See `exchange.Sink`."""
+        self._flush(self.protocol.send(h11.EndOfMessage()))
+
+    def done(self) -> None:
+        """Lets the next answer go."""
+        if not self.over.done():
+            self.over.set_result(None)
+
+    def _flush(self, data: bytes) -> None:
+        if self._unsent or data:
+            self._connection.write(self._unsent + data)
+        self._unsent = b""
--- a/forklift/shell/http.py
+++ b/forklift/shell/http.py
@@ -190,3 +190,8 @@
         return -1
     declared = value(headers, b"content-length")
     return int(declared) if declared is not None else 0
+
+
+def closes(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Whether a field says what becomes of the connection."""
+    return any(name == b"connection" for name, _ in headers)
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -19,6 +19,7 @@
 from forklift import dialect as dialects
 from forklift import errors
 from forklift import messages
+from forklift.shell import answering
 from forklift.shell import exchange
 from forklift.shell import http
 from forklift.shell import wire
@@ -29,9 +30,6 @@
 
 # Requests of one connection that are worked on at once.
 MAX_AHEAD = 32
-# Seconds a caller may go without taking or giving a byte of a body.
-STALL = 20.0
-CALLER_ERROR = 400
 
 Handler = Callable[
     [exchange.Request, exchange.Sink], Awaitable[exchange.Result]
@@ -124,74 +122,6 @@
         return f"{self._stem}-{next(self._numbers)}"
 
 
-class _Answer:
-    """The sink of an answer that goes to a caller, in its turn."""
-
-    def __init__(
-        self,
-        session: "_Session",
-        protocol: h11.Connection,
-        method: bytes,
-        turn: asyncio.Future | None,
-    ):
-        self._session = session
-        self._connection = session.connection
-        self._protocol = protocol
-        self._turn = turn
-        self.method = method
-        # The head waits for the first bytes of the body: one packet, not two.
-        self._unsent = b""
-        self.begun = False
-        self.status = 0
-        self.over = asyncio.get_running_loop().create_future()
-
-    async def start(self, head: exchange.Head) -> None:
-        """See `exchange.Sink`."""
-        if self._turn is not None and not self._turn.done():
-            await asyncio.shield(self._turn)
-        sent = list(head.headers)
-        if head.length >= 0:
-            sent.append((b"content-length", str(head.length).encode()))
-        elif self.method != b"HEAD" and head.status not in (204, 304):
-            sent.append((b"transfer-encoding", b"chunked"))
-        if self._session.last(self) and not _closes(sent):
-            sent.append((b"connection", b"close"))
-        self.begun = True
-        self.status = head.status
-        response = h11.Response(status_code=head.status, headers=sent)
-        self._unsent = self._protocol.send(response)
-        if head.length < 0:
-            # The body may take its time.
-            self._flush(b"")
-
-    async def data(self, piece: bytes) -> None:
-        """See `exchange.Sink`."""
-        if self.method == b"HEAD":
-            return
-        self._flush(self._protocol.send(h11.Data(piece)))
-        if not self._connection.congested:
-            return
-        try:
-            async with asyncio.timeout(STALL):
-                await self._connection.drain()
-        except TimeoutError as error:
-            raise wire.Lost("the caller takes no bytes") from error
-
-    async def end(self) -> None:
-        """See `exchange.Sink`."""
-        self._flush(self._protocol.send(h11.EndOfMessage()))
-
-    def done(self) -> None:
-        """Lets the next answer go."""
-        if not self.over.done():
-            self.over.set_result(None)
-
-    def _flush(self, data: bytes) -> None:
-        if self._unsent or data:
-            self._connection.write(self._unsent + data)
-        self._unsent = b""
-
-
 class _Session:
     """One connection of a caller."""
 
@@ -200,7 +130,7 @@
         self._desk = ingress.desk
         self._clock = ingress.clock
         self.connection = connection
-        self._answers: list[_Answer] = []
+        self._answers: list[answering.Answer] = []
         self._tasks: set[asyncio.Task] = set()
         self._leftover = b""
         self._reading = True
@@ -250,7 +180,7 @@
         finally:
             self.connection.close()
 
-    def last(self, answer: _Answer) -> bool:
+    def last(self, answer: answering.Answer) -> bool:
         """Whether the connection closes after an answer."""
         if self._answers and self._answers[-1] is not answer:
             return False
@@ -279,7 +209,9 @@
             return False
         http.check_request(event)
         turn = self._answers[-1].over if self._answers else None
-        answer = _Answer(self, protocol, event.method, turn)
+        answer = answering.Answer(
+            self.connection, self.last, protocol, event.method, turn
+        )
         self._answers.append(answer)
         self._idle_since = None
         try:
@@ -378,7 +310,7 @@
         self,
         request: exchange.Request | None,
         problem: Reason | None,
-        answer: _Answer,
+        answer: answering.Answer,
     ) -> None:
         self._ingress.running += 1
         try:
@@ -409,7 +341,9 @@
         self._reading = False
         self.connection.abort()
 
-    async def _run(self, request: exchange.Request, answer: _Answer) -> None:
+    async def _run(
+        self, request: exchange.Request, answer: answering.Answer
+    ) -> None:
         started = self._clock.monotonic()
         result = await self._desk.handle(request, answer)
         seconds = self._clock.monotonic() - started
@@ -421,7 +355,7 @@
         await self._problem(answer, result, request.id)
 
     async def _problem(
-        self, answer: _Answer, result: exchange.Result, request_id: str
+        self, answer: answering.Answer, result: exchange.Result, request_id: str
     ) -> None:
         ending = result.ending
         reason = ending.reason or Reason.TARGET_BROKE
@@ -430,7 +364,7 @@
         if problem.status == http.COME_BACK:
             wait = max(LEAST_RETRY_AFTER, ending.retry_after)
             headers.append((b"retry-after", f"{wait:.2f}".encode()))
-        if answer._protocol.their_state is not h11.DONE:
+        if answer.protocol.their_state is not h11.DONE:
             self._reading = False
         body = http.encode_problem(problem)
         head = exchange.Head(problem.status, tuple(headers), len(body))
@@ -480,7 +414,7 @@
         if protocol.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.connection.write(protocol.send(go_on))
-        async with asyncio.timeout(STALL):
+        async with asyncio.timeout(answering.STALL):
             data = await self.connection.read()
         protocol.receive_data(data)
 
@@ -531,10 +465,6 @@
     return tuple(h for h in http.end_to_end(headers) if h[0] not in ours)
 
 
-def _closes(headers: list[tuple[bytes, bytes]]) -> bool:
-    return any(name == b"connection" for name, _ in headers)
-
-
 def _allowed(headers: http.Headers, name: bytes, most: float) -> float:
     """Seconds the request may take: the caller's word, up to the route's."""
     given = http.value(headers, name)
