--- a/forklift/ui/run.py
+++ b/forklift/ui/run.py
@@ -1,6 +1,7 @@
 """`forklift run`: runs one process of the fleet."""
 
 import asyncio
+import faulthandler
 import logging
 
 import click
@@ -20,6 +21,8 @@
     from forklift.shell import logs  # noqa: PLC0415
     from forklift.shell import serve  # noqa: PLC0415
 
+    # A crash in a library's own code leaves at least the line it came from.
+    faulthandler.enable()
     read = settings.load(file)
     logs.configure(logging.DEBUG if verbose else logging.INFO)
     asyncio.run(serve.serve(read, file))
