Tests that guard what breaking the code on purpose left unguarded

One test passed for the wrong reason: work that must not repeat had ended before a second attempt was due. Change: that test lasts longer; the budget of second attempts, compression by failure domain, bounds on what expands, the word on the target beside and peer_public are tested.

--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -57,3 +57,12 @@
     part.bound(0.0, WINDOW, 4.0)
     granted = sum(part.spend(1.0, 1) for _ in range(10))
     assert granted == int(4.0 * budget.USED_SHARE) - 1
+
+
+def test_a_kind_of_repeat_may_be_held_to_a_part_of_the_budget():
+    found = budget.Budget(1.0, 10.0, 0.0)
+    for _ in range(20):
+        found.request(0.0)
+    part = sum(found.spend(1.0, 1, share=0.5) for _ in range(20))
+    rest = sum(found.spend(1.0, 1) for _ in range(20))
+    assert (part, part + rest) == (9, 18)
--- a/test/test_framing.py
+++ b/test/test_framing.py
@@ -3,6 +3,7 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from forklift import messages
@@ -76,6 +77,8 @@
     receiver.data_received(prefix + bomb)
     assert receiver.transport.aborted
     assert received == []
+    with pytest.raises(messages.Malformed, match="expands"):
+        framing._Inflate().expand(bomb)
 
 
 @hypothesis.given(strategies.binary(max_size=200), strategies.booleans())
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -398,10 +398,63 @@
         assert fleet.runs() == 1
         assert fleet.proxies[0].forwarder.hedges == 0
 
-    first = record(1, r=route("non_idempotent", **{"timeout-ms": 400}))
+    # Long after a second attempt would have been due.
+    first = record(1, r=route("non_idempotent", **{"timeout-ms": 1500}))
     play(work, [[], [], []], first=first)
 
 
+def test_a_second_attempt_is_taken_from_the_budget():
+    async def work(fleet):
+        bounds = chooser.BudgetBounds(0.0, 10.0, 0.0)
+        fleet.proxies[0].chooser.bound(bounds)
+        share_script(fleet, "hold")
+        assert (await fleet.ask()).status == 504
+        assert fleet.proxies[0].forwarder.hedges == 0
+        assert fleet.runs() == 1
+
+    first = record(1, r=route(**{"timeout-ms": 1500}))
+    play(work, [[], [], []], first=first)
+
+
+def test_only_paths_between_failure_domains_are_compressed():
+    async def work(fleet):
+        near = await fleet.proxies[0].links.get("p1")
+        assert not near._frames.compress
+        fleet.proxies[0].directory.update_own(domain="other")
+        far = await fleet.proxies[0].links.get("p2")
+        assert far._frames.compress
+        (served,) = fleet.proxies[2]._served
+        assert served._frames.compress
+
+    play(work, [[], [], []])
+
+
+def test_an_entry_is_told_of_the_target_beside_without_a_request():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        (view,) = [v for v in one.chooser.views("s") if v.process == "p0"]
+        await helper.until(lambda: view.latency > 0)
+        assert fleet.runs() == 0
+
+    play(work, [[], []])
+
+
+def test_peers_are_told_where_they_reach_a_process():
+    async def work():
+        process = settings.Process(
+            "p", "d", ANY, ANY, ANY, ANY, peer_public="127.0.0.1:9"
+        )
+        platform = settings.Platform("127.0.0.1:9", ANY, ANY)
+        read = settings.Settings(process, platform)
+        store = adapter.Store(platform.store)
+        one = proxy.Proxy(read, store, adapter.decode, dialect.OWN)
+        await one.start()
+        assert one.directory.own.peer == "127.0.0.1:9"
+        await one.close()
+
+    helper.run(work())
+
+
 def test_work_that_hangs_has_its_final_answer_at_the_routes_limit():
     async def work(fleet):
         assert (await fleet.ask()).status == 504
