Judge targets by a filter over good and bad phases; learn latency by route

Cause: one usual latency for a service that serves 1 ms and 0.6 s work is usual for neither, so ordinary requests looked overdue, and hung ones did not; one good answer lifted a doubt though one in four ends well in a bad phase.

Ruled out: 5 times the usual latency (says nothing of how many are in flight), proof by 20 ms without a reset (true only where targets reset connections).

Change: each request given to a target is weighed by how likely its course so far is in a good and in a bad phase, pending ones too, against the latency of its own route. Whether failures show at once is learned. Second sends go by the spread of the route. The gate expects a slot by the work that runs and waits.

The tests of the old judgement that named its constants are replaced by tests of the same promises on the new one.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -10,13 +10,14 @@
 import dataclasses
 import math
 import random
-import statistics
 from collections.abc import Callable
 
 import xxhash
 
 from forklift import budget
 from forklift import gate
+from forklift import health
+from forklift import latency
 from forklift import messages
 from forklift import overlay
 from forklift import paths
@@ -49,15 +50,14 @@
 IDLE_BESIDE_FAILING = 1.3
 # Seconds between two scouts of this entry to one target.
 SCOUT_GAP = 0.25
-# Share of good outcomes from which a doubted target is better than to wait on.
+# Risk up to which a doubted target is better than to wait on.
 PROMISING = 0.5
 # Part of a slot that must seem free: reports of load fade, so a target that was
 # full a moment ago is not asked again at once.
 MARGIN = 0.3
-# Seconds for which a guard's word holds that nothing proved its target.
-UNTESTED_FOR = 0.5
-# Targets whose median latency tells what is usual.
-MIN_PEERS = 3
+# Weight of the last answer's word on how long its route takes: each guard
+# learns from all that its target runs, and an entry hears several.
+LATENCY_GAIN = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,11 +131,10 @@
         self.next_scout = 0.0
         self.state = info.state
         self.version = 0
-        self.latency = 0.0
-        self.well = 1.0
         self.rank = xxhash.xxh3_64_intdigest(info.name.encode())
-        self._proven_at = float("-inf")
-        self._untested_until = float("-inf")
+        self.reported = False
+        self._risk = health.UNKNOWN
+        self._used_at = float("-inf")
         self._others = 0.0
         self._others_at = float("-inf")
 
@@ -150,22 +149,20 @@
             return
         self.version = load.version
         self.state = load.state
-        self.latency = load.latency
-        self.well = load.well
-        self._proven_at = max(self._proven_at, now - load.proof)
-        if load.proof > gate.PROOF_MOST:
-            self._untested_until = now + UNTESTED_FOR
+        self.reported = True
+        self._risk = load.risk
+        self._used_at = max(self._used_at, now - load.idle)
         others = load.in_flight + load.queued - self.in_flight
         self._others = max(0, others)
         self._others_at = now
 
-    def untested(self, now: float) -> bool:
-        """Whether its guard told of late that it took no request for long."""
-        return now < self._untested_until
+    def risk(self, now: float) -> float:
+        """How likely it is in a bad phase, as far as is known here."""
+        return health.drift(self._risk, now - self._others_at)
 
-    def proof(self, now: float) -> float:
-        """Seconds since the target is known to have accepted a request."""
-        return now - self._proven_at
+    def idle(self, now: float) -> float:
+        """Seconds since a request is known to have begun there."""
+        return now - self._used_at
 
     def load(self, now: float) -> float:
         """Own requests plus those of others, which fade with age."""
@@ -197,6 +194,7 @@
         bounds: BudgetBounds,
     ):
         self.paths = paths.Paths()
+        self.latencies = latency.Latencies()
         self._name = name
         self._domain = domain
         self._rng = rng
@@ -273,11 +271,6 @@
             if view is not None:
                 view.report(load, now)
 
-    def usual_latency(self, service: str) -> float:
-        """Median latency over the targets of a service; 0 when unknown."""
-        known = [v.latency for v in self.views(service) if v.latency > 0]
-        return statistics.median(known) if len(known) >= MIN_PEERS else 0.0
-
     # Picks.
 
     def choose(
@@ -319,7 +312,7 @@
             pool = sound or shedding
             if not pool and wish.insist is gate.Insist.ANY:
                 last = hopeless and wish.repeatable
-                pool = [v for v in doubted if last or v.well >= PROMISING]
+                pool = [v for v in doubted if last or v.risk(now) <= PROMISING]
             if not wish.wait:
                 pool = [v for v in pool if v.load(now) <= v.slots - MARGIN]
             if not pool:
@@ -338,8 +331,17 @@
         choice: Choice,
         load: messages.Load | None,
         now: float,
+        usual: latency.Latency | None = None,
     ) -> None:
-        """An attempt ended, with or without a report of the target's load."""
+        """An attempt ended, with or without a report of the target's load.
+
+        Args:
+            service: Name of the service.
+            choice: The target.
+            load: Its guard's report.
+            now: Monotonic seconds.
+            usual: The latency of the route, to learn from the report.
+        """
         group = self._group_by_service.get(service)
         view = group.view_by_target.get(choice.target) if group else None
         if view is None:
@@ -347,6 +349,8 @@
         view.in_flight = max(0, view.in_flight - 1)
         if load is not None:
             view.report(load, now)
+            if usual is not None and load.latency > 0:
+                usual.follow(load.latency, load.spread, LATENCY_GAIN)
 
     def failed(self, service: str, now: float) -> None:
         """A request of a service failed at its target."""
@@ -419,7 +423,7 @@
             return None
         age = IDLE_BESIDE if wish.repeatable else IDLE_BESIDE_FAILING
         for view in sound:
-            if view.process == self._name and view.proof(now) > age:
+            if view.process == self._name and view.idle(now) > age:
                 return view if view.load(now) < view.slots else None
         return None
 
@@ -443,11 +447,11 @@
         spare = [
             view
             for view in sound
-            if view.proof(now) > age and view.load(now) < view.slots
+            if view.idle(now) > age and view.load(now) < view.slots
         ]
         if not spare:
             return None
-        return max(spare, key=lambda view: (view.near, view.proof(now)))
+        return max(spare, key=lambda view: (view.near, view.idle(now)))
 
     def _pick(self, service: str, pool: list[View], now: float) -> View:
         if len(pool) == 1:
@@ -477,7 +481,7 @@
             max(spread.LEAST_WEIGHT, weight),
             view.near,
             view.picked,
-            view.untested(now),
+            view.risk(now) > gate.PROVEN_RISK,
             view.rank,
         )
 
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -9,45 +9,40 @@
 import bisect
 import dataclasses
 import enum
+import heapq
 import math
 
-from forklift import doubt
+from forklift import health
 from forklift import invariants
+from forklift import latency
 from forklift import messages
 
 Reason = messages.Reason
 State = messages.TargetState
-Sign = doubt.Sign
-
-# Before the first answer; a guess between the services we know, seconds.
-LATENCY_GUESS = 0.15
-LATENCY_GAIN = 0.1
-# Weight of the last outcome in the share of those that ended well: three bad
-# ones in a row bring it below one half.
-WELL_GAIN = 0.25
-# Times the usual latency of the service after which a request is overdue.
-# Work scatters with a sigma of up to 0.8, and one request in a hundred takes
-# three to five times as long without anything being wrong.
-OVERDUE_FACTOR = 5.0
-# And never before this age: pauses of our own processes are shorter, seconds.
-OVERDUE_LEAST = 0.4
+Sign = health.Sign
+
 # Requests that may wait for each slot, whatever their deadlines.
 QUEUE_FACTOR = 8
 # Expected wait that any request accepts: asking elsewhere costs a few
 # milliseconds, and a copy of the request between failure domains; seconds.
 SHORT_WAIT = 0.1
-# Seconds since a target last accepted a request after which work that must
-# not repeat is sent elsewhere first. Targets fail for seconds at a time, so
-# one that was well a second ago most likely is.
-PROOF_MOST = 1.0
-# What is told as the age of a proof that there never was, seconds.
-NO_PROOF = 1000.0
+# Risk up to which a target counts as proven. One that answered a second ago
+# is below it.
+PROVEN_RISK = 0.15
+# Share of sound requests that would still run, below which a request is taken
+# to hang: its slot is free only at its deadline.
+HANGS = 0.03
+# Part of its mean time that a running request takes on from any moment: long
+# ones are met more often than short ones.
+RESIDUAL = 0.7
+# What is told as the idle time of a target that never had work, seconds.
+NEVER = 1000.0
 
 
 class Insist(enum.IntEnum):
     """How much doubt about a target a request accepts."""
 
-    # Only a target that accepted a request of late.
+    # Only a target that did well of late.
     PROVEN = 0
     # Any that nobody doubts.
     SOUND = 1
@@ -66,6 +61,7 @@
         deadline: Monotonic seconds of this process.
         insist: How much doubt about the target it accepts.
         aim: Monotonic seconds up to which an answer has its full worth.
+        route: Name of its route, which tells how long it takes.
         wait: Whether it waits for a slot as long as it can; else it is
             refused where that takes long, as its sender may know a better one.
         start_by: Monotonic seconds by which it must have started; it is
@@ -78,6 +74,7 @@
     deadline: float
     insist: Insist = Insist.PROVEN
     aim: float = math.inf
+    route: str = ""
     wait: bool = True
     start_by: float = math.inf
 
@@ -123,7 +120,7 @@
 class _Running:
     ticket: Ticket
     started: float
-    overdue: bool = False
+    usual: latency.Latency
 
 
 class Gate:
@@ -134,16 +131,13 @@
         self.service = service
         self.slots = slots
         self.state = State.IN_SERVICE
-        self.doubt = doubt.Doubt()
+        self.health = health.Health()
+        self.latencies = latency.Latencies()
         self.version = 1
-        self.latency = LATENCY_GUESS
-        # Share of the last few requests that ended well.
-        self.well = 1.0
         # Until when the target is slow after its start, by its own word.
         self.cold_until = 0.0
-        # Usual latency of the service's other targets; 0 while unknown.
-        self.usual = 0.0
         self.refusals_by_reason: dict[Reason, int] = {}
+        self._last_start = float("-inf")
         self._running_by_id: dict[tuple[int, int], _Running] = {}
         # By urgency, then by the time up to which an answer has its full worth:
         # one that was sent away elsewhere does not begin again at the end.
@@ -165,21 +159,30 @@
         """Whether the target starts no request any more."""
         return self.state in (State.PAUSED, State.DRAINING, State.LEFT)
 
-    def load(self, now: float) -> messages.Load:
-        """Its load and state, as others are told."""
+    def load(self, now: float, route: str = "") -> messages.Load:
+        """Its load and state, as others are told.
+
+        Args:
+            now: Monotonic seconds.
+            route: The route whose latency is told, where it is known.
+        """
         state = self.state
-        if self.doubt.raised and not self.leaving:
-            shedding = self.doubt.sign is Sign.SHED
-            state = State.SHEDDING if shedding else State.SUSPECT
+        if not self.leaving:
+            if self.health.raised:
+                state = State.SUSPECT
+            elif self.health.shedding(now):
+                state = State.SHEDDING
+        usual = self.latencies.known(route)
         return messages.Load(
             self.running,
             self.waiting,
             self.slots,
             state,
             self.version,
-            round(self.latency, 4),
-            round(min(NO_PROOF, now - self.doubt.proven_at), 2),
-            round(self.well, 2),
+            round(usual.median, 4) if usual else 0.0,
+            round(min(NEVER, now - self._last_start), 2),
+            round(self.health.risk(now), 2),
+            round(usual.spread, 2) if usual else 0.0,
         )
 
     # Requests.
@@ -192,9 +195,8 @@
         if self.running < self.slots and not self._waiting:
             return self._start(ticket, now)
         place = (ticket.priority, ticket.aim, self._arrivals + 1)
-        ahead = sum(1 for entry in self._waiting if entry[0] <= place)
-        wait = (ahead + 1) * self.latency / self.slots
-        late = now + wait + self.latency > ticket.deadline
+        wait = self._expected_wait(place, now)
+        late = now + wait + self._usual(ticket, now).median > ticket.deadline
         late = late or now + wait > ticket.start_by
         full = self.waiting >= QUEUE_FACTOR * self.slots
         patient = ticket.wait or wait <= SHORT_WAIT
@@ -225,30 +227,23 @@
             Decisions on requests that waited.
         """
         running = self._running_by_id.pop(ticket.id, None)
-        self.doubt.scouted(ticket.id)
         if running is None:
             return []
         took = now - running.started
         if sign is Sign.WELL:
-            self.doubt.prove(running.started)
-            self._note_latency(took)
-            if took > self._overdue_age():
-                sign = Sign.OVERDUE
-        if sign is not None:
-            self.well += WELL_GAIN * ((sign is Sign.WELL) - self.well)
-        decisions: list[Decision] = []
-        if sign is not None and not self._known_late(running, sign):
-            decisions += self.note(sign, now)
-        return decisions + self._next(now)
-
-    def note(self, sign: Sign, now: float) -> list[Decision]:
-        """Takes in a sign of the target's condition."""
-        if not self.doubt.note(sign, now):
+            running.usual.note(took)
+        elif sign is None:
+            sound = 1 - self.health.risk(now)
+            running.usual.note_cut(took, sound * running.usual.survival(took))
+        changed = self.health.end(ticket.id, sign, now)
+        return self._judged(changed) + self._next(now)
+
+    def _judged(self, changed: bool) -> list[Decision]:
+        """Acts on a doubt that was raised or lifted."""
+        if not changed:
             return []
         self.version += 1
-        if not self.doubt.raised:
-            return []
-        return self._refuse_doubted()
+        return self._refuse_doubted() if self.health.raised else []
 
     # Life of the target.
 
@@ -276,34 +271,45 @@
     def tick(self, now: float) -> list[Decision]:
         """Lets time pass: overdue requests raise doubt, late ones leave."""
         decisions: list[Decision] = self._expire(now)
-        age = self._overdue_age()
-        for running in list(self._running_by_id.values()):
-            if now - running.started >= doubt.ACCEPTED:
-                self.doubt.prove(running.started)
-            if not running.overdue and now - running.started > age:
-                running.overdue = True
-                decisions += self.note(Sign.OVERDUE, now)
-        if self.doubt.fade(now):
-            self.version += 1
+        decisions += self._judged(self.health.judge(now))
         return decisions + self._next(now)
 
     def excuse(self, seconds: float) -> None:
         """This process stood still: requests in flight aged unseen."""
+        self.health.excuse(seconds)
         for running in self._running_by_id.values():
             running.started += seconds
 
-    def _known_late(self, running: _Running, sign: Sign) -> bool:
-        """Its lateness was counted while it ran; the end adds nothing."""
-        return sign is Sign.OVERDUE and running.overdue
+    def hanging(self, now: float) -> int:
+        """Requests that run for longer than a sound target takes."""
+        return sum(
+            running.usual.survival(now - running.started) < HANGS
+            for running in self._running_by_id.values()
+        )
 
-    def _overdue_age(self) -> float:
-        usual = self.usual or self.latency
-        return max(OVERDUE_LEAST, OVERDUE_FACTOR * usual)
+    def _usual(self, ticket: Ticket, now: float) -> latency.Latency:
+        return self.latencies.of(ticket.route, ticket.aim - now)
+
+    def _expected_wait(
+        self, place: tuple[int, float, int], now: float
+    ) -> float:
+        """Seconds until a slot is likely for one that waits at a place."""
+        free = [self._residual(r, now) for r in self._running_by_id.values()]
+        free += [0.0] * (self.slots - len(free))
+        heapq.heapify(free)
+        for ahead, ticket in self._waiting:
+            if ahead > place:
+                break
+            mean = self._usual(ticket, now).mean
+            heapq.heapreplace(free, free[0] + mean)
+        return free[0]
 
-    def _note_latency(self, seconds: float) -> None:
-        # In logarithms, so that one slow answer weighs no more than a fast one.
-        step = LATENCY_GAIN * math.log(max(seconds, 1e-3) / self.latency)
-        self.latency *= math.exp(step)
+    def _residual(self, running: _Running, now: float) -> float:
+        """Seconds that a running request is expected to take on."""
+        left = max(0.0, running.ticket.deadline - now)
+        if running.usual.survival(now - running.started) < HANGS:
+            return left
+        return min(left, RESIDUAL * running.usual.mean)
 
     def _unfit(self, ticket: Ticket, now: float) -> Reason | None:
         if self.leaving:
@@ -312,23 +318,21 @@
             return Reason.DEADLINE
         if ticket.insist is Insist.ANY:
             return None
-        if self.doubt.sign is Sign.SHED:
-            # What it refuses has not run, so nothing is lost by asking.
-            return None
-        if self.doubt.raised:
-            scout = ticket.repeatable and self.doubt.may_scout(now)
+        if self.health.raised:
+            scout = ticket.repeatable and self.health.may_scout(now)
             return None if scout else Reason.DOUBTED
         if ticket.repeatable or ticket.insist is Insist.SOUND:
             return None
-        stale = now - self.doubt.proven_at > PROOF_MOST
+        risky = self.health.risk(now) > PROVEN_RISK
         cold = now < self.cold_until
-        return Reason.UNPROVEN if stale or cold else None
+        return Reason.UNPROVEN if risky or cold else None
 
     def _start(self, ticket: Ticket, now: float) -> Start:
         invariants.no_new_work(self.leaving, self.name)
-        self._running_by_id[ticket.id] = _Running(ticket, now)
-        if self.doubt.raised:
-            self.doubt.scout(ticket.id, now)
+        usual = self._usual(ticket, now)
+        self._running_by_id[ticket.id] = _Running(ticket, now, usual)
+        self._last_start = now
+        self.health.begin(ticket.id, usual, now)
         return Start(ticket)
 
     def _next(self, now: float) -> list[Decision]:
@@ -353,7 +357,7 @@
         for index, (_, ticket) in enumerate(self._waiting):
             if ticket.priority != priority:
                 break
-            if now + self.latency <= ticket.aim:
+            if now + self._usual(ticket, now).median <= ticket.aim:
                 return self._waiting.pop(index)[1]
         return self._waiting.pop(0)[1]
 
@@ -362,14 +366,16 @@
         late = [ticket for ticket in waiting if ticket.latest_start <= now]
         self._waiting = [e for e in self._waiting if e[1].latest_start > now]
         return [
-            self._refuse(ticket, Reason.DEADLINE, self.latency)
+            self._refuse(ticket, Reason.DEADLINE, self._spare_time(ticket, now))
             for ticket in late
         ]
 
+    def _spare_time(self, ticket: Ticket, now: float) -> float:
+        """Seconds after which one that was refused may find a slot."""
+        return self._usual(ticket, now).median
+
     def _refuse_doubted(self) -> list[Decision]:
         """Those that wait go elsewhere; none of them has run."""
-        if self.doubt.sign is Sign.SHED:
-            return []
         stays = Insist.ANY
         staying = [e for e in self._waiting if e[1].insist is stays]
         leaving = [e[1] for e in self._waiting if e[1].insist is not stays]
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -83,9 +83,11 @@
         limit: Requests the guard lets run at once.
         state: Where the target stands.
         version: Counter of the state; higher is newer in one boot.
-        latency: Median of its latency in seconds; 0 when unknown.
-        proof: Seconds since it last accepted a request.
-        well: Share of its last requests that ended well, 0 to 1.
+        latency: Median latency of the route that is answered, seconds; 0 when
+            unknown.
+        idle: Seconds since a request last began there.
+        risk: How likely it is in a bad phase, 0 to 1.
+        spread: Standard deviation of the logarithm of that latency.
     """
 
     in_flight: int
@@ -94,8 +96,9 @@
     state: TargetState
     version: int
     latency: float
-    proof: float = 0.0
-    well: float = 1.0
+    idle: float = 0.0
+    risk: float = 0.0
+    spread: float = 0.0
 
 
 # Frames on the stream between two processes.
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -20,13 +20,13 @@
         at: Wall time, seconds since the epoch.
         doubted: Whether the target is doubted since.
         sign: What caused it.
-        evidence: Requests in a row that went that way.
+        risk: How likely the target was in a bad phase then, 0 to 1.
     """
 
     at: float
     doubted: bool
     sign: str
-    evidence: int
+    risk: float
 
 
 class Explanation(_Report):
@@ -41,9 +41,9 @@
         running: Requests that it runs.
         waiting: Requests that wait for it.
         slots: Requests that it runs at once.
-        proof: Seconds since it last accepted a request.
-        latency: Its usual latency, seconds.
-        usual: Usual latency of its service, seconds; 0 while unknown.
+        idle: Seconds since a request last began there.
+        risk: How likely it is in a bad phase, 0 to 1.
+        latency_by_route: Median latencies, seconds.
         refusals: Requests refused here, by reason.
         changes: Doubts raised and lifted, the oldest first.
     """
@@ -56,9 +56,9 @@
     running: int
     waiting: int
     slots: int
-    proof: float
-    latency: float
-    usual: float
+    idle: float
+    risk: float
+    latency_by_route: dict[str, float]
     refusals: dict[str, int]
     changes: tuple[Change, ...]
 
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -6,9 +6,9 @@
 import structlog
 
 from forklift import dialect as dialects
-from forklift import doubt
 from forklift import fences
 from forklift import gate
+from forklift import health
 from forklift import messages
 from forklift import policy
 from forklift.shell import exchange
@@ -17,7 +17,7 @@
 
 _log = structlog.get_logger(__name__)
 Reason = messages.Reason
-Sign = doubt.Sign
+Sign = health.Sign
 
 _SIGN_BY_REASON = {
     Reason.CONNECT_FAILED: Sign.UNREACHABLE,
@@ -183,7 +183,7 @@
                 decision = await self._wait(site, ticket)
             if isinstance(decision, gate.Refuse):
                 self.fences.check_not_run(ticket.id)
-                load = self._load(site)
+                load = self._load(site, request.route)
                 return exchange.not_run(
                     decision.reason, decision.retry_after, load
                 )
@@ -225,7 +225,7 @@
             async with asyncio.timeout(max(0.0, remaining)):
                 status = await run.go(
                     lambda: self._launch(site, ticket),
-                    lambda: self._load(site),
+                    lambda: self._load(site, request.route),
                     sink,
                 )
             sign = self._sign(site.gate.service, status)
@@ -248,7 +248,7 @@
             result = self._timed_out(ticket)
         finally:
             self._finish(site, ticket, sign)
-        return dataclasses.replace(result, load=self._load(site))
+        return dataclasses.replace(result, load=self._load(site, request.route))
 
     def _launch(self, site: Site, ticket: gate.Ticket) -> Reason | None:
         """The first byte is about to be sent: the point of no return."""
@@ -261,8 +261,8 @@
             return Reason.FENCED
         return None
 
-    def _load(self, site: Site) -> messages.Load:
-        return site.gate.load(self._clock.monotonic())
+    def _load(self, site: Site, route: str) -> messages.Load:
+        return site.gate.load(self._clock.monotonic(), route)
 
     def _sign(self, service: str, status: int) -> Sign:
         program: policy.Service = self._program(service)
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -14,6 +14,7 @@
 from forklift import chooser as choosers
 from forklift import gate
 from forklift import invariants
+from forklift import latency
 from forklift import messages
 from forklift import policy
 from forklift import walk as walks
@@ -148,8 +149,11 @@
         return self._forwarder.program(self._request.service)
 
     @property
-    def _usual(self) -> float:
-        return self._chooser.usual_latency(self._request.service)
+    def _usual(self) -> latency.Latency:
+        """How long requests of its route take."""
+        request = self._request
+        aim = request.aim - self._walk.started
+        return self._chooser.latencies.of(request.route, aim)
 
     @property
     def _again(self) -> bool:
@@ -352,7 +356,7 @@
                 self._turn.give_back(holding)
             load = result.load if result is not None else None
             service = self._request.service
-            self._chooser.ended(service, choice, load, self._now())
+            self._chooser.ended(service, choice, load, self._now(), self._usual)
 
     async def _run_here(
         self,
@@ -368,6 +372,7 @@
             request.deadline,
             insist,
             request.aim,
+            request.route,
             self._walk.wait,
             self._walk.start_by,
         )
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -320,13 +320,13 @@
             since = asyncio.get_running_loop().time() - NEWS_FOR
         for served in list(self._served):
             served.tell(standing, since)
-        if changed.doubt.raised:
-            self.figures.doubts_by_sign[str(changed.doubt.sign)] += 1
+        if changed.health.raised:
+            self.figures.doubts_by_sign[str(changed.health.sign)] += 1
         _log.info(
             "target_changed",
             target=changed.name,
             state=str(standing.load.state),
-            sign=str(changed.doubt.sign),
+            sign=str(changed.health.sign),
         )
         if changed.leaving:
             self.neighbours.tell_all()
@@ -371,6 +371,7 @@
             request.deadline,
             gate.Insist(min(start.insist, gate.Insist.ANY)),
             now + start.aim,
+            start.route,
             start.wait,
             now + start.start_within,
         )
@@ -463,9 +464,6 @@
             self.ingress.tick(now)
             self.announced.expire(now)
             self.neighbours.describe()
-            for site in self.beside.site_by_target.values():
-                usual = self.chooser.usual_latency(site.gate.service)
-                site.gate.usual = usual
         self.neighbours.tick(now)
 
     def _look_beside(self, now: float) -> None:
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -54,13 +54,13 @@
         found.service,
         proxy.directory.own.name,
         str(load.state),
-        str(found.doubt.sign),
+        str(found.health.sign),
         found.running,
         found.waiting,
         found.slots,
-        load.proof,
-        load.latency,
-        round(found.usual, 4),
+        load.idle,
+        load.risk,
+        found.latencies.medians(),
         {str(r): count for r, count in found.refusals_by_reason.items()},
         _changes(proxy, site),
     )
@@ -73,9 +73,9 @@
             round(change.at + offset, 3),
             change.doubted,
             str(change.sign),
-            change.evidence,
+            change.risk,
         )
-        for change in site.gate.doubt.changes
+        for change in site.gate.health.changes
     )
 
 
--- a/forklift/shell/sending.py
+++ b/forklift/shell/sending.py
@@ -209,7 +209,7 @@
         length=request.length,
         body=request.body.first if complete else b"",
         complete=complete,
-        route="",
+        route=request.route,
         origin=request.origin,
         priority=request.priority,
         insist=insist,
--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -52,16 +52,16 @@
     )
     click.echo(
         f"  {told.running} of {told.slots} slots in use, {told.waiting} "
-        f"waiting; usual {told.latency * 1000:.0f} ms, its service "
-        f"{told.usual * 1000:.0f} ms"
+        f"waiting; in a bad phase with probability {told.risk:g}"
     )
-    click.echo(f"  last accepted a request {told.proof:g} s ago")
+    click.echo(f"  a request last began {told.idle:g} s ago")
+    for route, seconds in told.latency_by_route.items():
+        click.echo(f"  {route} usually takes {seconds * 1000:.0f} ms")
     for reason, count in told.refusals.items():
         click.echo(f"  refused {count} as {reason}")
     for change in told.changes:
         at = datetime.datetime.fromtimestamp(change.at)
         word = "doubted" if change.doubted else "trusted again"
         click.echo(
-            f"  {at:%H:%M:%S.%f} {word}: {change.sign}, "
-            f"{change.evidence} in a row"
+            f"  {at:%H:%M:%S.%f} {word}: {change.sign}, risk {change.risk:g}"
         )
--- a/forklift/walk.py
+++ b/forklift/walk.py
@@ -9,6 +9,7 @@
 import math
 
 from forklift import gate
+from forklift import latency
 from forklift import messages
 
 Reason = messages.Reason
@@ -30,12 +31,13 @@
 # Gates, the least filled ones, that may say that waiting takes too long before
 # the request is given up: it then has its final answer at once.
 MAX_TOO_LONG = 3
-# Times the usual latency of a service after which a request that may repeat
-# is also sent to a second target, and the least such time. One request in a
-# hundred takes three times as long with nothing wrong; where an answer of full
-# worth could still come from a second target, less than that is waited.
-HEDGE_FACTOR = 3.0
-HEDGE_LEAST = 2.0
+# Standard deviations above the usual latency of its route after which a
+# request that may repeat is also sent to a second target: of sound requests
+# one in twenty-five is that late. Where an answer of full worth could still
+# come from a second target, less is waited, but not less than the second
+# figure: one in six.
+HEDGE_LATE = 1.75
+HEDGE_LEAST = 1.0
 # What arrived at a target though it did not run.
 _ARRIVED = (Reason.SHED,)
 # A refusal of this kind says nothing that the view of the target tells too.
@@ -157,29 +159,32 @@
         self._arrived(target)
         self.runs += 1
 
-    def too_late(self, usual: float, now: float) -> bool:
+    def too_late(self, usual: latency.Latency, now: float) -> bool:
         """Whether no answer can come in time any more.
 
         Args:
-            usual: Usual latency of its service, seconds; 0 when unknown.
+            usual: Usual latency of its route.
             now: Monotonic seconds.
         """
         if now >= self.deadline:
             return True
         # The first attempt is made whatever the time that is left.
-        return self.sends > 0 and now + usual / 2 > self.deadline
+        return self.sends > 0 and now + usual.median / 2 > self.deadline
 
-    def patience(self, usual: float, aim: float, now: float) -> float | None:
+    def patience(
+        self, usual: latency.Latency, aim: float, now: float
+    ) -> float | None:
         """Seconds until a second attempt beside the first; None for none.
 
         Args:
-            usual: Usual latency of its service, seconds; 0 when unknown.
+            usual: Usual latency of its route.
             aim: Monotonic seconds up to which an answer has its full worth.
             now: Monotonic seconds.
         """
-        in_time = aim - now - usual
-        patience = max(HEDGE_LEAST * usual, min(HEDGE_FACTOR * usual, in_time))
-        if usual <= 0 or now + patience + usual >= self.deadline:
+        in_time = aim - now - usual.median
+        late, least = usual.quantile(HEDGE_LATE), usual.quantile(HEDGE_LEAST)
+        patience = max(least, min(late, in_time))
+        if now + patience + usual.median >= self.deadline:
             return None
         return patience
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -5,6 +5,7 @@
 import pathlib
 
 from forklift import invariants
+from forklift import latency
 from forklift import messages
 from forklift.shell import exchange
 
@@ -80,6 +81,12 @@
     return messages.TargetInfo(**fields)
 
 
+def takes(usual: latency.Latency, seconds: float) -> None:
+    """Teaches how long a kind of work takes."""
+    for _ in range(100):
+        usual.note(seconds)
+
+
 async def until(check, timeout: float = WAIT) -> None:
     """Waits for a state, however long it takes; the bound is for defects."""
     async with asyncio.timeout(timeout):
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -4,6 +4,7 @@
 
 from forklift import chooser
 from forklift import gate
+from forklift import health
 from forklift import messages
 from forklift import policy
 from test import helper
@@ -28,8 +29,10 @@
     return found
 
 
-def load(state=State.IN_SERVICE, running=0, version=2, proof=0.0, well=0.2):
-    return messages.Load(running, 0, 4, state, version, 0.1, proof, well)
+def load(state=State.IN_SERVICE, running=0, version=2, idle=0.0, risk=None):
+    if risk is None:
+        risk = 0.8 if state is State.SUSPECT else 0.05
+    return messages.Load(running, 0, 4, state, version, 0.1, idle, risk)
 
 
 def wish(**changes) -> chooser.Wish:
@@ -57,7 +60,7 @@
     assert picks(found, insisting) == set()
     repeatable = wish(insist=gate.Insist.ANY, repeatable=True)
     assert picks(found, repeatable) == {"a", "b"}
-    found.report("a", load(State.SUSPECT, well=0.8), 10.0)
+    found.report("a", load(State.SUSPECT, risk=0.4), 10.0)
     assert picks(found, insisting) == {"a"}
 
 
@@ -86,7 +89,7 @@
 
 def test_a_doubted_target_that_mostly_does_well_is_better_than_waiting():
     found = made("a", "b")
-    found.report("a", load(State.SUSPECT, well=0.8), 10.0)
+    found.report("a", load(State.SUSPECT, risk=0.4), 10.0)
     asked = wish(insist=gate.Insist.ANY, wait=True)
     busy = frozenset({"b"})
     assert found.choose(asked, frozenset(), 10.0, busy).target == "a"
@@ -134,7 +137,9 @@
             if troubled:
                 found.failed("s", now)
             # What its gate tells this entry ten times a second.
-            found.report("c", load(proof=now - used_at), now)
+            found.report(
+                "c", load(idle=now - used_at, risk=health.UNKNOWN), now
+            )
             choice = found.choose(asked, frozenset(), now)
             found.ended("s", choice, None, now)
             if choice.target == "c":
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -4,22 +4,40 @@
 
 import pytest
 
-from forklift import doubt
 from forklift import gate
+from forklift import health
+from forklift import latency
 from forklift import messages
+from test import helper
 
 Reason = messages.Reason
-Sign = doubt.Sign
+Sign = health.Sign
 _numbers = itertools.count(1)
 
 
 def made(slots: int = 2, proven: bool = True) -> gate.Gate:
     found = gate.Gate("t", "s", slots)
-    if proven:
-        found.doubt.prove(0.0)
+    usual = latency.Latency(0.01)
+    for number in range(4 if proven else 0):
+        found.health.begin(number, usual, -0.01)
+        found.health.end(number, Sign.WELL, 0.0)
+    takes(found, 0.1)
     return found
 
 
+def takes(found: gate.Gate, seconds: float) -> None:
+    """Teaches the gate how long its requests take."""
+    helper.takes(found.latencies.of("", 0.3), seconds)
+
+
+def break_off(found: gate.Gate, now: float) -> None:
+    """The target breaks the connections of two requests."""
+    for _ in range(2):
+        one = ticket(insist=gate.Insist.ANY)
+        found.arrive(one, now)
+        found.finish(one, Sign.BROKEN, now)
+
+
 def ticket(**changes) -> gate.Ticket:
     fields = {
         "id": (1, next(_numbers)),
@@ -108,8 +126,8 @@
 
 def test_repeatable_work_scouts_one_at_a_time():
     found = made(slots=4)
-    found.note(Sign.BROKEN, 0.0)
-    later = doubt.SCOUT_GAP
+    break_off(found, 0.0)
+    later = health.SCOUT_GAP
     scout = ticket(repeatable=True)
     assert isinstance(found.arrive(scout, later), gate.Start)
     second = found.arrive(ticket(repeatable=True), later)
@@ -118,7 +136,8 @@
 
 def test_insisting_work_runs_on_a_doubted_target():
     found = made()
-    found.note(Sign.BROKEN, 0.0)
+    break_off(found, 0.0)
+    assert found.arrive(ticket(), 0.1).reason is Reason.DOUBTED
     one = ticket(insist=gate.Insist.ANY)
     assert isinstance(found.arrive(one, 0.1), gate.Start)
 
@@ -131,31 +150,61 @@
     assert isinstance(found.arrive(ticket(repeatable=True), 5.0), gate.Start)
 
 
-def test_a_request_that_is_accepted_proves_the_target():
+def test_a_request_that_ends_well_proves_the_target():
     found = made(proven=False)
-    found.arrive(ticket(repeatable=True), 5.0)
-    found.tick(5.0 + 2 * doubt.ACCEPTED)
+    for _ in range(2):
+        one = ticket(repeatable=True)
+        found.arrive(one, 5.0)
+        found.finish(one, Sign.WELL, 5.1)
     assert isinstance(found.arrive(ticket(), 5.1), gate.Start)
 
 
-def test_a_request_that_hangs_raises_doubt_before_it_ends():
-    found = made()
-    found.usual = 0.1
-    fill(found, 1)
-    found.tick(gate.OVERDUE_LEAST / 2)
-    assert not found.doubt.raised
-    found.tick(gate.OVERDUE_LEAST + 0.2)
-    assert found.doubt.raised
-    assert found.doubt.sign is Sign.OVERDUE
+def test_requests_that_hang_raise_doubt_before_they_end():
+    found = made(slots=3)
+    takes(found, 0.1)
+    tickets = fill(found, 3)
+    waiting = ticket()
+    found.arrive(waiting, 0.1)
+    assert found.tick(0.12) == []
+    assert not found.health.raised
+    refused = found.tick(0.6)
+    assert [(d.ticket, d.reason) for d in refused] == [
+        (waiting, Reason.DOUBTED)
+    ]
+    assert found.health.sign is Sign.OVERDUE
+    assert found.running == len(tickets)
 
 
-def test_slowness_of_the_whole_service_raises_none():
+def test_slowness_of_all_such_work_raises_none():
     found = made()
-    found.usual = 2.0
+    takes(found, 2.0)
     one = fill(found, 1)[0]
     found.tick(3.0)
     found.finish(one, Sign.WELL, 3.0)
-    assert not found.doubt.raised
+    assert not found.health.raised
+
+
+def test_a_slot_whose_request_hangs_is_not_expected_before_its_deadline():
+    """Five requests that hang for 5 s close a target for 5 s."""
+    found = made(slots=1)
+    takes(found, 0.1)
+    found.arrive(ticket(deadline=5.0), 0.0)
+    assert isinstance(found.arrive(ticket(start_by=2.0), 0.05), gate.Wait)
+    insisting = ticket(insist=gate.Insist.ANY, start_by=2.0)
+    decision = found.arrive(insisting, 2.0 - 0.5)
+    assert decision.reason is Reason.BUSY
+    assert decision.retry_after > 2.0
+
+
+def test_what_waits_for_long_work_waits_longer_than_for_short():
+    def expected(seconds: float) -> float:
+        found = made(slots=1)
+        takes(found, seconds)
+        fill(found, 1)
+        one = ticket(wait=False)
+        return found.arrive(one, 0.0).retry_after
+
+    assert expected(0.4) > 1.5 * expected(0.2)
 
 
 def test_a_pause_of_this_process_ages_nothing():
@@ -163,7 +212,7 @@
     fill(found, 1)
     found.excuse(4.0)
     found.tick(4.1)
-    assert not found.doubt.raised
+    assert not found.health.raised
 
 
 def test_a_cancelled_wait_never_starts():
@@ -178,9 +227,8 @@
 
 def test_late_waiting_ones_are_refused_when_time_passes():
     found = made(slots=1)
-    found.usual = 9.0
     fill(found, 1)
-    waiting = ticket(deadline=1.0)
+    waiting = ticket(deadline=1.0, insist=gate.Insist.ANY)
     found.arrive(waiting, 0.0)
     refused = found.tick(1.0)
     assert [d.reason for d in refused] == [Reason.DEADLINE]
@@ -206,18 +254,23 @@
     assert decision.reason is Reason.BUSY
 
 
-def test_load_tells_doubt_and_proof():
+def test_load_tells_doubt_risk_and_how_long_the_route_takes():
     found = made()
-    assert found.load(2.0).proof == 2.0
-    found.note(Sign.BROKEN, 2.0)
-    load = found.load(2.0)
+    assert found.load(2.0).idle == gate.NEVER
+    assert found.load(2.0).risk < health.RAISED_FROM
+    takes(found, 0.1)
+    assert found.load(2.0, "").latency == pytest.approx(0.1, rel=0.1)
+    assert found.load(2.0, "unknown").latency == 0.0
+    break_off(found, 2.0)
+    load = found.load(2.5)
     assert load.state is messages.TargetState.SUSPECT
-    assert load.proof == gate.NO_PROOF
+    assert load.idle == 0.5
+    assert load.risk > health.RAISED_FROM
 
 
 def test_impatient_work_is_refused_while_slots_are_taken():
     found = made(slots=1)
-    found.latency = 1.0
+    takes(found, 1.0)
     fill(found, 1)
     decision = found.arrive(ticket(wait=False), 0.0)
     assert decision.reason is Reason.BUSY
@@ -226,7 +279,7 @@
 
 def test_a_short_wait_is_accepted_by_all():
     found = made(slots=1)
-    found.latency = gate.SHORT_WAIT / 2
+    takes(found, gate.SHORT_WAIT / 2)
     fill(found, 1)
     assert isinstance(found.arrive(ticket(wait=False), 0.0), gate.Wait)
 
@@ -258,5 +311,7 @@
     assert found.arrive(ticket(), 0.5).reason is Reason.UNPROVEN
     sound = ticket(insist=gate.Insist.SOUND)
     assert isinstance(found.arrive(sound, 0.5), gate.Start)
-    found.doubt.prove(5.0)
+    one = ticket(insist=gate.Insist.ANY)
+    found.arrive(one, 5.0)
+    found.finish(one, Sign.WELL, 5.0)
     assert isinstance(found.arrive(ticket(), 5.1), gate.Start)
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -263,7 +263,7 @@
             found = one.beside.site_by_target[f"t{number}"].gate
             found.slots = 1
             # One run takes longer than any request has.
-            found.latency = 100.0
+            helper.takes(found.latencies.of("r", 1.0), 100.0)
         for target in fleet.targets:
             target.script.append("hold")
         held = [asyncio.create_task(fleet.ask(0)) for _ in range(3)]
@@ -360,8 +360,7 @@
     shared = list(entries)
     for target in fleet.targets:
         target.script = shared
-    for view in fleet.proxies[0].chooser.views("s"):
-        view.latency = 0.02
+    helper.takes(fleet.proxies[0].chooser.latencies.of("r", 1.0), 0.02)
 
 
 def test_a_slow_request_that_may_repeat_is_also_sent_to_a_second_target():
@@ -433,7 +432,7 @@
     async def work(fleet):
         one = fleet.proxies[0]
         (view,) = [v for v in one.chooser.views("s") if v.process == "p0"]
-        await helper.until(lambda: view.latency > 0)
+        await helper.until(lambda: view.reported)
         assert fleet.runs() == 0
 
     play(work, [[], []])
--- a/test/test_walk.py
+++ b/test/test_walk.py
@@ -1,6 +1,7 @@
 """How a request goes over targets: what it accepts, step by step."""
 
 from forklift import gate
+from forklift import latency
 from forklift import messages
 from forklift import walk
 
@@ -64,15 +65,28 @@
 
 def test_a_repeat_needs_time_for_an_answer_and_a_first_attempt_none():
     found = made()
-    assert not found.too_late(usual=2.0, now=9.5)
+    usual = latency.Latency(2.0)
+    assert not found.too_late(usual, now=9.5)
     found.ran("t")
-    assert found.too_late(usual=2.0, now=9.5)
-    assert not found.too_late(usual=2.0, now=8.5)
+    assert found.too_late(usual, now=9.5)
+    assert not found.too_late(usual, now=8.5)
 
 
 def test_a_second_attempt_waits_less_where_an_answer_can_still_be_in_time():
     found = made()
-    assert found.patience(0.1, aim=5.0, now=0.0) == walk.HEDGE_FACTOR * 0.1
-    assert 0.2 <= found.patience(0.1, aim=0.35, now=0.0) < 0.3
-    assert found.patience(0.0, aim=5.0, now=0.0) is None
-    assert found.patience(0.1, aim=5.0, now=9.75) is None
+    usual = latency.Latency(0.1, spread=0.5)
+    late = usual.quantile(walk.HEDGE_LATE)
+    least = usual.quantile(walk.HEDGE_LEAST)
+    assert found.patience(usual, aim=5.0, now=0.0) == late
+    assert least <= found.patience(usual, aim=0.3, now=0.0) < late
+    assert found.patience(usual, aim=0.1, now=0.0) == least
+    assert found.patience(usual, aim=5.0, now=9.75) is None
+
+
+def test_work_that_scatters_is_waited_for_longer_than_work_that_does_not():
+    """A second send of what is merely long costs the budget for nothing."""
+    found = made()
+    even = latency.Latency(0.1, spread=0.3)
+    uneven = latency.Latency(0.1, spread=0.8)
+    waits = [found.patience(usual, 5.0, 0.0) for usual in (even, uneven)]
+    assert waits[0] < 0.2 < waits[1]
