Every request that was read has its answer before its process ends

Change: from the signal on every request must be over 0.2 s before the process ends. What no target has is refused, the rest ends as unknown. The test sees the connection closed without the change.

--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import random
 
 import structlog
@@ -62,6 +63,8 @@
         self.sends = 0
         self.repeats = 0
         self.hedges = 0
+        self.end_by = math.inf
+        self._passages: set[_Passage] = set()
 
     def next_seq(self) -> int:
         """A request number never used before in this boot."""
@@ -76,7 +79,26 @@
             wire.Lost: The sink is gone.
             asyncio.CancelledError: The caller gave up.
         """
-        return await _Passage(self, request, sink).run()
+        passage = _Passage(self, request, sink)
+        self._passages.add(passage)
+        try:
+            return await passage.run()
+        finally:
+            self._passages.discard(passage)
+
+    def end(self, by: float) -> None:
+        """This process ends: every request has its answer before.
+
+        What no target has by then is refused, which is true; what one has is
+        answered as unknown. Otherwise its caller would see a closed
+        connection.
+
+        Args:
+            by: Monotonic seconds.
+        """
+        self.end_by = by
+        for passage in self._passages:
+            passage.end(by)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,7 +130,11 @@
         self._chooser = forwarder.chooser
         self._request = request
         self._sink = sink
-        self._walk = walks.Walk(self._now(), request.deadline)
+        self._walk = walks.Walk(
+            self._now(), request.deadline, end_by=forwarder.end_by
+        )
+        self._until: asyncio.Timeout | None = None
+        self._asking = False
         # A whole answer that another target's may replace.
         self._held: holdings.Holding | None = None
         self._turn = holdings.Turn()
@@ -116,7 +142,7 @@
     async def run(self) -> exchange.Result:
         """Sends the request until it is answered or given up."""
         self._chooser.request(self._request.service, self._now())
-        result = await self._go()
+        result = await self._go_in_time()
         if self._held is not None and not self._sink.begun:
             return await self._held.flush()
         if result.ending.outcome is not Outcome.ANSWERED:
@@ -126,6 +152,31 @@
             return exchange.unknown(result.ending.reason)
         return result
 
+    def end(self, by: float) -> None:
+        """The process ends: this request must be over by then."""
+        self._walk.end_by = by
+        if self._until is not None:
+            self._until.reschedule(self._loop_time(by))
+
+    async def _go_in_time(self) -> exchange.Result:
+        """Goes over targets, at most until this process ends."""
+        until = None
+        if math.isfinite(self._walk.end_by):
+            until = self._loop_time(self._walk.end_by)
+        try:
+            async with asyncio.timeout_at(until) as self._until:
+                return await self._go()
+        except TimeoutError:
+            if self._asking or self._walk.runs:
+                return exchange.unknown(Reason.DRAINING)
+            return exchange.not_run(Reason.DRAINING, RETRY_AFTER)
+        finally:
+            self._until = None
+
+    def _loop_time(self, when: float) -> float:
+        """A time of the clock as the loop counts it."""
+        return asyncio.get_running_loop().time() + when - self._now()
+
     def _tell_why(self) -> None:
         """Logs what a request met on its way before it was given up."""
         walk, service = self._walk, self._request.service
@@ -175,7 +226,9 @@
                 service = self._request.service
                 self._chooser.ended(service, choice, None, self._now())
                 return result
+            self._asking = True
             tried = await self._send(choice)
+            self._asking = False
             result = tried.result
             if not self._goes_on(tried):
                 return result
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -50,6 +50,8 @@
 # Part of the grace after which what is still running is left to its fate.
 STOP_SHARE = 0.9
 STOP_POLL = 0.05
+# Seconds before the end in which the last answers reach their callers.
+LAST_ANSWERS = 0.2
 # Peers that sent a request within these seconds hear at once of a doubt about
 # its target; others learn it from the refusal, should they send one.
 NEWS_FOR = 3.0
@@ -229,6 +231,7 @@
         self.ingress.stopping = True
         _log.info("stopping", running=self.running())
         self.announced.stop()
+        self.forwarder.end(until - LAST_ANSWERS)
         while self.clock.monotonic() < lame_until:
             await asyncio.sleep(STOP_POLL)
         self._servers[0].close()
--- a/forklift/walk.py
+++ b/forklift/walk.py
@@ -66,6 +66,8 @@
         sends: Arrivals at targets.
         runs: Those of them that may have run.
         paid: Whether the next arrival has been taken from the budget.
+        end_by: Monotonic seconds by which it must be over, as its process
+            ends then.
         sound: Whether it accepts targets that nothing proved of late.
         wait: Whether it waits where no slot is free.
         refusals_by_reason: How often it was refused, for its story.
@@ -79,6 +81,7 @@
     sends: int = 0
     runs: int = 0
     paid: bool = False
+    end_by: float = math.inf
     sound: bool = False
     wait: bool = False
     refusals_by_reason: collections.Counter[str] = dataclasses.field(
@@ -98,8 +101,9 @@
     def start_by(self) -> float:
         """When it must have started; what ran once already is not bound."""
         if self.sends:
-            return math.inf
-        return self.started + START_SHARE * (self.deadline - self.started)
+            return self.end_by
+        whole = self.deadline - self.started
+        return min(self.end_by, self.started + START_SHARE * whole)
 
     def insist(self, now: float) -> gate.Insist:
         """How much doubt about a target it accepts by now."""
@@ -166,7 +170,7 @@
             usual: Usual latency of its route.
             now: Monotonic seconds.
         """
-        if now >= self.deadline:
+        if now >= min(self.deadline, self.end_by):
             return True
         # The first attempt is made whatever the time that is left.
         return self.sends > 0 and now + usual.median / 2 > self.deadline
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -669,6 +669,26 @@
     play(work, [[], []])
 
 
+def test_nothing_is_left_unanswered_when_a_process_ends():
+    """A caller that keeps its connection must not see it closed instead."""
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        one.beside.site_by_target["t0"].gate.slots = 1
+        fleet.targets[0].script.append("hold")
+        held = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        one.forwarder.end(one.clock.monotonic() + 0.3)
+        late = asyncio.create_task(fleet.ask())
+        answers = [await held, await late]
+        # The first may have run; that the second has not is told, and true.
+        assert [answer.status for answer in answers] == [502, 503]
+        assert fleet.runs() == 1
+
+    first = record(1, r=route("non_idempotent", **{"timeout-ms": 60000}))
+    play(work, [[]], first=first)
+
+
 def test_an_address_used_again_ends_the_target_before():
     async def work(fleet):
         one = fleet.proxies[0]
