Pick the target of least cost by risk, distance and load; charge only callees

Cause: targets were filled in one fixed order, so that most entries sent to the same ones, and answers of 5 KB crossed between failure domains without need. Repeats of short calls, which call nobody, charged the budgets of all services.

Change: risk of a bad phase, distance by the size of the request and of its route's answers, and load are weighed as parts of the request's worth. A repeat charges only services that have a route of a shorter objective.

--- a/forklift/catalog.py
+++ b/forklift/catalog.py
@@ -6,6 +6,8 @@
 """
 
 import dataclasses
+import functools
+import math
 import random
 
 import structlog
@@ -117,6 +119,16 @@
     limits: CallerLimits
     source: bytes = b""
 
+    @functools.cached_property
+    def least_aim_by_service(self) -> dict[str, float]:
+        """The shortest latency objective of each service's routes, seconds."""
+        least: dict[str, float] = {}
+        for route in self.routes:
+            for share in route.shares:
+                known = least.get(share.service, math.inf)
+                least[share.service] = min(known, route.aim)
+        return least
+
 
 NOTHING = Catalog(0, routing.Table(()), {}, DEFAULT_LIMITS)
 
--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -12,8 +12,6 @@
 import random
 from collections.abc import Callable
 
-import xxhash
-
 from forklift import budget
 from forklift import gate
 from forklift import health
@@ -22,6 +20,7 @@
 from forklift import overlay
 from forklift import paths
 from forklift import policy
+from forklift import sizes
 from forklift import spread
 
 State = messages.TargetState
@@ -55,6 +54,11 @@
 # Part of a slot that must seem free: reports of load fade, so a target that was
 # full a moment ago is not asked again at once.
 MARGIN = 0.3
+# What a bad phase costs a request that may repeat, as a part of its worth: a
+# repeat, and the time until then. Other work is lost as often as it fails.
+LOSS_OF_REPEATABLE = 0.3
+# Heads of a request and of its answer on the way between processes, kilobytes.
+HEADS = 0.4
 # Weight of the last answer's word on how long its route takes: each guard
 # learns from all that its target runs, and an entry hears several.
 LATENCY_GAIN = 0.2
@@ -70,6 +74,7 @@
         insist: How much doubt about the target it accepts.
         scout: Whether it may test a target that is doubted or was not used.
         wait: Whether it waits where no slot is free.
+        kilobytes: Size of it and its answer, as far as known.
     """
 
     service: str
@@ -77,6 +82,7 @@
     insist: gate.Insist = gate.Insist.PROVEN
     scout: bool = True
     wait: bool = False
+    kilobytes: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,7 +137,6 @@
         self.next_scout = 0.0
         self.state = info.state
         self.version = 0
-        self.rank = xxhash.xxh3_64_intdigest(info.name.encode())
         self.reported = False
         self._risk = health.UNKNOWN
         self._used_at = float("-inf")
@@ -192,9 +197,15 @@
         rng: random.Random,
         program: Callable[[str], policy.Service],
         bounds: BudgetBounds,
+        far_cost: float = 0.04,
     ):
         self.paths = paths.Paths()
         self.latencies = latency.Latencies()
+        self.sizes = sizes.Sizes()
+        # The shortest latency objective of each service's routes, seconds.
+        self.least_aim_by_service: dict[str, float] = {}
+        # Cost of a kilobyte between failure domains, as a part of a request.
+        self.far_cost = far_cost
         self._name = name
         self._domain = domain
         self._rng = rng
@@ -290,8 +301,8 @@
                 sound, a doubted one is taken in its place only if most of its
                 requests end well: one that fails at once always has a slot
                 free, and would draw all that waits. Work that must not repeat
-                never goes to one whose requests mostly fail: that it did not
-                run can be told, and it may come back.
+                goes to no doubted one: that it did not run can be told, and
+                it may come back.
         """
         group = self._group_by_service.get(wish.service)
         if group is None:
@@ -310,14 +321,15 @@
             view = self._test(sound, doubted, troubled, now)
         if view is None:
             pool = sound or shedding
-            if not pool and wish.insist is gate.Insist.ANY:
-                last = hopeless and wish.repeatable
-                pool = [v for v in doubted if last or v.risk(now) <= PROMISING]
+            anyhow = wish.repeatable and wish.insist is gate.Insist.ANY
+            if not pool and anyhow:
+                promising = [v for v in doubted if v.risk(now) <= PROMISING]
+                pool = doubted if hopeless else promising
             if not wish.wait:
                 pool = [v for v in pool if v.load(now) <= v.slots - MARGIN]
             if not pool:
                 return None
-            view = self._pick(wish.service, pool, now)
+            view = self._pick(wish, pool, now)
         if view.state is State.SUSPECT:
             view.next_scout = now + SCOUT_GAP
         view.in_flight += 1
@@ -364,19 +376,31 @@
         """A request was taken from a caller: it earns a part of a repeat."""
         self._group(service).budget.request(now)
 
-    def spend(self, service: str, now: float, share: float = 1.0) -> bool:
+    def spend(
+        self,
+        service: str,
+        now: float,
+        share: float = 1.0,
+        aim: float = math.inf,
+    ) -> bool:
         """Takes one repeat from the budget of a service, if it has one.
 
+        The calls of a repeated run are repeats, too. A call must end before
+        the run that makes it, so only services with a route of a shorter
+        objective can be called.
+
         Args:
             service: Name of the service.
             now: Monotonic seconds.
             share: Part of the budget that this kind of repeat may use up.
+            aim: Latency objective of the route, seconds.
         """
         spent = self._group(service).budget
         if not spent.spend(now, self.processes, share):
             return False
         for name, group in self._group_by_service.items():
-            if name != service:
+            callable_ = self.least_aim_by_service.get(name, 0.0) < aim
+            if callable_ and name != service:
                 group.budget.charge(now, self._bounds.calls)
         return True
 
@@ -453,17 +477,19 @@
             return None
         return max(spare, key=lambda view: (view.near, view.idle(now)))
 
-    def _pick(self, service: str, pool: list[View], now: float) -> View:
+    def _pick(self, wish: Wish, pool: list[View], now: float) -> View:
         if len(pool) == 1:
             return pool[0]
-        program = self._program(service)
-        candidates = [self._candidate(program, view, now) for view in pool]
+        program = self._program(wish.service)
+        candidates = [
+            self._candidate(program, wish, view, now) for view in pool
+        ]
         picker = spread.picker_by_name[program.spread]
         name = picker(candidates, self._rng).name
         return next(view for view in pool if view.name == name)
 
     def _candidate(
-        self, program: policy.Service, view: View, now: float
+        self, program: policy.Service, wish: Wish, view: View, now: float
     ) -> spread.Candidate:
         load = view.load(now)
         weight = 1.0
@@ -474,6 +500,7 @@
                 same_domain=view.near,
                 state=str(view.state),
             )
+        loss = LOSS_OF_REPEATABLE if wish.repeatable else health.FAILS_WHEN_BAD
         return spread.Candidate(
             view.name,
             load,
@@ -481,8 +508,8 @@
             max(spread.LEAST_WEIGHT, weight),
             view.near,
             view.picked,
-            view.risk(now) > gate.PROVEN_RISK,
-            view.rank,
+            loss * view.risk(now),
+            0.0 if view.near else self.far_cost * (HEADS + wish.kilobytes),
         )
 
     def _learn_target(
--- a/forklift/policy.py
+++ b/forklift/policy.py
@@ -76,7 +76,7 @@
     spread: str = ini.key(
         ini.one_of(*sorted(spread.picker_by_name)),
         "how a target is picked",
-        "proven-first",
+        "least-cost",
     )
     weight: expressions.Program = ini.key(
         _expression(_WEIGHT_SAMPLE, 1.0),
@@ -128,7 +128,7 @@
         """The program of a service.
 
         >>> BUILT_IN.program("s").spread
-        'proven-first'
+        'least-cost'
         """
         named = self.service_by_name.get(service)
         named = named or self.service_by_name.get(DEFAULT)
--- a/forklift/routing.py
+++ b/forklift/routing.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -69,6 +70,10 @@
             by_prefix[prefix] = route
             self.size += 1
 
+    def __iter__(self) -> Iterator[P]:
+        for by_prefix in self._by_prefix_by_host.values():
+            yield from by_prefix.values()
+
     def find(self, host: str, path: str) -> P | None:
         """Returns the route with the longest prefix; exact hosts go first.
 
--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -84,6 +84,11 @@
     callers: int = ini.key(
         ini.whole(1, 100_000), "connections of callers at once", 2000
     )
+    far_cost: float = ini.key(
+        ini.number(0, 10),
+        "cost of a kilobyte between failure domains, as a part of a request",
+        0.04,
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -202,9 +202,20 @@
     @property
     def _usual(self) -> latency.Latency:
         """How long requests of its route take."""
+        route = self._request.route
+        return self._chooser.latencies.of(route, self._objective)
+
+    @property
+    def _objective(self) -> float:
+        """Seconds within which an answer has its full worth."""
+        return self._request.aim - self._walk.started
+
+    @property
+    def _kilobytes(self) -> float:
+        """Size of the request and of its answer, as far as known."""
         request = self._request
-        aim = request.aim - self._walk.started
-        return self._chooser.latencies.of(request.route, aim)
+        sent = max(request.length, len(request.body.first))
+        return (sent + self._chooser.sizes.of(request.route)) / 1024
 
     @property
     def _again(self) -> bool:
@@ -242,6 +253,7 @@
             walk.insist(now),
             scout=walk.sends == 0,
             wait=walk.wait,
+            kilobytes=self._kilobytes,
         )
         tried, refused = frozenset(walk.tried), frozenset(walk.refused)
         return self._chooser.choose(wish, tried, now, refused)
@@ -253,7 +265,9 @@
             return True
         if walk.sends >= self._request.attempts:
             return False
-        walk.paid = self._chooser.spend(self._request.service, self._now())
+        walk.paid = self._chooser.spend(
+            self._request.service, self._now(), aim=self._objective
+        )
         return walk.paid
 
     # What became of an attempt.
@@ -356,13 +370,15 @@
     def _second(self, first: choosers.Choice) -> choosers.Choice | None:
         """A free, sound target for a second attempt, if one may be made."""
         service, now = self._request.service, self._now()
-        wish = choosers.Wish(service, True, scout=False)
+        wish = choosers.Wish(
+            service, True, scout=False, kilobytes=self._kilobytes
+        )
         passed = frozenset(self._walk.tried | {first.target})
         refused = frozenset(self._walk.refused)
         second = self._chooser.choose(wish, passed, now, refused)
         if second is None:
             return None
-        if not self._chooser.spend(service, now, HEDGE_SHARE):
+        if not self._chooser.spend(service, now, HEDGE_SHARE, self._objective):
             self._chooser.ended(service, second, None, now)
             return None
         self._walk.paid = True
@@ -408,6 +424,8 @@
             if not holding.begun:
                 self._turn.give_back(holding)
             load = result.load if result is not None else None
+            if holding.length > 0:
+                self._chooser.sizes.note(self._request.route, holding.length)
             service = self._request.service
             self._chooser.ended(service, choice, load, self._now(), self._usual)
 
--- a/forklift/shell/holding.py
+++ b/forklift/shell/holding.py
@@ -50,6 +50,11 @@
         """Whether a whole answer is held back."""
         return self._head is not None and self._whole and not self.begun
 
+    @property
+    def length(self) -> int:
+        """Size of the answer that is held; 0 where there is none."""
+        return self._head.length if self._head is not None else 0
+
     async def start(self, head: exchange.Head) -> None:
         """See `exchange.Sink`."""
         if 0 <= head.length <= HOLD_BYTES:
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -106,6 +106,7 @@
             self._rng,
             self.program,
             _bounds(self.settings),
+            self.settings.limits.far_cost,
         )
         self.beside = beside.Beside(
             self._names, self.program, self.clock, self._target_changed
@@ -268,6 +269,7 @@
         self.announced.settings = read
         self.policy = load_policy(read)
         self.chooser.bound(_bounds(self.settings))
+        self.chooser.far_cost = read.limits.far_cost
 
     def running(self) -> int:
         """Requests in flight in any role."""
@@ -306,6 +308,7 @@
         if not self.in_force.offer(found, source, now):
             return
         self.announced.follow(found)
+        self.chooser.least_aim_by_service = found.least_aim_by_service
         self.directory.update_own(config=found.version)
 
     def _find(self, host: str, path: str) -> ingress.Found | None:
--- a/forklift/spread.py
+++ b/forklift/spread.py
@@ -17,8 +17,9 @@
         weight: Share of normal traffic it should get, above 0 to 1.
         same_domain: Whether it is in our failure domain.
         picked: Counter of our picks of it.
-        untested: Whether it is known to have taken no request of late.
-        rank: A fixed order of the targets, the same for every entry.
+        risk_cost: What the chance of a bad phase costs, as a part of the
+            request's worth.
+        far_cost: What its distance costs, as a part of the request's worth.
     """
 
     name: str
@@ -27,8 +28,8 @@
     weight: float
     same_domain: bool
     picked: int
-    untested: bool = False
-    rank: int = 0
+    risk_cost: float = 0.0
+    far_cost: float = 0.0
 
     @property
     def pressure(self) -> float:
@@ -40,6 +41,11 @@
         """Load against all of its slots."""
         return (self.load + 1) / self.slots
 
+    @property
+    def cost(self) -> float:
+        """What sending it there costs, as a part of the request's worth."""
+        return self.risk_cost + self.far_cost + FILL_COST * self.fill
+
 
 Picker = Callable[[Sequence[Candidate], random.Random], Candidate]
 picker_by_name: dict[str, Picker] = {}
@@ -48,6 +54,9 @@
 SPILL_FILL = 1.0
 # Candidates that the power of choices compares.
 CHOICES = 2
+# Cost of a target whose slots are all taken against an idle one: answers slow
+# down a little as a target fills, and reports of load are old.
+FILL_COST = 0.15
 # A weight of zero would take a target out, which is not a weight's job.
 LEAST_WEIGHT = 0.02
 
@@ -113,18 +122,16 @@
     return min(near or candidates, key=lambda c: (c.fill, rng.random()))
 
 
-@picker("proven-first")
-def proven_first(
+@picker("least-cost")
+def least_cost(
     candidates: Sequence[Candidate], rng: random.Random
 ) -> Candidate:
-    """Fills targets one after the other, near ones first.
+    """Weighs the chance of a bad phase, the distance and the load.
 
-    Targets fail for seconds at a time, and the first request that meets such
-    a phase is lost. Fewer targets in steady use means fewer such requests;
-    the rest are spare, and tested by work that may repeat. A gate refuses
-    what comes while its slots are taken, so the order may be the same for all.
+    For targets that fail a part of what they get for seconds at a time, in
+    failure domains between which bytes are dear, at any load: risk decides
+    while somebody has a slot free, distance among equal risks, and where
+    nobody has one the shortest queue.
     """
     free = [c for c in candidates if c.fill <= SPILL_FILL]
-    if not free:
-        return nearest_free(candidates, rng)
-    return min(free, key=lambda c: (c.untested, not c.same_domain, c.rank))
+    return min(free or candidates, key=lambda c: (c.cost, rng.random()))
