Calls wait no longer than other work; replay of loads on the decisions

Cause: called routes (told by the origins that they lack) were to wait on, as a failed call fails its run.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -356,7 +356,6 @@
             view.report(load, now)
             if usual is not None and load.latency > 0:
                 usual.follow(load.latency, load.spread, LATENCY_GAIN)
-                usual.called = load.called
 
     def failed(self, service: str, now: float) -> None:
         """A request of a service failed at its target."""
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -16,7 +16,6 @@
 from forklift import invariants
 from forklift import latency
 from forklift import messages
-from forklift import origins
 
 Reason = messages.Reason
 State = messages.TargetState
@@ -66,7 +65,6 @@
         insist: How much doubt about the target it accepts.
         aim: Monotonic seconds up to which an answer has its full worth.
         route: Name of its route, which tells how long it takes.
-        origin: Service on the instance where it began.
         wait: Whether it waits for a slot as long as it can; else it is
             refused where that takes long, as its sender may know a better one.
         start_by: Monotonic seconds by which it must have started; it is
@@ -80,7 +78,6 @@
     insist: Insist = Insist.PROVEN
     aim: float = math.inf
     route: str = ""
-    origin: str = ""
     wait: bool = True
     start_by: float = math.inf
 
@@ -139,7 +136,6 @@
         self.state = State.IN_SERVICE
         self.health = health.Health()
         self.latencies = latency.Latencies()
-        self.origins = origins.Origins()
         self.version = 1
         # Until when the target is slow after its start, by its own word.
         self.cold_until = 0.0
@@ -190,14 +186,12 @@
             round(min(NEVER, now - self._last_start), 2),
             round(self.health.risk(now), 2),
             round(usual.spread, 2) if usual else 0.0,
-            self.origins.called(route),
         )
 
     # Requests.
 
     def arrive(self, ticket: Ticket, now: float) -> Decision:
         """Decides on a request."""
-        self.origins.note(ticket.route, ticket.origin)
         reason = self._unfit(ticket, now)
         if reason is not None:
             return self._refuse(ticket, reason)
@@ -289,13 +283,6 @@
         for running in self._running_by_id.values():
             running.started += seconds
 
-    def hanging(self, now: float) -> int:
-        """Requests that run for longer than a sound target takes."""
-        return sum(
-            running.usual.survival(now - running.started) < HANGS
-            for running in self._running_by_id.values()
-        )
-
     def _usual(self, ticket: Ticket, now: float) -> latency.Latency:
         return self.latencies.of(ticket.route, ticket.aim - now)
 
@@ -303,8 +290,7 @@
         self, place: tuple[int, float, int], now: float
     ) -> float:
         """Seconds until a slot is likely for one that waits at a place."""
-        free = [self._residual(r, now) for r in self._running_by_id.values()]
-        free += [0.0] * (self.slots - len(free))
+        free = [0.0] * (self.slots - self.running) + self._ends(now)
         heapq.heapify(free)
         for ahead, ticket in self._waiting:
             if ahead > place:
@@ -313,12 +299,28 @@
             heapq.heapreplace(free, free[0] + mean)
         return free[0]
 
-    def _residual(self, running: _Running, now: float) -> float:
-        """Seconds that a running request is expected to take on."""
-        left = max(0.0, running.ticket.deadline - now)
-        if running.usual.survival(now - running.started) < HANGS:
-            return left
-        return min(left, RESIDUAL * running.usual.mean)
+    def _ends(self, now: float) -> list[float]:
+        """Seconds until the first running request ends, the second, and so on.
+
+        Of several the first ends long before any one of them is expected to.
+        """
+        running = self._running_by_id.values()
+        hang = [r for r in running if self._hangs(r, now)]
+        ends = [max(0.0, r.ticket.deadline - now) for r in hang]
+        rates = sorted(
+            1 / (RESIDUAL * r.usual.mean)
+            for r in running
+            if not self._hangs(r, now)
+        )
+        after = 0.0
+        while rates:
+            after += 1 / sum(rates)
+            ends.append(after)
+            rates.pop()
+        return ends
+
+    def _hangs(self, running: _Running, now: float) -> bool:
+        return running.usual.survival(now - running.started) < HANGS
 
     def _unfit(self, ticket: Ticket, now: float) -> Reason | None:
         if self.leaving:
--- a/forklift/latency.py
+++ b/forklift/latency.py
@@ -43,8 +43,6 @@
         self._mean = math.log(max(LEAST, guess))
         self._variance = spread * spread
         self._weight = FIRST_WEIGHT
-        # Whether targets make such requests, in runs that fail without them.
-        self.called = False
 
     @property
     def median(self) -> float:
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -88,7 +88,6 @@
         idle: Seconds since a request last began there.
         risk: How likely it is in a bad phase, 0 to 1.
         spread: Standard deviation of the logarithm of that latency.
-        called: Whether that route is called by targets only.
     """
 
     in_flight: int
@@ -100,7 +99,6 @@
     idle: float = 0.0
     risk: float = 0.0
     spread: float = 0.0
-    called: bool = False
 
 
 # Frames on the stream between two processes.
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -472,7 +472,6 @@
             insist,
             request.aim,
             request.route,
-            request.origin,
             self._walk.wait,
             start_by,
         )
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -378,7 +378,6 @@
             gate.Insist(min(start.insist, gate.Insist.ANY)),
             now + start.aim,
             start.route,
-            start.origin,
             start.wait,
             now + start.start_within,
         )
--- a/forklift/walk.py
+++ b/forklift/walk.py
@@ -106,8 +106,7 @@
         Where there is too little for all, each slot given to a request that
         can't be in time any more makes a further one late. So a request waits
         only as long as its answer can have its full worth, and its caller is
-        told at once. A call of a target waits for most of its time: without
-        it the run that made it fails, with all the work spent on it.
+        told at once.
 
         Args:
             usual: Usual latency of its route.
@@ -117,8 +116,6 @@
             return self.end_by
         whole = self.deadline - self.started
         latest = min(self.end_by, self.started + START_SHARE * whole)
-        if usual.called:
-            return latest
         timely = max(aim - usual.median, self.started + LEAST_WAIT)
         return min(latest, timely)
 
--- /dev/null
+++ b/test/replay.py
@@ -0,0 +1,176 @@
+"""Replays a load on gates, on simulated time: no sockets, no loop.
+
+Requests come at given times and walk over the gates as their entries have them
+do; what a gate lets in takes a drawn time, or hangs to its deadline where its
+target is in a bad phase.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from forklift import gate
+from forklift import health
+from forklift import walk
+
+Sign = health.Sign
+TICK = 0.05
+# Seconds from one gate to the next.
+BETWEEN = 0.002
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request.
+
+    Attributes:
+        route: Its name.
+        median: Seconds that it usually takes.
+        aim: Seconds within which an answer has its full worth.
+        timeout: Seconds after which it ends.
+        repeatable: Whether a second run does no harm.
+        priority: Rank; 0 is the most urgent.
+    """
+
+    route: str
+    median: float
+    aim: float
+    timeout: float
+    repeatable: bool = False
+    priority: int = 1
+
+
+@dataclasses.dataclass
+class Course:
+    """What became of one request.
+
+    Attributes:
+        kind: Its kind.
+        came: When it came, seconds.
+        ended: When it was answered, refused or lost.
+        served: Whether it was answered with success.
+        hung: Whether a target ran it and never answered.
+    """
+
+    kind: Kind
+    came: float
+    ended: float = 0.0
+    served: bool = False
+    hung: bool = False
+
+    @property
+    def timely(self) -> bool:
+        """Whether its answer had its full worth."""
+        return self.served and self.ended - self.came <= self.kind.aim
+
+
+class Replay:
+    """Gates of one service under a load."""
+
+    def __init__(
+        self, gates: int, slots: int, bad: Callable[[int, float], bool]
+    ):
+        self.gates = [gate.Gate(f"t{n}", "s", slots) for n in range(gates)]
+        self.courses: list[Course] = []
+        self._bad = bad
+        self._rng = random.Random(11)
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._numbers = itertools.count()
+        self._asked_by_id: dict[
+            tuple[int, int], tuple[Course, walk.Walk, gate.Gate]
+        ] = {}
+
+    def come(self, at: float, kind: Kind) -> None:
+        """A request comes."""
+        course = Course(kind, at)
+        self.courses.append(course)
+        walked = walk.Walk(at, at + kind.timeout)
+        self._later(at, lambda now: self._ask(course, walked, now))
+
+    def run(self, until: float) -> None:
+        """Plays all that comes until a time, and what follows from it."""
+        for step in range(int(until / TICK)):
+            self._later(step * TICK, self._tick)
+        while self._events:
+            now, _, act = heapq.heappop(self._events)
+            act(now)
+
+    def _later(self, at: float, act: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), act))
+
+    def _tick(self, now: float) -> None:
+        for found in self.gates:
+            self._decided(found.tick(now), now)
+
+    def _ask(self, course: Course, walked: walk.Walk, now: float) -> None:
+        kind, aim = course.kind, course.came + course.kind.aim
+        left = [f for f in self.gates if f.name not in walked.refused]
+        if not left:
+            course.ended = now
+            if walked.accept_more():
+                self._later(now, lambda at: self._ask(course, walked, at))
+            return
+        found = self._rng.choice(left)
+        usual = found.latencies.of(kind.route, kind.aim)
+        ticket = gate.Ticket(
+            (1, next(self._numbers)),
+            kind.repeatable,
+            kind.priority,
+            walked.deadline,
+            walked.insist(now),
+            aim,
+            kind.route,
+            wait=walked.wait,
+            start_by=walked.start_by(usual, aim),
+        )
+        self._asked_by_id[ticket.id] = (course, walked, found)
+        self._decided([found.arrive(ticket, now)], now)
+
+    def _decided(self, decisions: list[gate.Decision], now: float) -> None:
+        for decision in decisions:
+            if isinstance(decision, gate.Wait):
+                continue
+            asked = self._asked_by_id.pop(decision.ticket.id)
+            if isinstance(decision, gate.Start):
+                self._start(*asked, decision.ticket, now)
+            else:
+                self._refused(*asked, decision, now)
+
+    def _refused(
+        self,
+        course: Course,
+        walked: walk.Walk,
+        found: gate.Gate,
+        decision: gate.Refuse,
+        now: float,
+    ) -> None:
+        course.ended = now
+        walked.not_run(found.name, decision.reason)
+        if not walked.hopeless:
+            later = now + BETWEEN
+            self._later(later, lambda at: self._ask(course, walked, at))
+
+    def _start(
+        self,
+        course: Course,
+        walked: walk.Walk,
+        found: gate.Gate,
+        ticket: gate.Ticket,
+        now: float,
+    ) -> None:
+        walked.ran(found.name)
+        takes = course.kind.median * self._rng.lognormvariate(0.0, 0.5)
+        hangs = self._bad(self.gates.index(found), now)
+        hangs = hangs and self._rng.random() < health.FAILS_WHEN_BAD
+        lost = hangs or now + takes > ticket.deadline
+        sign = None if lost else Sign.WELL
+
+        def end(at: float) -> None:
+            course.ended = at
+            course.served = not lost
+            course.hung = hangs
+            self._decided(found.finish(ticket, sign, at), at)
+
+        self._later(ticket.deadline if lost else now + takes, end)
