--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -34,7 +34,7 @@
 SCOUT_SHARE = 0.4
 # Seconds after a failure for which requests of the service count as failing.
 TROUBLE_LASTS = 2.0
-# Seconds without a proof after which the target beside this entry gets the
+# Seconds without work after which the target beside this entry gets the
 # next request that may repeat, and, while many fail here, the next of any kind.
 # A target that serves must see work within 2 s, over which the floor on
 # capacity is counted; what is left of that is the time until a request comes.
@@ -131,7 +131,6 @@
         self.next_scout = 0.0
         self.state = info.state
         self.version = 0
-        self.reported = False
         self._risk = health.UNKNOWN
         self._used_at = float("-inf")
         self._others = 0.0
@@ -148,7 +147,6 @@
             return
         self.version = load.version
         self.state = load.state
-        self.reported = True
         self._risk = load.risk
         self._used_at = max(self._used_at, now - load.idle)
         others = load.in_flight + load.queued - self.in_flight
--- a/forklift/walk.py
+++ b/forklift/walk.py
@@ -18,8 +18,8 @@
 # up to the second figure, as each look may cost a message to each gate.
 POLL = 0.02
 POLL_MOST = 0.16
-# Part of its time after which a request takes a doubted target where no sound
-# one is known: waiting longer leaves no time for an answer.
+# Part of its time after which a request that may repeat takes a doubted target
+# where no sound one is known: waiting longer leaves no time for an answer.
 INSIST_SHARE = 0.25
 # Part of its time within which a request must have left the queue of a gate,
 # the first time: what starts later mostly ends unserved, and its caller is
@@ -67,13 +67,13 @@
         deadline: Monotonic seconds.
         tried: Targets that it arrived at.
         refused: Targets that can't take it just now.
-        unproven: Those of them that refused for want of a proof.
+        unproven: Those of them whose risk was too high to be the first choice.
         sends: Arrivals at targets.
         runs: Those of them that may have run.
         paid: Whether the next arrival has been taken from the budget.
         end_by: Monotonic seconds by which it must be over, as its process
             ends then.
-        sound: Whether it accepts targets that nothing proved of late.
+        sound: Whether it accepts targets whose risk is not low, only no doubt.
         wait: Whether it waits where no slot is free.
         polls: How often it found no target that it may be sent to.
         refusals_by_reason: How often it was refused, for its story.
@@ -132,8 +132,8 @@
     def accept_more(self) -> bool:
         """Accepts a worse target, where that is left; True when it is.
 
-        First one with a slot free that was proven of late; then an idle one
-        that nothing proved; at last, to wait. While idle ones are left,
+        First one with a slot free that did well of late; then an idle one of
+        which little is known; at last, to wait. While idle ones are left,
         waiting at the others would waste them.
         """
         if self.unproven and not self.sound:
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 
 import pytest
 
@@ -451,7 +452,9 @@
     async def work(fleet):
         one = fleet.proxies[0]
         (view,) = [v for v in one.chooser.views("s") if v.process == "p0"]
-        await helper.until(lambda: view.reported)
+        await helper.until(
+            lambda: math.isfinite(view.idle(one.clock.monotonic()))
+        )
         assert fleet.runs() == 0
 
     play(work, [[], []])
