What an entry knows of a target in a module of its own; refusals are forgotten

Cause: that a target itself refused a request was told when it began, and no longer when it ended, so an entry preferred others until it heard by chance. Change: a view forgets it after the second for which it counts (test first). The view moves out of chooser.py, which was too large.

--- a/forklift/chooser.py
+++ b/forklift/chooser.py
@@ -22,14 +22,13 @@
 from forklift import policy
 from forklift import sizes
 from forklift import spread
+from forklift import target_view
 
 State = messages.TargetState
-_GONE = (State.PAUSED, State.DRAINING, State.LEFT)
+View = target_view.View
 
 # Targets of one service that this entry sends to at most.
 SUBSET = 64
-# Seconds in which load that others caused fades to a third.
-LOAD_FADES = 1.0
 # Share of repeatable requests that test a doubted target when one is due.
 SCOUT_SHARE = 0.4
 # Seconds after a failure for which requests of the service count as failing.
@@ -112,61 +111,6 @@
     calls: float = 1.0
 
 
-class View:
-    """What the entry knows of one target."""
-
-    def __init__(
-        self,
-        info: messages.TargetInfo,
-        process: messages.ProcessInfo,
-        near: bool,
-    ):
-        self.name = info.name
-        self.process = process.name
-        self.boot = process.boot
-        self.near = near
-        self.slots = max(1, info.slots)
-        self.in_flight = 0
-        self.picked = 0
-        self.next_scout = 0.0
-        self.state = info.state
-        self.version = 0
-        self._risk = health.UNKNOWN
-        self._used_at = float("-inf")
-        self._others = 0.0
-        self._others_at = float("-inf")
-
-    def follow(self, info: messages.TargetInfo) -> None:
-        """Takes in what its guard tells everybody: that it leaves."""
-        if info.state in _GONE:
-            self.state = info.state
-
-    def report(self, load: messages.Load, now: float) -> None:
-        """Takes in the load that an answer or a notice carried."""
-        if load.version < self.version or self.state in _GONE:
-            return
-        self.version = load.version
-        self.state = load.state
-        self._risk = load.risk
-        self._used_at = max(self._used_at, now - load.idle)
-        others = load.in_flight + load.queued - self.in_flight
-        self._others = max(0, others)
-        self._others_at = now
-
-    def risk(self, now: float) -> float:
-        """How likely it is in a bad phase, as far as is known here."""
-        return health.drift(self._risk, now - self._others_at)
-
-    def idle(self, now: float) -> float:
-        """Seconds since a request is known to have begun there."""
-        return now - self._used_at
-
-    def load(self, now: float) -> float:
-        """Own requests plus those of others, which fade with age."""
-        age = now - self._others_at
-        return self.in_flight + self._others * math.exp(-age / LOAD_FADES)
-
-
 class _Group:
     """One service as the entry sees it."""
 
@@ -262,7 +206,7 @@
         counts: collections.Counter[str] = collections.Counter()
         for view in self.views(service):
             full = view.load(now) > view.slots - MARGIN
-            state = "full" if full else str(view.state)
+            state = "full" if full else str(view.state(now))
             reached = self.paths.usable(view.process)
             counts[state if reached else "not reached"] += 1
         return dict(counts)
@@ -299,7 +243,7 @@
         group = self._group_by_service.get(wish.service)
         if group is None:
             return None
-        known = self._split(group, tried)
+        known = self._split(group, tried, now)
         hopeless = not known[0] and not known[1]
         sound, shedding, doubted = (
             [view for view in views if view.name not in refused]
@@ -321,7 +265,7 @@
             if not pool:
                 return None
             view = self._pick(wish, pool, now)
-        if view.state is State.SUSPECT:
+        if view.state(now) is State.SUSPECT:
             view.next_scout = now + SCOUT_GAP
         view.in_flight += 1
         view.picked += 1
@@ -406,7 +350,7 @@
         return group
 
     def _split(
-        self, group: _Group, tried: frozenset[str]
+        self, group: _Group, tried: frozenset[str], now: float
     ) -> tuple[list[View], list[View], list[View]]:
         """Targets that may be sent to: sound, shedding and doubted ones."""
         sound: list[View] = []
@@ -414,20 +358,25 @@
         doubted: list[View] = []
         for name in self._subset(group):
             view = group.view_by_target[name]
-            if name in tried or view.state in _GONE:
+            state = view.state(now)
+            if name in tried or state in target_view.GONE:
                 continue
             if not self.paths.usable(view.process):
                 continue
-            if view.state is State.SUSPECT:
+            if state is State.SUSPECT:
                 doubted.append(view)
-            elif view.state is State.SHEDDING:
+            elif state is State.SHEDDING:
                 shedding.append(view)
             else:
                 sound.append(view)
         return sound, shedding, doubted
 
     def _idle_beside(
-        self, wish: Wish, sound: list[View], failing: bool, now: float
+        self,
+        wish: Wish,
+        sound: list[View],
+        failing: bool,
+        now: float,
     ) -> View | None:
         """The target beside this entry, if it went without work for long.
 
@@ -443,7 +392,10 @@
         return None
 
     def _test(
-        self, sound: list[View], doubted: list[View], now: float
+        self,
+        sound: list[View],
+        doubted: list[View],
+        now: float,
     ) -> View | None:
         """A doubted target that is due for a test by repeatable work."""
         due = [view for view in doubted if now >= view.next_scout]
@@ -467,7 +419,11 @@
         return next(view for view in pool if view.name == name)
 
     def _candidate(
-        self, program: policy.Service, wish: Wish, view: View, now: float
+        self,
+        program: policy.Service,
+        wish: Wish,
+        view: View,
+        now: float,
     ) -> spread.Candidate:
         load = view.load(now)
         weight = 1.0
@@ -476,7 +432,7 @@
                 load=load,
                 slots=view.slots,
                 same_domain=view.near,
-                state=str(view.state),
+                state=str(view.state(now)),
             )
         loss = LOSS_OF_REPEATABLE if wish.repeatable else health.FAILS_WHEN_BAD
         return spread.Candidate(
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -88,7 +88,7 @@
             service,
             view.process,
             view.near,
-            str(view.state),
+            str(view.state(now)),
             round(view.load(now), 1),
             view.slots,
             avoided.get(view.process, ""),
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -202,6 +202,16 @@
     assert picks(found, wish())
 
 
+def test_that_a_target_refused_once_is_forgotten_within_a_second():
+    """Its guard tells only those that send to it, which nobody would."""
+    found = made("a", "b")
+    found.report("a", load(State.SHEDDING), 10.0)
+    assert picks(found, wish()) == {"b"}
+    later = 10.0 + health.SHED_FOR
+    found.report("b", load(running=3), later)
+    assert picks(found, wish(), now=later) == {"a"}
+
+
 def test_near_targets_go_first_until_they_are_full():
     found = made("a", "b", domains={"b": "far"})
     assert picks(found, wish()) == {"a"}
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -528,7 +528,7 @@
         await helper.until(
             lambda: (
                 sum(
-                    view.state is State.IN_SERVICE
+                    view.state(0.0) is State.IN_SERVICE
                     for view in entry.chooser.views("s")
                 )
                 == 1
@@ -685,7 +685,7 @@
         return [
             view.name
             for view in one.chooser.views("s")
-            if view.state is State.IN_SERVICE
+            if view.state(one.clock.monotonic()) is State.IN_SERVICE
         ]
 
     play(work, [[], []])
