--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -30,6 +30,19 @@
     return found
 
 
+def alone_with_reserve(reserve: float) -> chooser.Chooser:
+    """The only process, with a budget of repeats that is all reserve."""
+    found = chooser.Chooser(
+        "p",
+        "d",
+        random.Random(1),
+        policy.BUILT_IN.program,
+        chooser.BudgetBounds(0.0, 10.0, reserve, calls=1.0),
+    )
+    found.processes = 1
+    return found
+
+
 def load(state=State.IN_SERVICE, running=0, version=2, idle=0.0, risk=None):
     if risk is None:
         risk = 0.8 if state is State.SUSPECT else 0.05
@@ -152,14 +165,7 @@
 
 def test_a_repeat_also_charges_the_services_that_its_run_may_call():
     """Calls of a repeated run are repeats at the service that is called."""
-    found = chooser.Chooser(
-        "p",
-        "d",
-        random.Random(1),
-        policy.BUILT_IN.program,
-        chooser.BudgetBounds(0.0, 10.0, 20.0, calls=1.0),
-    )
-    found.processes = 1
+    found = alone_with_reserve(20.0)
     found.request("called", 0.0)
     spent = sum(found.spend("caller", 1.0) for _ in range(10))
     left = sum(found.spend("called", 2.0) for _ in range(100))
@@ -170,14 +176,7 @@
 def test_a_repeat_charges_no_service_that_its_run_can_not_call():
     """Most repeats were of short calls, which call nobody themselves; charging
     them to all services left two thirds of the budget unused."""
-    found = chooser.Chooser(
-        "p",
-        "d",
-        random.Random(1),
-        policy.BUILT_IN.program,
-        chooser.BudgetBounds(0.0, 10.0, 20.0, calls=1.0),
-    )
-    found.processes = 1
+    found = alone_with_reserve(20.0)
     found.least_aim_by_service = {"called": 0.4, "caller": 1.5}
     found.request("caller", 0.0)
     assert sum(found.spend("called", 1.0, aim=0.4) for _ in range(30)) == 18
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -68,15 +68,22 @@
     assert timely_longer < 1.05 * timely
 
 
-def test_a_third_of_the_targets_hanging_costs_few_requests():
-    """Three in four hang for four seconds; what is sent there is lost."""
+def hanging(until: float, arrivals: float) -> replay.Replay:
+    """Two of six targets hang three requests in four from 5 s on."""
 
     def bad(number: int, now: float) -> bool:
-        return number < 2 and 5.0 <= now < 9.0
+        return number < 2 and 5.0 <= now < until
 
     played = replay.Replay(6, 5, bad)
-    steady(played, BOOK, 24.0, 12.0)
-    steady(played, LOOKUP, 12.0, 12.0)
+    steady(played, BOOK, 24.0, arrivals)
+    steady(played, LOOKUP, 12.0, arrivals)
+    return played
+
+
+def test_a_third_of_the_targets_hanging_costs_few_requests():
+    """Three in four hang for four seconds; what is sent there is lost."""
+
+    played = hanging(until=9.0, arrivals=12.0)
     played.run(20.0)
     during = [c for c in played.courses if c.kind is BOOK and 5 <= c.came < 9]
     # Blind placement would lose a third of three quarters.
@@ -85,12 +92,7 @@
 
 
 def test_targets_that_hang_are_back_soon_after_they_are_well():
-    def bad(number: int, now: float) -> bool:
-        return number < 2 and 5.0 <= now < 8.0
-
-    played = replay.Replay(6, 5, bad)
-    steady(played, BOOK, 24.0, 14.0)
-    steady(played, LOOKUP, 12.0, 14.0)
+    played = hanging(until=8.0, arrivals=14.0)
     played.run(14.0)
     for found in played.gates:
         assert found.health.risk(14.0) < health.RAISED_FROM
