--- a/forklift/health.py
+++ b/forklift/health.py
@@ -142,8 +142,16 @@
         """Whether the target itself refused a request of late."""
         return now - self._shed_at < SHED_FOR
 
-    def begin(self, request: object, usual: latency.Latency, now: float):
-        """The target is given a request."""
+    def begin(
+        self, request: object, usual: latency.Latency, now: float
+    ) -> None:
+        """The target is given a request.
+
+        Args:
+            request: Names it until its end.
+            usual: The latency of its route.
+            now: Monotonic seconds.
+        """
         run = _Run(now, usual)
         self._run_by_id[request] = run
         self._runs.append(run)
@@ -196,7 +204,8 @@
         risk = self.risk(now)
         if not self.raised and risk > RAISED_FROM:
             self.since = now
-            self.sign = sign or Sign.OVERDUE
+            failed = sign not in (None, Sign.WELL, Sign.SHED)
+            self.sign = sign if failed else Sign.OVERDUE
             self._next_scout = now + SCOUT_GAP
         elif self.raised and risk < LIFTED_BELOW:
             self.since = None
@@ -216,11 +225,6 @@
         for run in self._run_by_id.values():
             run.started += seconds
 
-    def late(self, request: object, now: float) -> float:
-        """Share of sound requests that would still run at its age."""
-        run = self._run_by_id.get(request)
-        return run.usual.survival(now - run.started) if run else 1.0
-
     def _tested(self, now: float) -> bool:
         """Whether a request is under way whose end is worth waiting for."""
         since = self.since if self.since is not None else now
--- a/test/test_health.py
+++ b/test/test_health.py
@@ -95,6 +95,15 @@
     assert judged.sign is Sign.OVERDUE
 
 
+def test_a_doubt_is_named_after_a_failure_not_after_what_ended_well():
+    judged = proven()
+    judged.begin("old", usual(0.8), 0.1)
+    for number in range(3):
+        judged.begin(number, usual(), 0.6)
+    assert judged.end("old", Sign.WELL, 1.2)
+    assert judged.sign is Sign.OVERDUE
+
+
 def test_many_in_flight_tell_sooner_than_one():
     def doubted_after(count: int) -> float:
         judged = proven()
