--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -22,6 +22,7 @@
 from forklift.shell import answering
 from forklift.shell import exchange
 from forklift.shell import http
+from forklift.shell import receiving
 from forklift.shell import wire
 
 _log = structlog.get_logger(__name__)
@@ -130,6 +131,7 @@
         self._desk = ingress.desk
         self._clock = ingress.clock
         self.connection = connection
+        self._receiver = receiving.Receiver(connection, self._desk.limits)
         self._answers: list[answering.Answer] = []
         self._tasks: set[asyncio.Task] = set()
         self._leftover = b""
@@ -215,7 +217,7 @@
         self._answers.append(answer)
         self._idle_since = None
         try:
-            body = await self._body(protocol, event)
+            body = await self._receiver.body(protocol, event)
             request, problem = self._request(event, body)
         except BaseException:
             self._answers.remove(answer)
@@ -372,52 +374,6 @@
         await answer.data(body)
         await answer.end()
 
-    # Bodies.
-
-    async def _body(
-        self, protocol: h11.Connection, event: h11.Request
-    ) -> exchange.Body:
-        """Reads a small body whole; a large one as it is taken."""
-        headers = http.fields(event)
-        length = http.content_length(headers)
-        if length > self._desk.limits().body_bytes:
-            raise errors.BadRequest(
-                "the body is too large", "send a smaller one", 413
-            )
-        pieces = self._pieces(protocol)
-        first = bytearray()
-        if length > exchange.INLINE_BYTES:
-            return exchange.Body(b"", pieces)
-        async for piece in pieces:
-            first += piece
-            if len(first) > exchange.INLINE_BYTES:
-                return exchange.Body(bytes(first), pieces)
-        return exchange.Body(bytes(first))
-
-    async def _pieces(self, protocol: h11.Connection):
-        taken = 0
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                await self._more(protocol)
-            elif isinstance(event, h11.Data):
-                taken += len(event.data)
-                if taken > self._desk.limits().body_bytes:
-                    raise exchange.BodyBroken("larger than allowed")
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise exchange.BodyBroken("the caller closed")
-
-    async def _more(self, protocol: h11.Connection) -> None:
-        if protocol.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self.connection.write(protocol.send(go_on))
-        async with asyncio.timeout(answering.STALL):
-            data = await self.connection.read()
-        protocol.receive_data(data)
-
     # Refusals of bytes that are no request.
 
     def _late_head(self) -> None:
