--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -367,6 +367,7 @@
             target=first.target,
             second=second.target,
             seconds=round(now - self._walk.started, 3),
+            usual=round(self._usual.median, 4),
         )
         return second
 
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -333,6 +333,8 @@
             target=changed.name,
             state=str(standing.load.state),
             sign=str(changed.health.sign),
+            risk=load.risk,
+            running=load.in_flight,
         )
         if changed.leaving:
             self.neighbours.tell_all()
