Peers hand the configuration on also while versions follow each other quickly

It had version 3 while 60 to 83 came: peers hand on a version that has been in force for 0.7 s, and the last one of a quick succession never is. Ruled out: a cut between peers (it exchanged pings all the time), the store's answers.

Change: what counts is for how long the peer has been behind. A process that can't reach the store pings each 0.4 s, as its pings tell that it is behind, and half of the peers were restarting.

--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -19,6 +19,10 @@
 
 PEERS = 48
 PING_PERIOD = 1.0
+# The same while this process can't reach the store: peers learn from its pings
+# that its configuration is behind, and each second ping may meet one that is
+# just stopping.
+PING_PERIOD_ALONE = 0.4
 PONG_WAIT = 1.0
 MISSES = 2
 EXPIRY_PERIOD = 0.5
@@ -70,6 +74,8 @@
         self._next_expiry = 0.0
         self._peers: list[str] = []
         self._peers_of = -1
+        # Whether this process can't reach the store.
+        self.alone = False
 
     def peers(self) -> list[str]:
         """Names of the bounded set of peers that are pinged."""
@@ -102,7 +108,8 @@
             self.spread(rumor.info.name)
         sends = self._tell_news(now)
         if now >= self._next_ping:
-            self._next_ping = now + PING_PERIOD
+            period = PING_PERIOD_ALONE if self.alone else PING_PERIOD
+            self._next_ping = now + period
             sends += self._ping_next(now)
         if now >= self._next_revival:
             self._next_revival = now + REVIVE_PERIOD
--- a/forklift/shell/neighbours.py
+++ b/forklift/shell/neighbours.py
@@ -22,8 +22,8 @@
 
 # Processes that a new one asks for all they know.
 JOIN_THROUGH = 3
-# Seconds between two offers of the configuration to one peer, and the age
-# from which a version is offered: younger ones peers read themselves.
+# Seconds between two offers of the configuration to one peer, and the time for
+# which it must have been behind: before that it reads the store itself.
 OFFER_PERIOD = 1.0
 OFFER_AGE = 0.7
 
@@ -150,7 +150,8 @@
         current = self._in_force.catalog
         if peer.config >= current.version:
             return
-        if peer.config and now - self._in_force.since < OFFER_AGE:
+        behind_for = now - self._in_force.outdated_since(peer.config)
+        if peer.config and behind_for < OFFER_AGE:
             return
         last = self._offered_at_by_name.get(peer.name, float("-inf"))
         if now - last < OFFER_PERIOD:
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -131,6 +131,7 @@
             self.announced.left,
         )
         self.directory = self.neighbours.directory
+        self.follower = registry.Follower(self.store, self._rng, self._record)
         self.links = links.Links(
             self.directory,
             self.chooser.paths,
@@ -204,8 +205,7 @@
             peer=own.peer_public or wire.bound_address(self._servers[1]),
             control=self.control.address,
         )
-        follower = registry.Follower(self.store, self._rng, self._record)
-        self.spawn(follower.run())
+        self.spawn(self.follower.run())
         self.spawn(self.neighbours.meet(self.store))
         self.spawn(self.announced.look_beside())
         self.spawn(self._tick_for_ever())
@@ -472,6 +472,7 @@
             self.ingress.tick(now)
             self.announced.expire(now)
             self.neighbours.describe()
+        self.neighbours.gossip.alone = self.follower.away
         self.neighbours.tick(now)
 
     def _look_beside(self, now: float) -> None:
--- a/forklift/shell/registry.py
+++ b/forklift/shell/registry.py
@@ -54,7 +54,8 @@
         self._rng = rng
         self._on_record = on_record
         self._pause = _Pause(rng)
-        self._away = False
+        # Whether the store did not answer the last call.
+        self.away = False
 
     async def run(self) -> None:
         """Reads for ever."""
@@ -82,15 +83,15 @@
         return await self._registry.next_configuration(position, wait)
 
     def _lost(self, error: errors.RegistryUnavailable) -> None:
-        if not self._away:
+        if not self.away:
             _log.warning("store_lost", detail=str(error))
-        self._away = True
+        self.away = True
 
     def _back(self) -> None:
         self._pause.reset()
-        if self._away:
+        if self.away:
             _log.info("store_back")
-        self._away = False
+        self.away = False
 
 
 async def meet(
