A second signal while a process stops gives what runs its own grace

Cause: a process in a second series of restarts had SIGTERM at 24.600 s and again at 26.700; a request that its target had run since 24.001 was answered 502 at 29.800, as the stop counted from the first signal only. What a second signal grants is said nowhere: SIGKILL follows SIGTERM after the grace, a planned stop lasts until 1 s after it. So the rule has to be right under either reading. Ruled out: to count from the last signal alone, which loses what waits if the kill comes by the first. Change: what no target has is refused at the bound of the first signal, what a target has is awaited to that of the last. Bounds of a stop are a value of their own. Test: fails with the bounds of the first signal (502 for the request that runs).

--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -25,6 +25,7 @@
 from forklift.shell import links as linking
 from forklift.shell import racing
 from forklift.shell import sending
+from forklift.shell import stopping
 
 _log = structlog.get_logger(__name__)
 Outcome = messages.Outcome
@@ -35,6 +36,7 @@
 # Part of the budget of repeats up to which second sends are made: the rest is
 # left to requests that failed.
 HEDGE_SHARE = 0.85
+_ENDLESS = stopping.Bounds(math.inf, math.inf, math.inf)
 
 
 class Forwarder:
@@ -65,7 +67,7 @@
         self.sends = 0
         self.repeats = 0
         self.hedges = 0
-        self.end_by = math.inf
+        self.bounds = _ENDLESS
         self._passages: set[_Passage] = set()
 
     def next_seq(self) -> int:
@@ -88,7 +90,7 @@
         finally:
             self._passages.discard(passage)
 
-    def end(self, by: float) -> None:
+    def end(self, bounds: stopping.Bounds) -> None:
         """This process ends: every request has its answer before.
 
         What no target has by then is refused, which is true; what one has is
@@ -96,11 +98,11 @@
         connection.
 
         Args:
-            by: Monotonic seconds.
+            bounds: Until when each has its answer.
         """
-        self.end_by = by
+        self.bounds = bounds
         for passage in self._passages:
-            passage.end(by)
+            passage.end(bounds)
 
 
 class _Passage:
@@ -117,9 +119,11 @@
         self._request = request
         self._sink = sink
         self._walk = walks.Walk(
-            self._now(), request.deadline, end_by=forwarder.end_by
+            self._now(), request.deadline, end_by=forwarder.bounds.refuse_at
         )
+        self._bounds = forwarder.bounds
         self._until: asyncio.Timeout | None = None
+        # Whether a target may have it.
         self._asking = False
         # A whole answer that another target's may replace.
         self._held: holdings.Holding | None = None
@@ -147,19 +151,30 @@
         ending = dataclasses.replace(result.ending, retry_after=after)
         return dataclasses.replace(result, ending=ending)
 
-    def end(self, by: float) -> None:
+    def end(self, bounds: stopping.Bounds) -> None:
         """The process ends: this request must be over by then."""
-        self._walk.end_by = by
-        if self._until is not None:
-            self._until.reschedule(self._loop_time(by))
+        self._bounds = bounds
+        self._walk.end_by = bounds.refuse_at
+        self._bound()
+
+    def _ask(self, asking: bool) -> None:
+        """Notes whether a target may have it: its bound is a later one."""
+        self._asking = asking
+        self._bound()
+
+    def _bound(self) -> None:
+        """Bounds the request by the end of this process, if that is known."""
+        bounds = self._bounds
+        by = bounds.answer_at if self._asking else bounds.refuse_at
+        if self._until is None or self._until.expired() or math.isinf(by):
+            return
+        self._until.reschedule(self._loop_time(by))
 
     async def _go_in_time(self) -> exchange.Result:
         """Goes over targets, at most until this process ends."""
-        until = None
-        if math.isfinite(self._walk.end_by):
-            until = self._loop_time(self._walk.end_by)
         try:
-            async with asyncio.timeout_at(until) as self._until:
+            async with asyncio.timeout_at(None) as self._until:
+                self._bound()
                 return await self._go()
         except TimeoutError:
             if self._asking or self._walk.runs:
@@ -237,9 +252,9 @@
                 service = self._request.service
                 self._chooser.ended(service, choice, None, self._now())
                 return result
-            self._asking = True
+            self._ask(True)
             tried = await self._send(choice)
-            self._asking = False
+            self._ask(False)
             result = tried.result
             if not self._goes_on(tried):
                 return result
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -81,6 +81,8 @@
         self._last_tick = self._started_at
         self.incarnation = 1
         self.stopping = False
+        # Of its stop, once that was asked for.
+        self.bounds: stopping.Bounds | None = None
         self.figures = figures.Figures()
         self.in_force = catalog.InForce()
         self._build()
@@ -227,10 +229,25 @@
 
     async def stop(self) -> None:
         """Stops as planned: nothing in flight is cut off."""
-        self.stopping = True
+        if not self.stopping:
+            self.ask_to_stop()
         await stopping.stop(self)
         await self.close()
 
+    def ask_to_stop(self) -> None:
+        """Somebody wants this process to stop, perhaps not for the first time.
+
+        The stop itself begins with `stop`.
+        """
+        now, grace = self.clock.monotonic(), self.settings.platform.grace
+        if not self.stopping:
+            self.stopping = True
+            self.bounds = stopping.first_bounds(now, grace)
+            return
+        self.bounds = stopping.asked_again(self.bounds, now, grace)
+        self.forwarder.end(self.bounds)
+        _log.info("stop_asked_again", running=self.running())
+
     def close_door(self) -> None:
         """Takes no new connection of a caller from now on."""
         self._servers[0].close()
--- a/forklift/shell/serve.py
+++ b/forklift/shell/serve.py
@@ -38,13 +38,18 @@
     heartbeats = server.Server(calls.heartbeat)
     readiness = server.Server(calls.readiness)
     stop = asyncio.Event()
-    front.on_drain_all = stop.set
+
+    def ask_to_stop() -> None:
+        proxy.ask_to_stop()
+        stop.set()
+
+    front.on_drain_all = ask_to_stop
     watcher = reload.Watcher(path, read, proxy.reload)
     loop = asyncio.get_running_loop()
     # Before callers are listened for: by its default the signal would end the
     # process with their requests.
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, ask_to_stop)
     loop.add_signal_handler(signal.SIGHUP, watcher.look)
     await proxy.start()
     await _open_front(front)
--- a/forklift/shell/stopping.py
+++ b/forklift/shell/stopping.py
@@ -1,6 +1,7 @@
 """The planned stop of a process: whoever is owed an answer gets it first."""
 
 import asyncio
+import dataclasses
 
 import structlog
 
@@ -21,6 +22,43 @@
 PARTING = 1.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Until when a stop lasts, monotonic seconds.
+
+    Attributes:
+        refuse_at: From then on what no target has is refused.
+        answer_at: By then what a target has is answered as unknown.
+        until: The process ends, whoever is owed an answer.
+    """
+
+    refuse_at: float
+    answer_at: float
+    until: float
+
+
+def first_bounds(now: float, grace: float) -> Bounds:
+    """The bounds of a stop that was asked for now.
+
+    Args:
+        now: Monotonic seconds.
+        grace: Seconds after which the process may be killed.
+    """
+    until = now + STOP_SHARE * grace
+    return Bounds(until - LAST_ANSWERS, until - LAST_ANSWERS, until)
+
+
+def asked_again(before: Bounds, now: float, grace: float) -> Bounds:
+    """The bounds of a stop that is asked for once more.
+
+    Each signal may begin a grace of its own, or only the first: so what runs
+    has the time of the last one, and what does not is refused, as it would be
+    lost if the process was killed after the first.
+    """
+    last = first_bounds(now, grace)
+    return dataclasses.replace(last, refuse_at=before.refuse_at)
+
+
 async def stop(proxy) -> None:
     """Serves callers on for a while, then waits until none is owed anything.
 
@@ -28,29 +66,28 @@
         proxy: The process, which is told as stopping already.
     """
     now = proxy.clock.monotonic()
-    grace = proxy.settings.platform.grace
-    until = now + STOP_SHARE * grace
-    lame_until = now + min(LAME_DUCK, grace / 2)
+    lame_until = now + min(LAME_DUCK, proxy.settings.platform.grace / 2)
     proxy.ingress.stopping = True
     _log.info("stopping", running=proxy.running())
     proxy.announced.stop()
-    proxy.forwarder.end(until - LAST_ANSWERS)
+    proxy.forwarder.end(proxy.bounds)
     while proxy.clock.monotonic() < lame_until:
         await asyncio.sleep(STOP_POLL)
     proxy.close_door()
-    await _settle(proxy, until)
+    await _settle(proxy)
     proxy.neighbours.leave()
     await asyncio.sleep(STOP_POLL)
-    await _flush(proxy, until)
+    await _flush(proxy)
     # Peers may have asked since.
-    await _settle(proxy, until)
-    await _part(proxy, until)
+    await _settle(proxy)
+    await _part(proxy)
     owing = proxy.owing()
-    invariants.nothing_cut_off(owing, proxy.clock.monotonic() >= until)
+    late = proxy.clock.monotonic() >= proxy.bounds.until
+    invariants.nothing_cut_off(owing, late)
     _log.info("stopped", cut_off=owing)
 
 
-async def _settle(proxy, until: float) -> None:
+async def _settle(proxy) -> None:
     """Waits until nobody is owed an answer.
 
     Between a look that finds nothing owed and the close of what is idle no
@@ -59,25 +96,25 @@
     while True:
         now = proxy.clock.monotonic()
         proxy.ingress.close_idle()
-        if now >= until - LAST_ANSWERS:
+        if now >= proxy.bounds.refuse_at:
             proxy.ingress.refuse_half_read()
-        if not proxy.owing() or now >= until:
+        if not proxy.owing() or now >= proxy.bounds.until:
             return
         await asyncio.sleep(STOP_POLL)
 
 
-async def _part(proxy, until: float) -> None:
+async def _part(proxy) -> None:
     """Has peers take what the system holds for them, and close."""
     for served in list(proxy.served):
         served.finish()
-    until = min(until, proxy.clock.monotonic() + PARTING)
+    until = min(proxy.bounds.until, proxy.clock.monotonic() + PARTING)
     while proxy.served and proxy.clock.monotonic() < until:
         await asyncio.sleep(STOP_POLL)
 
 
-async def _flush(proxy, until: float) -> None:
+async def _flush(proxy) -> None:
     """Lets peers take what was written; a silent one holds up nothing."""
-    until = min(until, proxy.clock.monotonic() + LAST_ANSWERS)
+    until = min(proxy.bounds.until, proxy.clock.monotonic() + LAST_ANSWERS)
     while any(served.unsent for served in proxy.served):
         if proxy.clock.monotonic() >= until:
             return
--- a/test/test_serve.py
+++ b/test/test_serve.py
@@ -38,3 +38,36 @@
     finally:
         signal.signal(signal.SIGTERM, before)
     assert missed == []
+
+
+def test_each_further_signal_reaches_the_stop_that_it_finds(monkeypatch):
+    """One more SIGTERM in a series of restarts brings a grace of its own."""
+    asked = []
+
+    async def stop(one: proxy.Proxy) -> None:
+        # A stop that is under way, until it has seen two signals.
+        os.kill(os.getpid(), signal.SIGTERM)
+        await helper.until(lambda: len(asked) == 2)
+        await one.close()
+
+    async def work():
+        platform = settings.Platform("127.0.0.1:9", ANY, ANY)
+        process = settings.Process("p", "d", ANY, ANY, ANY, ANY)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0, os.kill, os.getpid(), signal.SIGTERM)
+        await serve.serve(settings.Settings(process, platform), "none")
+
+    def ask(one: proxy.Proxy) -> None:
+        asked.append(one)
+
+    monkeypatch.setattr(proxy.Proxy, "stop", stop)
+    monkeypatch.setattr(proxy.Proxy, "ask_to_stop", ask)
+    monkeypatch.setattr(serve, "_settle_memory", lambda: None)
+    missed = []
+    before = signal.signal(signal.SIGTERM, lambda *_: missed.append(True))
+    try:
+        helper.run(work())
+    finally:
+        signal.signal(signal.SIGTERM, before)
+    assert len(asked) == 2
+    assert missed == []
--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -56,7 +56,7 @@
         fleet.targets[0].script.append("hold")
         held = asyncio.create_task(fleet.ask())
         await helper.until(lambda: fleet.runs() == 1)
-        one.forwarder.end(one.clock.monotonic() + 0.3)
+        one.forwarder.end(ends_in(one, 0.3))
         late = asyncio.create_task(fleet.ask())
         answers = [await held, await late]
         # The first may have run; that the second has not is told, and true.
@@ -76,8 +76,7 @@
 
     async def work(fleet):
         one = fleet.proxies[0]
-        platform = dataclasses.replace(one.settings.platform, grace=5.0)
-        one.reload(dataclasses.replace(one.settings, platform=platform))
+        give_grace(one, 5.0)
         one.beside.site_by_target["t0"].gate.slots = 1
         fleet.targets[0].script.append("hold")
         runs = asyncio.create_task(fleet.ask())
@@ -101,6 +100,68 @@
     processes.play(work, [[]], first=first)
 
 
+def ends_in(one: proxy.Proxy, seconds: float) -> stopping.Bounds:
+    """The bounds of a process in which nobody is answered later."""
+    by = one.clock.monotonic() + seconds
+    return stopping.Bounds(by, by, by)
+
+
+def test_a_second_signal_gives_what_runs_the_time_that_it_brings(monkeypatch):
+    """A process in a second series of restarts was told to stop twice.
+
+    It had SIGTERM at 24.600 s and again at 26.700. A request that a target had
+    run since 24.001, and would until 33.99, was answered 502 at 29.800, the
+    end of the first signal's grace of 6 s, though the second had 2.1 s to go.
+    What no target has is refused at the first bound all the same: should the
+    platform count from the first signal, the process is killed right after it.
+    """
+    monkeypatch.setattr(stopping, "LAST_ANSWERS", 4.0)
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        give_grace(one, 5.0)
+        one.beside.site_by_target["t0"].gate.slots = 1
+        fleet.targets[0].script.append("hold")
+        runs = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        waits = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: one.ingress.running == 2)
+        stop = Stop(one)
+        await helper.until(lambda: one.stopping)
+        # So long that the first bound alone can come while this test runs.
+        give_grace(one, 1000.0)
+        one.ask_to_stop()
+        first = one.bounds.refuse_at
+        await helper.until(lambda: waits.done())
+        assert (await waits).status == 503
+        await helper.until(lambda: one.clock.monotonic() > first)
+        await stop.looked_on()
+        assert not runs.done()
+        fleet.targets[0].release.set()
+        assert (await runs).status == 200
+        await stop.task
+        assert fleet.runs() == 1
+
+    first = processes.record(
+        1, r=processes.route("non_idempotent", **{"timeout-ms": 60000})
+    )
+    processes.play(work, [[]], first=first)
+
+
+def test_a_second_signal_never_shortens_what_the_first_gave():
+    first = stopping.first_bounds(100.0, 6.0)
+    again = stopping.asked_again(first, 102.1, 6.0)
+    assert again.refuse_at == first.refuse_at
+    assert again.answer_at > first.answer_at
+    assert again.until == pytest.approx(102.1 + stopping.STOP_SHARE * 6.0)
+
+
+def give_grace(one: proxy.Proxy, seconds: float) -> None:
+    """Changes the grace of a process."""
+    platform = dataclasses.replace(one.settings.platform, grace=seconds)
+    one.reload(dataclasses.replace(one.settings, platform=platform))
+
+
 class Caller:
     """A caller that keeps its connection and sends bytes as a test says."""
 
@@ -226,8 +287,7 @@
 def test_a_request_that_stays_half_read_is_refused_before_the_end(half):
     async def work(fleet):
         one = fleet.proxies[0]
-        changed = dataclasses.replace(one.settings.platform, grace=1.0)
-        one.settings = dataclasses.replace(one.settings, platform=changed)
+        give_grace(one, 1.0)
         async with Caller(one) as caller:
             await caller.send(HALVES[half][0])
             await one.stop()
@@ -384,7 +444,7 @@
                 )
             )
             one.ingress.stopping = True
-            one.forwarder.end(one.clock.monotonic())
+            one.forwarder.end(ends_in(one, 0.0))
             answer = await caller.answer()
         first, second = answer.split(b"HTTP/1.1 ")[1:]
         assert first.startswith(b"502")
@@ -400,7 +460,7 @@
 def test_a_request_read_after_the_end_is_refused_and_sent_nowhere():
     async def work(fleet):
         one = fleet.proxies[0]
-        one.forwarder.end(one.clock.monotonic())
+        one.forwarder.end(ends_in(one, 0.0))
         assert (await fleet.ask()).status == 503
         assert one.forwarder.sends == 0
 
