A target that starts again under its name is another life; what can't be read names nothing

Cause: everything that remembers something of a target hung on its name, and a name that had left was refused for good. A target may start again under its id now; its numbers begin anew, and 'born' tells the start. And words of other writers were believed or broke what read them. Change: announcement.Life (name, born) keys directory, views, gates, health, loads, reminders; announcement.Lives decides which life counts and which words are late, also where a clock went back, or only a health answer told of a target. What runs at a life that ended is answered at once. Heartbeats, last words, health answers, the operator's record, members' records and answers of the store are decoded strictly, each entry by itself; unreadable.py counts and logs by cause. Seen on the code before, by running it: an entry with bad base64 raised ValueError out of the task that follows the store; one with a wrong offset hid the whole page; a record without a whole key hid all behind it for ever; 'Keep-Alive: timeout=' or a load with 5,000 digits raised ValueError; an unknown state with -1 slots was taken as ready.

--- a/forklift/ini.py
+++ b/forklift/ini.py
@@ -117,6 +117,18 @@
     return value.strip()
 
 
+def place(value: str) -> str:
+    """An address where somebody listens: its port is not left open.
+
+    >>> place("10.0.0.7:80")
+    '10.0.0.7:80'
+    """
+    found = address(value)
+    if found.endswith(":0"):
+        raise ValueError("give the port on which it listens")
+    return found
+
+
 def addresses(value: str) -> tuple[str, ...]:
     """Addresses, separated by commas; none is fine."""
     parts = [part.strip() for part in value.split(",")]
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from forklift import errors
+from forklift import ini
 
 MAX_FRAME_BYTES = 1 << 20
 MAX_CONTROL_BYTES = 1 << 18
@@ -578,13 +579,28 @@
     return _decode(_frames, data)
 
 
-def decode_record(data: bytes) -> Announcement:
+def decode_record(name: str, data: bytes) -> Announcement:
     """Decodes a record of the store.
 
+    Args:
+        name: Key of the record, which is the name of its process.
+        data: The record.
+
     Raises:
-        Malformed: The bytes are no record of ours.
+        Malformed: No process of ours wrote it.
     """
-    return _decode(_records, data)
+    record = _decode(_records, data)
+    info = record.info
+    try:
+        ini.place(info.peer)
+        ini.place(info.control)
+    except ValueError as error:
+        raise Malformed(f"address: {error}") from error
+    if info.name != name or info.targets:
+        raise Malformed("not what a process writes of itself")
+    if not (math.isfinite(info.started) and info.config >= 0):
+        raise Malformed("a number out of range")
+    return record
 
 
 def decode_control(data: bytes) -> Control:
--- a/forklift/platform/configuration.py
+++ b/forklift/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decodes the operator's record into a catalog of the product."""
 
+from typing import Annotated
+
 import msgspec
 
 from forklift import catalog
@@ -17,13 +19,19 @@
 DEFAULT_PRIORITY = 1
 
 
+# Whole numbers that all formats hold exactly.
+_Version = Annotated[int, msgspec.Meta(ge=1, le=2**53)]
+_Weight = Annotated[float, msgspec.Meta(ge=0)]
+_Time = Annotated[float, msgspec.Meta(gt=0)]
+
+
 class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
     """Base of what the record holds; unknown fields are passed over."""
 
 
 class _Part(_Wire):
     service: str
-    weight: float
+    weight: _Weight
 
 
 class _Route(_Wire):
@@ -35,7 +43,7 @@
     # Services by weight, in place of the one service.
     weighted_clusters: tuple[_Part, ...] = ()
     # How long a request may be held in all.
-    timeout_ms: float = DEFAULT_TIMEOUT * MILLI
+    timeout_ms: _Time = DEFAULT_TIMEOUT * MILLI
     # Time for the full worth of an answer; no limit of any kind.
     target_latency_ms: float = DEFAULT_AIM * MILLI
     # Targets for one request in all, the first one too.
@@ -58,7 +66,7 @@
 
 
 class _Record(_Wire):
-    version: int
+    version: _Version
     routes: dict[str, _Route]
     services: dict[str, _Service]
     limits: _Limits = _Limits()
@@ -100,8 +108,6 @@
         record.limits.header_timeout_ms / MILLI,
         record.limits.idle_timeout_ms / MILLI,
     )
-    if record.version <= 0:
-        raise Unusable(f"version {record.version} is not above 0")
     table = routing.Table(routes, literal=True)
     return catalog.Catalog(record.version, table, services, limits, data)
 
--- a/forklift/platform/store.py
+++ b/forklift/platform/store.py
@@ -14,6 +14,7 @@
 
 from forklift import errors
 from forklift import ports
+from forklift import unreadable
 from forklift.platform import configuration
 from forklift.shell import client
 
@@ -43,14 +44,19 @@
     """The topic no longer ends where a conditional append expects it."""
 
 
-class _Item(msgspec.Struct, frozen=True):
+class _Key(msgspec.Struct, frozen=True):
     key: str
+
+
+class _Item(_Key, frozen=True):
+    # In base64.
     value: str
     offset: int
 
 
 class _Newest(msgspec.Struct, frozen=True, rename="kebab"):
-    items: tuple[_Item, ...]
+    # Each is decoded by itself: one that another wrote may be of any shape.
+    items: tuple[msgspec.Raw, ...]
     end: int
     # Whether a further page follows, after the last key of this one.
     has_more: bool = False
@@ -67,11 +73,8 @@
     async def configuration(self) -> ports.Found:
         """See `ports.Registry`."""
         newest = await self._newest(_OPERATOR, TIMEOUT)
-        for item in newest.items:
-            if item.key == _CONFIGURATION:
-                data = base64.b64decode(item.value)
-                return ports.Found(data, newest.end)
-        return ports.Found(None, newest.end)
+        value_by_key, _ = _values(newest)
+        return ports.Found(value_by_key.get(_CONFIGURATION), newest.end)
 
     async def next_configuration(
         self, position: int, wait: float
@@ -86,7 +89,8 @@
         body = await self._ask("GET", "/log-read", query, wait + LATE)
         end, _, records = _split(body)
         found = None
-        for key, value in map(_keyed, records):
+        for record in records:
+            key, value = _keyed(record)
             if key == _CONFIGURATION:
                 found = value
         # A read may be bounded in size, so what was read tells how far it is.
@@ -99,11 +103,11 @@
         after = ""
         while True:
             page = await self._newest(_MEMBERS, TIMEOUT, after)
-            for item in page.items:
-                members[item.key] = base64.b64decode(item.value)
-            if not page.has_more or not page.items:
+            value_by_key, last = _values(page)
+            members.update(value_by_key)
+            if not page.has_more or last in ("", after):
                 return members
-            after = page.items[-1].key
+            after = last
 
     async def announce(self, name: str, data: bytes) -> None:
         """See `ports.Registry`."""
@@ -135,7 +139,8 @@
         body = await self._ask("GET", "/log-newest", query, timeout)
         try:
             return msgspec.json.decode(body, type=_Newest)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            unreadable.note(unreadable.Source.STORE, str(error))
             raise errors.RegistryUnavailable(f"malformed: {error}") from error
 
     async def _ask(
@@ -190,11 +195,31 @@
 
 
 def _keyed(record: bytes) -> tuple[str, bytes]:
-    """Splits a record of a keyed topic into key and value."""
+    """Splits a record of a keyed topic into key and value.
+
+    One that another wrote without a whole key has none that anybody reads.
+    """
     if not record or len(record) < 1 + record[0]:
-        raise errors.RegistryUnavailable("a record has no whole key")
+        unreadable.note(unreadable.Source.STORE, "a record has no whole key")
+        return "", b""
     end = 1 + record[0]
     return record[1:end].decode("utf-8", "replace"), record[end:]
 
 
+def _values(page: _Newest) -> tuple[dict[str, bytes], str]:
+    """Values by key, without those that can't be read, and the last key."""
+    value_by_key: dict[str, bytes] = {}
+    last = ""
+    for raw in page.items:
+        try:
+            last = msgspec.json.decode(raw, type=_Key).key
+            item = msgspec.json.decode(raw, type=_Item)
+            value = base64.b64decode(item.value, validate=True)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            unreadable.note(unreadable.Source.STORE, str(error))
+            continue
+        value_by_key[item.key] = value
+    return value_by_key, last
+
+
 decode = configuration.decode
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -164,6 +164,8 @@
         slots: Requests that it runs at once.
         leaving: Whether it takes no new requests.
         sequence: Rises with each announcement; a lower one is late.
+        born: Unix milliseconds of its start, which tell a target that started
+            again under its name from the one before; 0 where it has another.
     """
 
     service: str
@@ -171,3 +173,4 @@
     slots: int
     sequence: int
     leaving: bool = False
+    born: int = 0
--- a/forklift/shell/admin.py
+++ b/forklift/shell/admin.py
@@ -190,7 +190,8 @@
 @handles("GET", "explain/")
 async def explain(admin: Admin, call: Call) -> server.Response:
     """The recent doubts about a target beside the process."""
-    found = reports.explain(admin.proxy, call.name)
+    name = admin.proxy.announced.find(call.name)
+    found = reports.explain(admin.proxy, name or call.name)
     if found is None:
         return problem(404, f"no target {call.name} beside this process")
     return json(found)
@@ -204,7 +205,7 @@
     proxy = admin.proxy
     proxy.announced.seen(
         announcement.Announcement(
-            call.name,
+            announcement.Life(call.name, said.born),
             said.service,
             said.address,
             proxy.settings.process.domain,
@@ -219,16 +220,17 @@
 @handles("POST", "targets/drain")
 async def drain(admin: Admin, call: Call) -> server.Response:
     """A target is to take no new request."""
-    if call.name not in admin.proxy.beside.site_by_target:
+    name = admin.proxy.announced.find(call.name)
+    if name is None:
         return problem(404, f"no target {call.name} beside this process")
-    admin.proxy.beside.drain(call.name)
-    return json(reports.explain(admin.proxy, call.name))
+    admin.proxy.beside.drain(name)
+    return json(reports.explain(admin.proxy, name))
 
 
 @handles("DELETE", "targets/")
 async def leave(admin: Admin, call: Call) -> server.Response:
     """A target is gone."""
-    admin.proxy.announced.left(call.name)
+    admin.proxy.announced.left(announcement.life_named(call.name))
     return json(reports.status(admin.proxy))
 
 
@@ -251,3 +253,8 @@
         raise errors.UserError(
             f"the announcement of {name} names no slots; send at least 1"
         )
+    if said.born < 0:
+        raise errors.UserError(
+            f"the announcement of {name} tells no time of birth; send Unix "
+            "milliseconds, or leave it out"
+        )
--- a/forklift/shell/announced.py
+++ b/forklift/shell/announced.py
@@ -49,39 +49,92 @@
         self._clock = clock
         self._on_change = on_change
         self._heard_by_target: dict[str, float] = {}
-        self._sequence = announcement.Sequence()
-        # Names that never come back: a restart of a target has another.
-        self.gone: set[str] = set()
+        self._lives = announcement.Lives(self._period + HEARTBEAT_LATE)
         self.stopping = False
 
+    @property
+    def _period(self) -> float:
+        """Seconds between two heartbeats of a target."""
+        return self.settings.platform.heartbeat_ms / 1000
+
     def seen(self, said: announcement.Announcement) -> None:
         """A target announced itself."""
         now = self._clock.monotonic()
-        if not self._sequence.newer(said.name, said.sequence):
+        before = self._lives.name(said.life.target)
+        if not self._is_served(said.service):
+            # It names no target to use; what it said before holds.
+            _log.warning(
+                "heartbeat_refused",
+                target=said.life.name,
+                detail=f"the configuration has no service {said.service}",
+            )
             return
-        if said.name in self.gone:
+        word = self._lives.heard(said.life, said.sequence, now)
+        if word is announcement.Word.LATE:
             return
-        self._heard_by_target[said.name] = now
-        site = self._beside.site_by_target.get(said.name)
+        name = said.life.name
+        if before is not None and before != name:
+            self._succeed(before, name, word)
+        self._heard_by_target[name] = now
+        site = self._beside.site_by_target.get(name)
         if site is None:
             if said.leaving:
                 # Never used here, so there is nothing to end.
-                self.gone.add(said.name)
+                self._lives.left(said.life, now)
                 return
             site = self._add(said)
         elif said.leaving:
-            self._beside.drain(said.name)
+            self._beside.drain(name)
         site.gate.cold_until = now + said.cold
         if self.stopping:
-            self._beside.pause(said.name)
+            self._beside.pause(name)
 
-    def left(self, name: str) -> None:
-        """A target is about to end, or has."""
-        self.gone.add(name)
-        if name in self._beside.site_by_target:
+    def left(self, life: announcement.Life) -> None:
+        """A target says that it is about to end, or has."""
+        self._leave(self._lives.left(life, self._clock.monotonic()))
+
+    def recalled(self, name: str) -> None:
+        """A peer remembers that a target had said so to an earlier run."""
+        life = announcement.life_named(name)
+        self._leave(self._lives.recalled(life, self._clock.monotonic()))
+
+    def find(self, name: str) -> str | None:
+        """Name under which a target beside is kept, by any of its names."""
+        for found in (name, self._lives.name(name)):
+            if found in self._beside.site_by_target:
+                return found
+        return None
+
+    def _leave(self, name: str | None) -> None:
+        if name is not None and name in self._beside.site_by_target:
             self._beside.leave(name)
             _log.info("target_left", target=name)
 
+    def _is_served(self, service: str) -> bool:
+        """Whether a service is known; any is before there are some."""
+        known = self._in_force.catalog.services_by_name
+        own = self.settings.platform.service
+        return not self._in_force.known or service in known or service == own
+
+    def _succeed(self, before: str, name: str, word: announcement.Word) -> None:
+        """Another life of a target counts from now on, or its name is known."""
+        if before not in self._beside.site_by_target:
+            return
+        if word is announcement.Word.FURTHER:
+            self._beside.rename(before, name)
+            self._heard_by_target.pop(before, None)
+            self._on_change()
+            return
+        _log.info("target_returned", target=name, before=before)
+        self._remove(before)
+
+    def _remove(self, name: str) -> None:
+        """Ends what is known of a target; what runs there has no answer."""
+        self._heard_by_target.pop(name, None)
+        if name in self._beside.site_by_target:
+            self._beside.leave(name)
+            self._beside.site_by_target.pop(name).pool.end()
+
     def stop(self) -> None:
         """This process stops: its targets take nothing new."""
         self.stopping = True
@@ -89,16 +142,18 @@
             self._beside.pause(name)
 
     def follow(self, current: catalog.Catalog) -> None:
-        """Takes the bounds of a new configuration."""
-        for site in self._beside.site_by_target.values():
+        """Takes the services of a new configuration, and their bounds."""
+        for name, site in list(self._beside.site_by_target.items()):
             service = current.services_by_name.get(site.gate.service)
             if service is not None:
                 site.pool.most = service.connections
+            elif not self._is_served(site.gate.service):
+                self._remove(name)
+                self._on_change()
 
     def expire(self, now: float) -> None:
         """Forgets targets that sent no heartbeat for long."""
-        period = self.settings.platform.heartbeat_ms / 1000
-        lease = MISSED_HEARTBEATS * period + HEARTBEAT_LATE
+        lease = MISSED_HEARTBEATS * self._period + HEARTBEAT_LATE
         for name, heard in list(self._heard_by_target.items()):
             if now - heard <= lease:
                 continue
@@ -125,20 +180,21 @@
             if self._beside.site_by_target or self.stopping or service is None:
                 return
             found = await probe.ask(own.target, service.health, self._names)
-            if found is not None and found.well and found.slots:
+            usable = found is not None and found.target and found.slots
+            if usable and found.well:
                 self._found_beside(found)
                 return
             await asyncio.sleep(LOOK_PAUSE)
 
     def _found_beside(self, found: probe.Health) -> None:
         own = self.settings
-        known = found.target in self._beside.site_by_target
-        if known or found.target in self.gone or self.stopping:
+        now = self._clock.monotonic()
+        if self.stopping or not self._lives.found(found.target, now):
             return
-        self._heard_by_target[found.target] = self._clock.monotonic()
+        self._heard_by_target[found.target] = now
         self._add(
             announcement.Announcement(
-                found.target,
+                announcement.Life(found.target),
                 own.platform.service,
                 own.platform.target,
                 own.process.domain,
@@ -149,20 +205,22 @@
         )
 
     def _add(self, said: announcement.Announcement) -> besides.Site:
-        for name, site in list(self._beside.site_by_target.items()):
-            if site.pool.address == said.address and name != said.name:
+        name = said.life.name
+        for other, site in list(self._beside.site_by_target.items()):
+            if site.pool.address == said.address and other != name:
                 # The address has another target now.
-                self.left(name)
+                self.recalled(other)
         service = self._in_force.catalog.services_by_name.get(said.service)
         most = service.connections if service else DEFAULT_CONNECTIONS
         site = besides.Site(
-            gate.Gate(said.name, said.service, said.slots),
+            said.life.target,
+            gate.Gate(name, said.service, said.slots),
             pools.Pool(said.address, most, self._clock.monotonic),
         )
-        self._beside.add(said.name, site)
+        self._beside.add(name, site)
         _log.info(
             "target_joined",
-            target=said.name,
+            target=name,
             service=said.service,
             address=said.address,
         )
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -27,13 +27,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Site:
-    """One target beside this process and the way to it.
+    """One life of a target beside this process, and the way to it.
 
     Attributes:
+        target: The name that the target gives itself; its gate has that of
+            its life.
         gate: Admits its requests.
         pool: Its connections.
     """
 
+    target: str
     gate: gate.Gate
     pool: pools.Pool
 
@@ -86,6 +89,8 @@
         self._on_change = on_change
         self.site_by_target: dict[str, Site] = {}
         self.fences = fences.Fences()
+        # Names that targets had before the time of their birth was told.
+        self._name_by_earlier: dict[str, str] = {}
         self._decision_by_id: dict[object, asyncio.Future] = {}
         self._detached: set[asyncio.Task] = set()
         self.running = 0
@@ -96,6 +101,16 @@
         """A target is there."""
         self.site_by_target[name] = site
 
+    def rename(self, before: str, name: str) -> None:
+        """The name of a target's life is known now; it goes on as it was.
+
+        Others ask for it by the earlier one until they have heard.
+        """
+        site = self.site_by_target.pop(before)
+        site.gate.name = name
+        self.site_by_target[name] = site
+        self._name_by_earlier = {before: name}
+
     def drain(self, name: str) -> None:
         """A target takes no new request from now on."""
         site = self.site_by_target[name]
@@ -135,7 +150,8 @@
             asyncio.CancelledError: The sender gave up.
             wire.Lost: The sink is gone.
         """
-        site = self.site_by_target.get(target)
+        name = self._name_by_earlier.get(target, target)
+        site = self.site_by_target.get(name)
         if site is None:
             return exchange.not_run(Reason.UNKNOWN_TARGET)
         if not self.fences.may_start(ticket.id):
@@ -215,6 +231,7 @@
         run = upstream.Run(
             site.pool,
             request,
+            site.target,
             site.gate.name,
             self._dialect,
             self._clock.monotonic,
--- a/forklift/shell/neighbours.py
+++ b/forklift/shell/neighbours.py
@@ -14,6 +14,7 @@
 from forklift import membership
 from forklift import messages
 from forklift import ports
+from forklift import unreadable
 from forklift.shell import beside as besides
 from forklift.shell import clock as clocks
 from forklift.shell import registry
@@ -88,9 +89,9 @@
             if name == self.directory.own.name:
                 continue
             try:
-                record = messages.decode_record(data)
+                record = messages.decode_record(name, data)
             except messages.Malformed as error:
-                _log.warning("member_malformed", name=name, detail=str(error))
+                unreadable.note(unreadable.Source.MEMBER, str(error), name=name)
                 continue
             # It may be of an earlier run than what is known by now.
             rumor = messages.Rumor(messages.Liveness.ALIVE, record.info)
--- a/forklift/shell/pool.py
+++ b/forklift/shell/pool.py
@@ -47,6 +47,7 @@
         self.reused = 0
         self._now = now
         self._idle: collections.deque[_Idle] = collections.deque()
+        self._busy: set[wire.Connection] = set()
 
     async def take(self, repeatable: bool) -> wire.Connection:
         """A connection that carries nothing.
@@ -61,6 +62,7 @@
             fresh = self._now() - idle.since < IDLE_UNREPEATABLE
             if usable and (repeatable or fresh):
                 self.reused += 1
+                self._busy.add(idle.connection)
                 return idle.connection
             self.discard(idle.connection)
         if self.open >= self.most:
@@ -73,13 +75,21 @@
             self.discard(connection)
             return
         now = self._now()
+        self._busy.discard(connection)
         self._idle.append(_Idle(connection, now, now + idle))
 
     def discard(self, connection: wire.Connection) -> None:
         """Closes a connection; whatever it still brings is never read."""
         self.open -= 1
+        self._busy.discard(connection)
         connection.abort()
 
+    def end(self) -> None:
+        """Closes all connections: nothing answers on them any more."""
+        self.close()
+        for connection in self._busy:
+            connection.abort()
+
     def close(self) -> None:
         """Closes all idle connections."""
         while self._idle:
@@ -99,6 +109,7 @@
             self.open -= 1
             raise
         self.made += 1
+        self._busy.add(connection)
         return connection
 
     def _drop_old(self) -> None:
--- a/forklift/shell/probe.py
+++ b/forklift/shell/probe.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+import re
 
 import h11
 import structlog
 
 from forklift import dialect as dialects
+from forklift import unreadable
 from forklift.shell import http
 from forklift.shell import wire
 
@@ -15,6 +17,9 @@
 # Seconds for the whole question: a target beside answers within milliseconds,
 # and its next heartbeat comes soon anyway.
 PROBE_TIMEOUT = 1.0
+_NAME = re.compile(rb"[!-~]{1,200}")
+# Requests that run and that wait, and slots.
+_LOAD = re.compile(rb"\s*\d+\s*,\s*\d+\s*,\s*(\d{1,6})\s*")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,7 +82,9 @@
 def _health(response: h11.Response, dialect: dialects.Dialect) -> Health:
     headers = http.fields(response)
     name = http.value(headers, dialect.target) or b""
-    load = (http.value(headers, dialect.load) or b"").split(b",")
-    told = len(load) == 3 and load[2].strip().isdigit()
-    slots = int(load[2]) if told else 0
-    return Health(response.status_code < 400, name.decode("latin-1"), slots)
+    if not _NAME.fullmatch(name):
+        unreadable.note(unreadable.Source.HEALTH, "it gives itself no name")
+        name = b""
+    load = _LOAD.fullmatch(http.value(headers, dialect.load) or b"")
+    slots = int(load[1]) if load else 0
+    return Health(response.status_code < 400, name.decode("ascii"), slots)
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -21,6 +21,7 @@
 from forklift import policy
 from forklift import ports
 from forklift import settings
+from forklift import unreadable
 from forklift.shell import announced
 from forklift.shell import beside
 from forklift.shell import clock as clocks
@@ -127,7 +128,7 @@
             self.beside,
             self.control.send,
             self._record,
-            self.announced.left,
+            self.announced.recalled,
         )
         self.directory = self.neighbours.directory
         self.follower = registry.Follower(
@@ -317,6 +318,7 @@
             _log.warning(
                 "configuration_refused", source=source, detail=str(error)
             )
+            unreadable.count_by_source[unreadable.Source.CONFIGURATION] += 1
             return
         now = self.clock.monotonic()
         if not self.in_force.offer(found, source, now):
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -11,6 +11,7 @@
 
 from forklift import expressions
 from forklift import invariants
+from forklift import unreadable
 from forklift.shell import logs
 
 Reading = tuple[float, dict[str, str]]
@@ -172,6 +173,11 @@
             "Policy expressions that fell back to their default",
             lambda: _by(expressions.failures_by_expression, "expression"),
         )
+        self.counter(
+            "forklift.unreadable",
+            "What came from outside and could not be used, by source",
+            lambda: _by(unreadable.count_by_source, "source"),
+        )
         self.gauge(
             "forklift.config.version",
             "Version of the configuration in force",
--- a/forklift/shell/upstream.py
+++ b/forklift/shell/upstream.py
@@ -37,7 +37,8 @@
 # Answers to other requests that are dropped before a connection is given up.
 MAX_STRAY = 3
 _BODILESS = (204, 304)
-_KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+# A number of more digits is no time that anybody means.
+_KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d{1,9})\b", re.IGNORECASE)
 
 
 class AnswerBroken(errors.ForkliftError):
@@ -77,12 +78,24 @@
         self,
         pool: pools.Pool,
         request: exchange.Request,
+        expected: str,
         target: str,
         dialect: dialects.Dialect,
         now: Callable[[], float],
     ):
+        """Makes a run that has not begun.
+
+        Args:
+            pool: Connections to the target.
+            request: The request.
+            expected: The name that the target must give itself.
+            target: The name by which it is known here.
+            dialect: Names of header fields.
+            now: Monotonic seconds.
+        """
         self._pool = pool
         self._request = request
+        self._expected = expected
         self._target = target
         self._dialect = dialect
         self._now = now
@@ -170,7 +183,7 @@
         if http.value(request.headers, names.request_id) is None:
             headers.append((names.request_id, request.id.encode()))
         headers.append((names.deadline, str(remaining).encode()))
-        headers.append((names.expected, self._target.encode()))
+        headers.append((names.expected, self._expected.encode()))
         if request.origin:
             headers.append((names.origin, request.origin.encode()))
         if request.length < 0 and not request.body.complete:
--- a/test/processes.py
+++ b/test/processes.py
@@ -84,7 +84,13 @@
 
     def announce(self, one: proxy.Proxy, number: int, **changes) -> None:
         said = announcement.Announcement(
-            f"t{number}", "s", self.targets[number].address, "d", 4, False, 1
+            announcement.Life(f"t{number}"),
+            "s",
+            self.targets[number].address,
+            "d",
+            4,
+            False,
+            1,
         )
         one.announced.seen(dataclasses.replace(said, **changes))
 
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -48,7 +48,7 @@
 def test_messages(data):
     for decode in (
         messages.decode_frame,
-        messages.decode_record,
+        lambda record: messages.decode_record("p", record),
         messages.decode_control,
     ):
         try:
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -107,7 +107,7 @@
 
     def __init__(self):
         self.announcements: list[announcement.Announcement] = []
-        self.left: list[str] = []
+        self.left: list[announcement.Life] = []
         self.ready = True
         self.doors = doors.Doors(
             self.announcements.append, self.left.append, lambda: self.ready
@@ -135,11 +135,19 @@
     assert seen.call(path, json.dumps(HEARTBEAT).encode()).status == 200
     assert seen.announcements == [
         announcement.Announcement(
-            "i-1", "s", "10.0.0.1:80", "z", 3, True, 4, 0.5
+            announcement.Life("i-1"), "s", "10.0.0.1:80", "z", 3, True, 4, 0.5
         )
     ]
 
 
+def test_a_heartbeat_tells_when_its_target_was_born():
+    seen = Seen()
+    body = json.dumps({**HEARTBEAT, "born": 1764720000123}).encode()
+    assert seen.call("/Instances.Heartbeat/i-1", body).status == 200
+    (said,) = seen.announcements
+    assert said.life == announcement.Life("i-1", 1764720000123)
+
+
 def test_a_malformed_heartbeat_is_refused():
     seen = Seen()
     assert seen.call("/Instances.Heartbeat/i-1", b"{").status == 400
@@ -149,7 +157,14 @@
 def test_leaving_needs_no_body():
     seen = Seen()
     assert seen.call("/Instances.Deregister/i-1").status == 200
-    assert seen.left == ["i-1"]
+    assert seen.left == [announcement.Life("i-1")]
+
+
+def test_leaving_may_tell_when_its_target_was_born():
+    seen = Seen()
+    body = b'{"born": 1764720000123}'
+    assert seen.call("/Instances.Deregister/i-1", body).status == 200
+    assert seen.left == [announcement.Life("i-1", 1764720000123)]
 
 
 @pytest.mark.parametrize(("ready", "status"), [(True, 200), (False, 503)])
--- /dev/null
+++ b/test/test_returned.py
@@ -0,0 +1,250 @@
+"""A target that starts again under the name that it had."""
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from forklift import announcement
+from forklift import chooser
+from forklift import dialect
+from forklift import membership
+from forklift import messages
+from forklift import policy
+from forklift.shell import announced
+from test import helper
+from test import processes
+
+State = messages.TargetState
+OLD = announcement.Life("t0", 100)
+NEW = announcement.Life("t0", 200)
+
+
+def announce(fleet: processes.Fleet, life: announcement.Life, **changes):
+    """The target beside the first process sends a heartbeat."""
+    fleet.announce(fleet.proxies[0], 0, life=life, **changes)
+
+
+async def known_as(fleet: processes.Fleet, *names: str) -> None:
+    """All processes know these targets and no other."""
+    await helper.until(
+        lambda: all(
+            {view.name for view in one.chooser.views("s")} == set(names)
+            for one in fleet.proxies
+        )
+    )
+
+
+def of_kind(kind: str) -> dict:
+    return processes.record(1, r=processes.route(kind, **{"timeout-ms": 60000}))
+
+
+def test_a_returned_target_has_work_though_its_numbers_began_anew():
+    """It crashed unseen; its next heartbeat has a lower number than the last.
+
+    A process that remembered names only would take it for a late word, and
+    for as long as the earlier run had counted it would get nothing.
+    """
+
+    async def work(fleet):
+        announce(fleet, OLD, sequence=900)
+        await known_as(fleet, OLD.name)
+        announce(fleet, NEW, sequence=1)
+        await known_as(fleet, NEW.name)
+        assert (await fleet.ask()).status == 200
+        (received,) = fleet.targets[0].received
+        # The target knows itself by its own name only.
+        assert received.field(dialect.OWN.expected) == b"t0"
+
+    processes.play(work, [[]])
+
+
+def test_doubt_load_and_cold_start_are_those_of_the_life():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        announce(fleet, OLD)
+        before = one.beside.site_by_target[OLD.name]
+        now = one.clock.monotonic()
+        for number in range(4):
+            before.gate.health.begin(
+                number, before.gate.latencies.of("r", 1.0), now
+            )
+            before.gate.health.end(number, announced.gate.Sign.BROKEN, now)
+        assert before.gate.health.raised
+        announce(fleet, NEW, cold=30.0)
+        after = one.beside.site_by_target[NEW.name].gate
+        assert not after.health.raised
+        assert (after.running, after.waiting) == (0, 0)
+        assert after.cold_until > one.clock.monotonic()
+        assert OLD.name not in one.beside.site_by_target
+
+    processes.play(work, [[]])
+
+
+@pytest.mark.parametrize(
+    ("kind", "status", "runs"),
+    [("non_idempotent", 502, 1), ("idempotent", 200, 2)],
+)
+def test_what_ran_at_the_life_before_is_answered_truly_and_at_once(
+    kind, status, runs
+):
+    """Nothing answers on its connections any more, though they may be open."""
+
+    async def work(fleet):
+        announce(fleet, OLD)
+        await known_as(fleet, OLD.name)
+        fleet.targets[0].script.append("hold")
+        asked = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        announce(fleet, NEW)
+        assert (await asked).status == status
+        assert fleet.runs() == runs
+
+    processes.play(work, [[]], first=of_kind(kind))
+
+
+def test_what_waits_at_the_life_before_goes_to_the_one_after():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        announce(fleet, OLD)
+        await known_as(fleet, OLD.name)
+        one.beside.site_by_target[OLD.name].gate.slots = 1
+        fleet.targets[0].script.append("hold")
+        held = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        waits = asyncio.create_task(fleet.ask())
+        gate = one.beside.site_by_target[OLD.name].gate
+        await helper.until(lambda: gate.waiting == 1)
+        announce(fleet, NEW)
+        assert (await held).status == 502
+        assert (await waits).status == 200
+        assert fleet.runs() == 2
+
+    processes.play(work, [[]], first=of_kind("non_idempotent"))
+
+
+def test_a_late_heartbeat_takes_nothing_from_the_life_after():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        announce(fleet, OLD)
+        announce(fleet, NEW)
+        site = one.beside.site_by_target[NEW.name]
+        announce(fleet, OLD, sequence=99, leaving=True)
+        one.announced.left(OLD)
+        one.announced.recalled(OLD.name)
+        assert one.beside.site_by_target == {NEW.name: site}
+        assert site.gate.state is State.IN_SERVICE
+        assert (await fleet.ask()).status == 200
+
+    processes.play(work, [[]])
+
+
+def test_a_returned_target_is_known_by_its_health_and_named_by_its_heartbeat():
+    """Both its process and itself started again at the same moment.
+
+    Until its first heartbeat its process does not know which life it is, and
+    others may still ask for it by the name that it had without one.
+    """
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        own = dataclasses.replace(one.settings.platform, service="s")
+        one.announced.settings = dataclasses.replace(one.settings, platform=own)
+        one.beside.site_by_target.clear()
+        one.announced._lives = announcement.Lives(5.0)
+        one.announced._found_beside(announced.probe.Health(True, "t0", slots=3))
+        site = one.beside.site_by_target["t0"]
+        site.pool.address = fleet.targets[0].address
+        fleet.targets[0].script.append("hold")
+        asked = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        announce(fleet, NEW, sequence=40)
+        assert one.beside.site_by_target == {NEW.name: site}
+        # What runs goes on: it is the same life.
+        assert site.gate.running == 1
+        fleet.targets[0].release.set()
+        assert (await asked).status == 200
+        # A request that was sent before its sender heard of the name.
+        for view in one.chooser.views("s"):
+            view.name = "t0"
+        assert (await fleet.ask()).status == 200
+
+    processes.play(work, [[]], first=of_kind("non_idempotent"))
+
+
+def test_operators_may_name_a_target_by_the_name_it_gives_itself():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        announce(fleet, NEW)
+        assert one.announced.find("t0") == NEW.name
+        assert one.announced.find(NEW.name) == NEW.name
+        assert one.announced.find(OLD.name) is None
+
+    processes.play(work, [[]])
+
+
+def test_a_service_that_nobody_names_takes_no_target():
+    """Another writer's word does not keep out what the target itself says."""
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        # Before there is a configuration nobody can tell.
+        assert not one.in_force.known
+        announce(fleet, OLD, service="unheard-of", sequence=7)
+        assert OLD.name in one.beside.site_by_target
+        fleet.store.configure(processes.record(1))
+        await helper.until(lambda: one.in_force.known)
+        assert OLD.name not in one.beside.site_by_target
+        announce(fleet, NEW, service="unheard-of", sequence=2**50)
+        assert NEW.name not in one.beside.site_by_target
+        announce(fleet, NEW, sequence=1)
+        assert NEW.name in one.beside.site_by_target
+
+    processes.play(work, [[]], first={})
+
+
+# What entries of other processes know.
+
+
+def info(version: int, *names: str) -> messages.ProcessInfo:
+    return helper.info("p", *names, version=version)
+
+
+@pytest.mark.parametrize("order", ["in turn", "the later one first"])
+def test_processes_agree_on_the_life_in_whatever_order_they_hear(order):
+    directory = membership.Directory(helper.info("own"), 256)
+    news = [info(1, OLD.name), info(2, NEW.name)]
+    if order == "the later one first":
+        news.reverse()
+    for one in news:
+        directory.apply(messages.Rumor(messages.Liveness.ALIVE, one), 0.0)
+    found = _chooser()
+    for _, known in directory.take_changes():
+        found.learn(known)
+    assert [view.name for view in found.views("s")] == [NEW.name]
+
+
+def test_a_late_refusal_of_the_life_before_says_nothing_of_the_one_after():
+    entry = _chooser()
+    entry.learn(info(1, OLD.name))
+    wish = chooser.Wish("s", repeatable=True)
+    choice = entry.choose(wish, frozenset(), 0.0)
+    entry.learn(info(2, NEW.name))
+    late = messages.Load(4, 9, 4, State.SUSPECT, 90, 0.0, risk=0.9)
+    entry.ended("s", choice, late, 1.0)
+    entry.report(OLD.name, late, 1.0)
+    (view,) = entry.views("s")
+    assert (view.name, view.in_flight) == (NEW.name, 0)
+    assert view.state(1.0) is State.IN_SERVICE
+    assert view.load(1.0) == 0
+
+
+def _chooser() -> chooser.Chooser:
+    return chooser.Chooser(
+        "own",
+        "d",
+        random.Random(1),
+        policy.BUILT_IN.program,
+        chooser.BudgetBounds(),
+    )
--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -62,7 +62,7 @@
 
 
 async def go(pool: pools.Pool, sent: exchange.Request, sink: Sink) -> int:
-    run = upstream.Run(pool, sent, "t-1", dialect.OWN, NOW)
+    run = upstream.Run(pool, sent, "t-1", "t-1", dialect.OWN, NOW)
     return await run.go(lambda: None, lambda: None, sink)
 
 
@@ -184,7 +184,7 @@
     async def work():
         async with scripted.ScriptedTarget() as target:
             run = upstream.Run(
-                pool_of(target), request(), "t-1", dialect.OWN, NOW
+                pool_of(target), request(), "t-1", "t-1", dialect.OWN, NOW
             )
             with pytest.raises(pools.NotSent) as caught:
                 await run.go(lambda: Reason.FENCED, lambda: None, Sink())
