Soak: targets return under their names, also behind a cut and with their process

Cause: stand-in targets had another name after each end, so nothing of real processes showed whether a name that is back gets work. Change: they tell when they were born; four troubles bring them back, for seeds from 10,000 on (earlier ones draw what they drew). The promise: a life that was known is never without work for over 4 s, until it ends. These seeds are played on until the lease of an earlier life would be over.

--- a/forklift_lab/play.py
+++ b/forklift_lab/play.py
@@ -17,7 +17,10 @@
 
 async def play(seed: int) -> soaks.Soak:
     """Plays one seed and reports it; the breaches are in `told`."""
-    async with programs.Programs(relayed=True) as running:
+    heartbeat_ms = programs.HEARTBEAT_MS
+    if seed >= soaks.RETURNS_FROM:
+        heartbeat_ms = soaks.HEARTBEAT_MS
+    async with programs.Programs(True, heartbeat_ms) as running:
         soak = soaks.Soak(seed, running)
         soak.breaches = await soak.run()
         for breach in soak.breaches:
--- a/forklift_lab/programs.py
+++ b/forklift_lab/programs.py
@@ -25,6 +25,12 @@
 GRACE = 8.0
 PROGRAM = (sys.executable, "-m", "forklift")
 HEARTBEAT_EVERY = 0.5
+# What processes are told of it: longer, so that their leases are.
+HEARTBEAT_MS = 1500
+# The number of a target's first heartbeat: one that has run for long.
+FIRST_SEQUENCE = 1000
+# Unix milliseconds of the first start of all targets.
+BORN = 1_700_000_000_000
 _SETTINGS = """[process]
 name = {place.name}
 domain = {place.domain}
@@ -42,6 +48,7 @@
 service = {place.service}
 target = {target}
 grace = {grace}
+heartbeat_ms = {heartbeat_ms}
 
 [budget]
 ratio = 0.2
@@ -145,9 +152,12 @@
 
     Args:
         relayed: Whether a relay stands on each way of each process.
+        heartbeat_ms: Milliseconds between two heartbeats, as processes are
+            told.
     """
 
-    def __init__(self, relayed: bool = False):
+    def __init__(self, relayed: bool = False, heartbeat_ms: int = HEARTBEAT_MS):
+        self._heartbeat_ms = heartbeat_ms
         self.store = store.Store()
         self._relayed = relayed
         self.relays_by_name: dict[str, Relays] = {}
@@ -178,7 +188,7 @@
     ) -> Place:
         """Starts a target, and a process beside it."""
         target = scripted.ScriptedTarget(
-            names=names.DIALECT, name=f"i-{name}", strict=True
+            names=names.DIALECT, name=f"i-{name}", strict=True, born=BORN
         )
         await self._stack.enter_async_context(target)
         self.target_by_name[name] = target
@@ -226,6 +236,7 @@
                 peer_public=relays.peer.address if relays else "",
                 control_public=relays.control.address if relays else "",
                 grace=GRACE,
+                heartbeat_ms=self._heartbeat_ms,
             )
         )
         log = (self.folder / f"{found.name}.log").open("ab")
@@ -268,14 +279,18 @@
         """Announces a target to the process beside it, for ever."""
         asker = client.Client(found.heartbeats)
         loop = asyncio.get_running_loop()
-        sequence = 0
+        sequence = FIRST_SEQUENCE
+        life = target.life
         while True:
-            sequence += 1
-            name, leaving = target.name, target.leaving
+            # The numbers of each life begin anew.
+            sequence = sequence + 1 if life == target.life else 1
+            life, leaving = target.life, target.leaving
             body = target.heartbeat(found.service, found.domain, sequence)
             with contextlib.suppress(client.Failed):
-                path = f"/Instances.Heartbeat/{name}"
+                path = f"/Instances.Heartbeat/{life.target}"
                 answer = await asker.request("POST", path, body, timeout=1.0)
+                if answer.status == 200:
+                    target.known_at_by_life.setdefault(life, loop.time())
                 if leaving and answer.status == 200:
-                    target.left_at_by_name.setdefault(name, loop.time())
+                    target.left_at_by_life.setdefault(life, loop.time())
             await asyncio.sleep(HEARTBEAT_EVERY)
--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -1,7 +1,9 @@
 """What the soak holds what callers and targets saw against."""
 
 import collections
+import itertools
 
+from forklift import announcement
 from forklift.platform import names
 from forklift_lab import soak as soaks
 
@@ -87,14 +89,49 @@
 def _drained(soak: soaks.Soak) -> list[str]:
     late = []
     for target in soak.running.target_by_name.values():
-        arrivals = zip(target.received, target.names_received, strict=True)
-        for received, name in arrivals:
-            left = target.left_at_by_name.get(name)
+        arrivals = zip(target.received, target.lives_received, strict=True)
+        for received, life in arrivals:
+            left = target.left_at_by_life.get(life)
             if left is not None and received.at > left + soaks.DRAIN_WITHIN:
-                late.append(f"{name} {received.at - left:.1f} s after")
+                late.append(f"{life.name} {received.at - left:.1f} s after")
     return late
 
 
+@soaks.promise("a target that returned gets work")
+def _returned(soak: soaks.Soak) -> list[str]:
+    """Its process takes it for what it is, though its name is an old one.
+
+    One that counts as silent, or as gone, has work until its lease is over, and
+    none from then on.
+    """
+    return [
+        f"{life.name} beside {place} had none for {until - since:.1f} s"
+        for place, life in soak.returns
+        for since, until in _without_work(soak, place, life)
+        if _left_alone(soak, place, since, until)
+        and not _meet(soak.stops_by_place[place], since, until)
+    ]
+
+
+def _without_work(
+    soak: soaks.Soak, place: str, life: announcement.Life
+) -> list[tuple[float, float]]:
+    """Spans in which a life that was known had no work for too long."""
+    target = soak.running.target_by_name[place]
+    known = target.known_at_by_life.get(life)
+    if known is None:
+        return []
+    arrivals = zip(target.received, target.lives_received, strict=True)
+    at = [received.at for received, found in arrivals if found == life]
+    ended = soak.ended_at_by_life.get(life, soak.over_at)
+    times = [known, *(when for when in at if known < when < ended), ended]
+    return [
+        (since, until)
+        for since, until in itertools.pairwise(times)
+        if until - since > soaks.WORK_WITHIN + soak.late(since, until)
+    ]
+
+
 @soaks.promise("the configuration never goes back")
 def _forward(soak: soaks.Soak) -> list[str]:
     """A run of a process that served a version serves no older one later."""
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from forklift import announcement
 from forklift import dialect as dialects
 from forklift.shell import wire
 
@@ -19,6 +20,8 @@
 _LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 _END = b"\r\n\r\n"
 _HEALTH = b"GET /health "
+# Milliseconds between the births of two lives of one name.
+RESTART_MS = 1000
 # Seconds that a slow answer takes.
 SLOW = 0.05
 _NO_LINGER = struct.pack("ii", 1, 0)
@@ -226,8 +229,11 @@
         name: str = "t",
         slots: int = 4,
         strict: bool = False,
+        born: int = 0,
     ):
         self.name = name
+        # Unix milliseconds of its start; 0 where it tells none.
+        self.born = born
         # Whether it refuses what was meant for a target of another name.
         self.strict = strict
         self.slots = slots
@@ -246,10 +252,13 @@
         self.address = ""
         # Where others reach it, if that is another address.
         self.public = ""
-        # Loop seconds when its word that it leaves was acknowledged, by name.
-        self.left_at_by_name: dict[str, float] = {}
-        # Its name when each request arrived.
-        self.names_received: list[str] = []
+        # Loop seconds when its word that it leaves was acknowledged, and when
+        # its first heartbeat was, by life.
+        self.left_at_by_life: dict[announcement.Life, float] = {}
+        self.known_at_by_life: dict[announcement.Life, float] = {}
+        # Its life when each request arrived.
+        self.lives_received: list[announcement.Life] = []
+        self._connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -263,6 +272,19 @@
         for task in list(self._tasks):
             task.cancel()
 
+    @property
+    def life(self) -> announcement.Life:
+        """The run that it is in."""
+        return announcement.Life(self.name, self.born)
+
+    def restart(self) -> None:
+        """Crashes, and starts again under its name: it knows nothing."""
+        self.born += RESTART_MS
+        self.leaving = False
+        self.script.clear()
+        for connection in self._connections:
+            connection.reset()
+
     def heartbeat(self, service: str, domain: str, sequence: int) -> bytes:
         """The body of a heartbeat, as the platform's targets send it."""
         said = {
@@ -279,6 +301,8 @@
                 "cold-remaining-ms": 0,
             },
         }
+        if self.born:
+            said["born"] = self.born
         return json.dumps(said).encode()
 
     def _health(self, connection: Connection) -> bytes:
@@ -298,6 +322,7 @@
         connection = Connection(
             self.connections, reader, writer, self.names, self.release
         )
+        self._connections.add(connection)
         try:
             while not writer.is_closing():
                 received = await connection.read()
@@ -313,10 +338,14 @@
                     await _misdirected(connection, received)
                     continue
                 self.received.append(received)
-                self.names_received.append(self.name)
+                self.lives_received.append(self.life)
                 name = self.script.pop(0) if self.script else "well"
                 self.played.append(name)
                 await fault_by_name[name](connection, received)
+        except ConnectionError:
+            # It was reset, by a fault or by a restart.
+            return
         finally:
+            self._connections.discard(connection)
             self.hung_up += 1
             writer.close()
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -9,13 +9,16 @@
 import collections
 import contextlib
 import dataclasses
+import math
 import random
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from forklift import announcement
 from forklift.platform import names
 from forklift.platform import store
+from forklift.shell import announced
 from forklift.shell import client
 from forklift.shell import registry
 from forklift_lab import kept
@@ -63,6 +66,18 @@
 # Seconds within which all must serve again once the faults are over: a bound
 # against hanging, far above what it takes.
 RECOVER_WITHIN = 90.0
+# Seconds within which a target that returned has work after its first heartbeat
+# was taken: its process sends it some after 0.7 s without any.
+WORK_WITHIN = 4.0
+# Seeds from this one on also let targets return; those before stay what they
+# were when they were kept.
+RETURNS_FROM = 10_000
+# Milliseconds between two heartbeats, as processes of such seeds are told, and
+# the seconds that are played on, in which the lease of a target that is taken
+# for silent ends and its work is missed.
+HEARTBEAT_MS = 500
+OUTLIVES = announced.MISSED_HEARTBEATS * HEARTBEAT_MS / 1000
+OUTLIVES += announced.HEARTBEAT_LATE + WORK_WITHIN + 0.5
 # Pause of a caller between two requests, seconds.
 THINKS = 0.1
 
@@ -135,9 +150,19 @@
         self.runs_by_place: collections.Counter[str] = collections.Counter()
         self.lives: collections.Counter[str] = collections.Counter()
         self.over = False
+        self.over_at = math.inf
         # When this loop was late, and by how much.
         self.lateness: list[tuple[float, float]] = []
-        self.theme = self.rng.choice(THEMES)
+        # Lives that began under a name that was used before, with the process
+        # beside, and when each life ended.
+        self.returns: list[tuple[str, announcement.Life]] = []
+        self.ended_at_by_life: dict[announcement.Life, float] = {}
+        self._returning = seed >= RETURNS_FROM
+        themes = (*THEMES, RETURNS) if self._returning else THEMES
+        self.theme = self.rng.choice(themes)
+        self._troubles = list(names_by_theme[self.theme])
+        if self._returning and self.theme != RETURNS:
+            self._troubles += names_by_theme[RETURNS]
         self._number = 0
 
     def now(self) -> float:
@@ -321,6 +346,9 @@
         breaches = []
         if not await self.recovered():
             breaches.append("not all processes served again")
+        if self._returning:
+            await asyncio.sleep(OUTLIVES)
+        self.over_at = self.now()
         self.over = True
         await asyncio.gather(watching, *callers)
         return breaches + list(check(self))
@@ -328,7 +356,7 @@
     async def trouble(self) -> None:
         """Waits a while, then makes one trouble."""
         await asyncio.sleep(self.rng.uniform(0.0, SECONDS))
-        name = self.rng.choice(names_by_theme[self.theme])
+        name = self.rng.choice(self._troubles)
         place = self.rng.choice(self.running.places)
         self.tell(f"{name} at {place.name}")
         await trouble_by_name[name](self, place)
@@ -372,10 +400,19 @@
 
     def rename(self, place: programs.Place) -> None:
         """Another target begins at the address of the one beside a process."""
+        self.ended_at_by_life[self.target(place).life] = self.now()
         self.lives[place.name] += 1
         name = f"i-{place.name}-{self.lives[place.name]}"
         self.target(place).name = name
 
+    def bring_back(self, place: programs.Place) -> None:
+        """The target beside a process crashes, and is back under its name."""
+        target = self.target(place)
+        self.ended_at_by_life[target.life] = self.now()
+        target.restart()
+        self.returns.append((place.name, target.life))
+        self.tell(f"{target.life.name} is back")
+
     def relays(self, place: programs.Place) -> programs.Relays:
         """The relays around a process."""
         return self.running.relays_by_name[place.name]
@@ -411,6 +448,8 @@
 # What a seed draws from: all troubles, or such as leave processes alone, or
 # planned work alone. Others would excuse what these are to show.
 ALL, NEWS, PLANNED = THEMES = ("all", "news", "planned")
+# Targets that start again under their names.
+RETURNS = "returns"
 names_by_theme: dict[str, list[str]] = collections.defaultdict(list)
 
 
@@ -419,8 +458,10 @@
 
     def register(function: Trouble) -> Trouble:
         trouble_by_name[name] = function
-        for theme in (ALL, *themes):
+        for theme in themes:
             names_by_theme[theme].append(name)
+        if RETURNS not in themes:
+            names_by_theme[ALL].append(name)
         return function
 
     return register
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -178,7 +178,7 @@
         return
     target.leaving = True
     for _ in range(20):
-        if target.name in target.left_at_by_name:
+        if target.life in target.left_at_by_life:
             break
         await asyncio.sleep(programs.HEARTBEAT_EVERY / 2)
     await asyncio.sleep(soaks.DRAIN_WITHIN + 1.0)
@@ -186,6 +186,41 @@
     target.leaving = False
 
 
+@soaks.trouble("target-returns", soaks.RETURNS)
+async def _target_returns(soak: soaks.Soak, place: programs.Place) -> None:
+    """A target crashes and starts again under its name, some times in a row."""
+    for _ in range(soak.rng.randint(1, 3)):
+        soak.bring_back(place)
+        await asyncio.sleep(soak.rng.uniform(0.1, 3.0))
+
+
+@soaks.trouble("target-returns-behind-a-cut", soaks.RETURNS)
+async def _target_returns_unseen(
+    soak: soaks.Soak, place: programs.Place
+) -> None:
+    """Nothing of its connections reaches its process meanwhile."""
+    way = soak.relays(place).target
+    with soak.cut(place.name):
+        way.silence(relay.Way.DOWN)
+        await asyncio.sleep(soak.rng.uniform(0.0, 1.0))
+        soak.bring_back(place)
+        await asyncio.sleep(soak.rng.uniform(0.0, 2.0))
+        way.heal()
+
+
+@soaks.trouble("target-returns-as-its-process-does", soaks.RETURNS)
+async def _both_return(soak: soaks.Soak, place: programs.Place) -> None:
+    soak.bring_back(place)
+    await _kill(soak, place)
+
+
+@soaks.trouble("targets-return", soaks.RETURNS)
+async def _targets_return(soak: soaks.Soak, place: programs.Place) -> None:
+    for one in _part(soak):
+        soak.bring_back(one)
+        await asyncio.sleep(soak.rng.uniform(0.0, 0.5))
+
+
 def _part(soak: soaks.Soak) -> list[programs.Place]:
     """A third, half or all but one of the processes."""
     places = soak.running.places
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from forklift import announcement
 from forklift.platform import names
 from forklift.shell import client
 from forklift.shell import wire
@@ -22,7 +23,9 @@
 #      version was late where the store served some and connections had died.
 #   4001, 4009: the same.
 #   4013, 4016: a planned stop cut off requests that had come in pieces.
-SEEDS = (2, 4001, 4009, 4013, 4016)
+#   10000: targets that started again under their names got no work once the
+#      lease of their earlier lives was over, where names alone were remembered.
+SEEDS = (2, 4001, 4009, 4013, 4016, 10_000)
 
 
 # When the store had acknowledged version 2, and when that is due for certain.
@@ -33,6 +36,14 @@
 SETTLED = ACKNOWLEDGED - soak.SETTLES
 # When a read that waits was lost, and is not given up in time.
 LOST = ACKNOWLEDGED - soak.GIVES_UP + 1.0
+# A target, and when it was known to be back.
+LIFE = announcement.Life("t", 2)
+WORKED = 30.0 + soak.WORK_WITHIN
+BACK = {
+    "returns": [("p", LIFE)],
+    "known": {LIFE: 30.0},
+    "over": WORKED + 0.2,
+}
 SPAN = [(ACKNOWLEDGED + 1.0, DUE)]
 
 
@@ -47,8 +58,9 @@
     def __init__(self, *arrivals: tuple[str, float]):
         self.received = [received(name, at) for name, at in arrivals]
         self.played = ["well"] * len(arrivals)
-        self.names_received = ["t"] * len(arrivals)
-        self.left_at_by_name: dict[str, float] = {}
+        self.lives_received = [LIFE] * len(arrivals)
+        self.left_at_by_life: dict[announcement.Life, float] = {}
+        self.known_at_by_life: dict[announcement.Life, float] = {}
         self.arrived = {name for name, _ in arrivals}
 
 
@@ -64,7 +76,8 @@
 def breaches(arrivals=(), told=(), **changes) -> list[str]:
     """What the promises say of these arrivals and answers."""
     target = Target(*arrivals)
-    target.left_at_by_name = changes.get("left", {})
+    target.left_at_by_life = changes.get("left", {})
+    target.known_at_by_life = changes.get("known", {})
     target.arrived |= changes.get("arrived", set())
     running = types.SimpleNamespace(
         target_by_name={"p": target},
@@ -81,6 +94,9 @@
     found.starts_by_place.update(changes.get("starts", {}))
     found.died_at_by_place.update(changes.get("died", {}))
     found.unserved_by_place.update(changes.get("unserved", {}))
+    found.returns = changes.get("returns", [])
+    found.ended_at_by_life = changes.get("ended", {})
+    found.over_at = changes.get("over", LATE)
     return soak.check(found)
 
 
@@ -140,7 +156,12 @@
         ),
         (
             "a leaving target gets no work",
-            {"arrivals": [("u-1", 9.0)], "left": {"t": 1.0}},
+            {"arrivals": [("u-1", 9.0)], "left": {LIFE: 1.0}},
+        ),
+        ("a target that returned gets work", BACK),
+        (
+            "a target that returned gets work",
+            {**BACK, "arrivals": [("u-1", 29.0), ("s-2", WORKED + 0.1)]},
         ),
     ],
 )
@@ -148,6 +169,43 @@
     assert [text.split(":")[0] for text in breaches(**case)] == [promise]
 
 
+@pytest.mark.parametrize(
+    "case",
+    [
+        {"arrivals": [("u-1", WORKED - 0.1)]},
+        {"known": {}},
+        {"ended": {LIFE: WORKED - 0.1}},
+        {"harms": [(29.0, 31.0)]},
+        {"stops": {"p": [(29.0, 31.0)]}},
+        {"cuts": {"p": [(29.0, 31.0)]}},
+        {"lateness": [(31.0, 70.0)]},
+    ],
+    ids=[
+        "it has some",
+        "it said nothing yet",
+        "it ended before",
+        "its process was killed",
+        "its process stops",
+        "its process is cut off",
+        "a late loop",
+    ],
+)
+def test_a_returned_target_is_not_without_work(case):
+    assert breaches(**{**BACK, **case}) == []
+
+
+def test_seeds_that_were_kept_draw_what_they_drew_when_they_failed():
+    for seed in SEEDS:
+        if seed >= soak.RETURNS_FROM:
+            continue
+        kept_one = soak.Soak(seed, None)
+        assert not set(kept_one._troubles) & set(
+            soak.names_by_theme[soak.RETURNS]
+        )
+    drawn = {soak.Soak(soak.RETURNS_FROM + n, None).theme for n in range(50)}
+    assert drawn == {*soak.THEMES, soak.RETURNS}
+
+
 def test_what_a_killed_process_cut_off_is_no_breach():
     told = [seen("u-1", 0), seen("s-2", 0, hung=True)]
     assert breaches([("u-1", 1.0)], told, harms=[(1.5, 1.6)]) == []
