News that asks for no answer gets none; a message carries 24 pieces of it

Cause: 235 processes that start together sent 174 pings and as many answers each in 9 s, most only to carry news, of which one took 12 pieces. Change: a ping that only carries news is not answered (what asks again, or whether a process is back, is), and one carries 24.

--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -25,7 +25,9 @@
 # Seconds between pings to processes that are taken for dead: one that starts
 # again while the store is away is met by those who know its address.
 REVIVE_PERIOD = 1.0
-RUMORS_A_PING = 12
+# News that one message carries: so much that it fits a datagram. When all start
+# at once each has news of all, and what one message lacks another must bring.
+RUMORS_A_PING = 24
 # Seconds between two tellings of news: what comes together, as when all start
 # at once, is told together.
 SPREAD_PERIOD = 0.15
@@ -114,10 +116,10 @@
             sends += self._ping_next(now)
         if now >= self._next_revival:
             self._next_revival = now + REVIVE_PERIOD
-            sends += self._ping_gone()
+            sends += self._ping_gone(now)
         return sends
 
-    def _ping_gone(self) -> list[Send]:
+    def _ping_gone(self, now: float) -> list[Send]:
         """Asks one process that is gone whether it is back."""
         gone = [
             name
@@ -126,7 +128,7 @@
         ]
         if not gone:
             return []
-        return [self._ping(self._rng.choice(gone), None)]
+        return [self._ping(self._rng.choice(gone), now)]
 
     def spread(self, name: str) -> None:
         """Has a few peers told with the next tick, others with later pings."""
@@ -141,7 +143,7 @@
         self._news = False
         self._news_at = now
         self._next_spread = now + SPREAD_PERIOD
-        return [self._ping(peer, None) for peer in self._mostly_near()]
+        return [self._ping(peer) for peer in self._mostly_near()]
 
     def _mostly_near(self) -> list[str]:
         """Peers to tell news: any one, the others in our failure domain.
@@ -173,7 +175,7 @@
             if self.directory.apply(rumor, now):
                 self.spread(rumor.info.name)
         back = message.sender.control
-        if isinstance(message, messages.Ping):
+        if isinstance(message, messages.Ping) and message.wants_answer:
             pong = messages.Pong(
                 messages.sender(self.directory.own),
                 message.number,
@@ -217,7 +219,7 @@
             self._misses_by_name[name] += 1
             if name in self.directory.member_by_name:
                 # The connection may have fallen silent, in either direction.
-                sends.append(self._ping(name, None, again=True))
+                sends.append(self._ping(name, now, again=True))
             if self._misses_by_name[name] < MISSES:
                 continue
             if self.directory.judge(name, Liveness.SUSPECT, now):
@@ -236,15 +238,17 @@
             name = self._round.pop()
             member = self.directory.member_by_name.get(name)
             if member is not None and member.usable:
-                return [self._ping(name, now)]
+                ping = self._ping(name, now)
+                waiting = (name, now + PONG_WAIT)
+                self._waiting_by_number[self._number] = waiting
+                return [ping]
         return []
 
-    def _ping(self, name: str, now: float | None, again: bool = False) -> Send:
+    def _ping(
+        self, name: str, now: float | None = None, again: bool = False
+    ) -> Send:
         """A ping; without `now` it only carries news, no answer is due."""
         self._number += 1
-        if now is not None:
-            waiting = (name, now + PONG_WAIT)
-            self._waiting_by_number[self._number] = waiting
         ping = messages.Ping(
             self.directory.own,
             self._number,
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -417,7 +417,7 @@
 
 
 class Ping(_Wire, tag=40):
-    """A heartbeat with news; the receiver answers with a Pong.
+    """A heartbeat with news; the receiver answers with a Pong where one is due.
 
     Attributes:
         sender: Who sends it.
@@ -436,6 +436,11 @@
     rumors: tuple[Rumor, ...]
     again: bool = False
 
+    @property
+    def wants_answer(self) -> bool:
+        """Whether a Pong is due."""
+        return self.sent > 0
+
 
 class Pong(_Wire, tag=41):
     """Answer to a Ping."""
