A heartbeat of a service that nobody names is counted as unreadable

Cause: it was logged on its own each time, up to the bound on all warnings. Change: counted and logged as other words that name nothing to use.

--- a/forklift/shell/announced.py
+++ b/forklift/shell/announced.py
@@ -10,6 +10,7 @@
 from forklift import dialect
 from forklift import gate
 from forklift import settings
+from forklift import unreadable
 from forklift.shell import beside as besides
 from forklift.shell import clock as clocks
 from forklift.shell import pool as pools
@@ -63,10 +64,10 @@
         before = self._lives.name(said.life.target)
         if not self._is_served(said.service):
             # It names no target to use; what it said before holds.
-            _log.warning(
-                "heartbeat_refused",
+            unreadable.note(
+                unreadable.Source.HEARTBEAT,
+                f"the configuration has no service {said.service}",
                 target=said.life.name,
-                detail=f"the configuration has no service {said.service}",
             )
             return
         word = self._lives.heard(said.life, said.sequence, now)
