Logs tell when a target crashed, and what it was running

Cause of the gap: a broken answer and a crash wrote the same line, and no line told the content of a request, so hypotheses on who remembers what could not be told apart. Each run is noted with a fingerprint of method, host, path, caller and body; a target whose answer broke is connected to, which one that lives takes and keeps for the next request. No request is refused or sent elsewhere by it.

--- a/forklift/dialect.py
+++ b/forklift/dialect.py
@@ -20,6 +20,7 @@
         signature: Present on every answer that a target itself produced.
         target: Name of the target, on answers to health checks.
         load: Running, waiting and slots of a target, joined by commas.
+        credentials: Tell a caller from others.
     """
 
     request_id: bytes
@@ -30,6 +31,12 @@
     signature: bytes
     target: bytes
     load: bytes
+    credentials: tuple[bytes, ...] = (
+        b"authorization",
+        b"api-key",
+        b"x-api-key",
+        b"cookie",
+    )
 
     def set_by_fleet(self) -> frozenset[bytes]:
         """Fields of a request that forklift sets, whatever was sent."""
--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -165,6 +165,11 @@
         """Whether the target starts no request any more."""
         return self.state in (State.PAUSED, State.DRAINING, State.LEFT)
 
+    @property
+    def left(self) -> bool:
+        """Whether the target said that it leaves."""
+        return self.state in (State.DRAINING, State.LEFT)
+
     def load(self, now: float, route: str = "") -> messages.Load:
         """Its load and state, as others are told.
 
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -44,6 +44,7 @@
     SHED = "shed"
     STALE = "stale"
     TARGET_BROKE = "target-broke"
+    TARGET_CRASHED = "target-crashed"
     TIMEOUT = "timeout"
     UNPROVEN = "unproven"
     UNKNOWN_TARGET = "unknown-target"
@@ -161,6 +162,7 @@
             when that has passed.
         wait: Whether it waits for a slot, rather than being refused.
         start_within: Seconds, when sent, within which it must have started.
+        fingerprint: Tells it from all others; the same when it comes again.
     """
 
     id: int
@@ -184,6 +186,7 @@
     aim: float = 0.0
     wait: bool = False
     start_within: float = math.inf
+    fingerprint: bytes = b""
 
 
 class Body(_Wire, tag=4):
--- a/forklift/shell/announced.py
+++ b/forklift/shell/announced.py
@@ -127,8 +127,15 @@
             self._on_change()
             return
         _log.info("target_returned", target=name, before=before)
+        self._crashed(before)
         self._remove(before)
 
+    def _crashed(self, name: str) -> None:
+        """A target is gone that did not say that it leaves."""
+        site = self._beside.site_by_target.get(name)
+        if site is not None:
+            self._beside.crashed(site)
+
     def _remove(self, name: str) -> None:
         """Ends what is known of a target; what runs there has no answer."""
         self._heard_by_target.pop(name, None)
@@ -210,6 +217,7 @@
         for other, site in list(self._beside.site_by_target.items()):
             if site.pool.address == said.address and other != name:
                 # The address has another target now.
+                self._crashed(other)
                 self.recalled(other)
         service = self._in_force.catalog.services_by_name.get(said.service)
         most = service.connections if service else DEFAULT_CONNECTIONS
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -7,6 +7,7 @@
 import structlog
 
 from forklift import dialect as dialects
+from forklift import exposure as exposures
 from forklift import fences
 from forklift import gate
 from forklift import health
@@ -35,11 +36,15 @@
             its life.
         gate: Admits its requests.
         pool: Its connections.
+        exposure: What it was given and did not answer.
     """
 
     target: str
     gate: gate.Gate
     pool: pools.Pool
+    exposure: exposures.Exposure = dataclasses.field(
+        default_factory=exposures.Exposure
+    )
 
 
 class _Leaving:
@@ -240,37 +245,74 @@
             self._clock.monotonic,
         )
         sign: Sign | None = None
+        exposed = site.exposure
         try:
             remaining = ticket.deadline - self._clock.monotonic()
             async with asyncio.timeout(max(0.0, remaining)):
                 status = await run.go(
-                    lambda: self._launch(site, ticket),
+                    lambda: self._launch(site, ticket, request.fingerprint),
                     lambda: self._load(site, request.route),
                     sink,
                 )
+            exposed.survived(ticket.id)
             sign = self._sign(site.gate.service, status)
             result = exchange.answered(status, site.gate.name)
         except pools.NotSent as error:
+            exposed.survived(ticket.id)
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self.crashed(site)
             sign = _SIGN_BY_REASON.get(error.reason)
             result = exchange.not_run(error.reason)
         except upstream.AnswerBroken as error:
             sign = Sign.BROKEN
-            result = exchange.unknown(error.reason)
+            reason = error.reason
+            exposed.ended(ticket.id, self._clock.monotonic())
+            if reason is Reason.TARGET_BROKE and await self._ended(
+                site, ticket
+            ):
+                reason = Reason.TARGET_CRASHED
+            result = exchange.unknown(reason)
             _log.warning(
                 "answer_broken",
                 request=request.id,
                 target=site.gate.name,
-                reason=str(error.reason),
+                reason=str(reason),
                 detail=str(error),
             )
         except TimeoutError:
             # That it was late was noted while it ran.
             result = self._timed_out(ticket)
         finally:
+            exposed.ended(ticket.id, self._clock.monotonic())
             self._finish(site, ticket, sign)
         return dataclasses.replace(result, load=self._load(site, request.route))
 
-    def _launch(self, site: Site, ticket: gate.Ticket) -> Reason | None:
+    async def _ended(self, site: Site, ticket: gate.Ticket) -> bool:
+        """Whether a target whose answer broke off has ended.
+
+        Most that break answers off live on.
+        """
+        if not site.exposure.has(ticket.id):
+            # Another request that it ran found out already.
+            return True
+        if await site.pool.refuses() and site.exposure.has(ticket.id):
+            self.crashed(site)
+        return not site.exposure.has(ticket.id)
+
+    def crashed(self, site: Site) -> None:
+        """A target ended; unless it said before that it leaves, it crashed."""
+        running = site.exposure.crash(self._clock.monotonic())
+        if not running or site.gate.left:
+            return
+        _log.warning(
+            "target_crashed",
+            target=site.gate.name,
+            running=[one.hex() for one in running],
+        )
+
+    def _launch(
+        self, site: Site, ticket: gate.Ticket, fingerprint: bytes
+    ) -> Reason | None:
         """The first byte is about to be sent: the point of no return."""
         now = self._clock.monotonic()
         if site.gate.leaving:
@@ -279,6 +321,7 @@
             return Reason.DEADLINE
         if not self.fences.start(ticket.id, now):
             return Reason.FENCED
+        site.exposure.begin(ticket.id, fingerprint, now)
         return None
 
     def _load(self, site: Site, route: str) -> messages.Load:
--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -78,6 +78,7 @@
         priority: Rank; 0 is the most urgent.
         aim: Monotonic seconds up to which an answer has its full worth.
         attempts: Targets that it may be sent to.
+        fingerprint: Tells it from all others; the same when it comes again.
     """
 
     id: str
@@ -95,6 +96,7 @@
     priority: int = 0
     aim: float = math.inf
     attempts: int = 3
+    fingerprint: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -18,6 +18,7 @@
 from forklift import catalog as catalogs
 from forklift import dialect as dialects
 from forklift import errors
+from forklift import fingerprint
 from forklift import messages
 from forklift.shell import answering
 from forklift.shell import exchange
@@ -392,9 +393,22 @@
             priority=route.priority,
             aim=now + route.aim,
             attempts=route.attempts,
+            fingerprint=self._fingerprint(event, body),
         )
         return request, None
 
+    def _fingerprint(self, event: h11.Request, body: exchange.Body) -> bytes:
+        headers = http.fields(event)
+        credentials = self._desk.dialect.credentials
+        return fingerprint.of(
+            event.method,
+            http.value(headers, b"host") or b"",
+            event.target,
+            tuple(http.value(headers, name) or b"" for name in credentials),
+            len(body.first) if body.complete else http.content_length(headers),
+            body.first if body.complete else b"",
+        )
+
     async def _serve(
         self,
         request: exchange.Request | None,
--- a/forklift/shell/pool.py
+++ b/forklift/shell/pool.py
@@ -11,6 +11,11 @@
 
 Reason = messages.Reason
 
+# Seconds in which a target whose answer broke off must take a connection, or
+# refuse it as one that ended does; it is on this instance.
+LOOK_TIMEOUT = 0.25
+# Seconds that a connection is kept which was made to look.
+LOOK_IDLE = 0.8
 # Seconds until a target beside must have taken a connection.
 CONNECT_TIMEOUT = 1.0
 # Work that must not repeat takes a connection only this soon after its last
@@ -95,11 +100,24 @@
         while self._idle:
             self.discard(self._idle.pop().connection)
 
-    async def _connect(self) -> wire.Connection:
+    async def refuses(self) -> bool:
+        """Whether nothing listens at the target's address any more."""
+        if self.open >= self.most:
+            return False
+        try:
+            connection = await self._connect(LOOK_TIMEOUT)
+        except NotSent as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self.give(connection, LOOK_IDLE)
+        return False
+
+    async def _connect(
+        self, timeout: float = CONNECT_TIMEOUT
+    ) -> wire.Connection:
         self.open += 1
         try:
             connection = await asyncio.wait_for(
-                wire.connect(self.address), CONNECT_TIMEOUT
+                wire.connect(self.address), timeout
             )
         except (OSError, TimeoutError) as error:
             self.open -= 1
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -407,6 +407,7 @@
             repeatable=start.repeatable,
             origin=start.origin,
             priority=start.priority,
+            fingerprint=start.fingerprint,
         )
         ticket = gate.Ticket(
             (served.peer.boot, start.seq),
@@ -478,6 +479,7 @@
                 repeatable=request.repeatable,
                 outcome=outcome,
                 reason=reason,
+                fingerprint=request.fingerprint.hex(),
                 status=ending.status,
                 target=result.target,
                 seconds=round(seconds, 4),
--- a/forklift/shell/sending.py
+++ b/forklift/shell/sending.py
@@ -227,4 +227,5 @@
         origin=request.origin,
         priority=request.priority,
         insist=insist,
+        fingerprint=request.fingerprint,
     )
--- a/forklift/stories.py
+++ b/forklift/stories.py
@@ -28,6 +28,7 @@
 
 _CAUSE_BY_REASON = {
     "target-broke": "the target broke the connection after it was sent",
+    "target-crashed": "the target ended while it ran it",
     "timeout": "no answer came within its time",
     "deadline": "no target was free within its time",
     "peer-lost": "the path to the process beside the target was lost",
