--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -60,8 +60,11 @@
         writer,
         names: dialects.Dialect,
         release: asyncio.Event,
+        crash: Callable[[], None],
     ):
         self.release = release
+        # Ends the target with all its connections.
+        self.crash = crash
         self.number = number
         self.reader = reader
         self.writer = writer
@@ -213,6 +216,11 @@
     connection.send(connection.answer(received))
 
 
+@fault("crash")
+async def _crash(connection: Connection, received: Received) -> None:
+    connection.crash()
+
+
 @fault("hold")
 async def _hold(connection: Connection, received: Received) -> None:
     await connection.release.wait()
@@ -247,6 +255,9 @@
         self.played: list[str] = []
         self.connections = 0
         self.hung_up = 0
+        # Part of the head of requests that crash it, whenever one arrives.
+        self.crashes_on = b""
+        self.crashes = 0
         # Lets requests go that are held.
         self.release = asyncio.Event()
         self.address = ""
@@ -285,6 +296,30 @@
         for connection in self._connections:
             connection.reset()
 
+    @property
+    def down(self) -> bool:
+        """Whether it crashed and is not back."""
+        return not self._server.is_serving()
+
+    def crash(self) -> None:
+        """Ends: what it runs breaks off, and nothing can connect to it."""
+        self.crashes += 1
+        self._server.close()
+        for connection in self._connections:
+            connection.reset()
+
+    async def revive(self) -> None:
+        """Starts again at its address after a crash: it knows nothing."""
+        self.born += RESTART_MS
+        host, port = wire.split_address(self.address)
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def _fault(self, received: Received) -> str:
+        """Name of the way in which a request is answered."""
+        if self.crashes_on and self.crashes_on in received.head:
+            return "crash"
+        return self.script.pop(0) if self.script else "well"
+
     def heartbeat(self, service: str, domain: str, sequence: int) -> bytes:
         """The body of a heartbeat, as the platform's targets send it."""
         said = {
@@ -320,7 +355,12 @@
         task.add_done_callback(self._tasks.discard)
         self.connections += 1
         connection = Connection(
-            self.connections, reader, writer, self.names, self.release
+            self.connections,
+            reader,
+            writer,
+            self.names,
+            self.release,
+            self.crash,
         )
         self._connections.add(connection)
         try:
@@ -339,7 +379,7 @@
                     continue
                 self.received.append(received)
                 self.lives_received.append(self.life)
-                name = self.script.pop(0) if self.script else "well"
+                name = self._fault(received)
                 self.played.append(name)
                 await fault_by_name[name](connection, received)
         except ConnectionError:
