A request that crashed its targets is held back everywhere, and a suspect runs alone

Cause: a crash was news of the target only, beside which it was seen; the request was repeated at once and run anew wherever it came next. Change: each crash is held against what the target ran; what is answered anywhere is cleared, a suspect runs alone, so two or three crashes tell; evidence only grows and is told to all at once, by heartbeats' digests after a cut, and kept in the store past the end of all processes. Clocks count suspended time. The test of a start follows the call that runs a process, as strict as before.

--- a/forklift/gate.py
+++ b/forklift/gate.py
@@ -72,6 +72,8 @@
             refused where that takes long, as its sender may know a better one.
         start_by: Monotonic seconds by which it must have started; it is
             refused then, as its answer would come too late to wait for.
+        alone: Whether it runs only while nothing else does: it may crash the
+            target, and what ran beside it would be lost, and suspected too.
     """
 
     id: tuple[int, int]
@@ -83,6 +85,7 @@
     route: str = ""
     wait: bool = True
     start_by: float = math.inf
+    alone: bool = False
 
     @property
     def latest_start(self) -> float:
@@ -203,10 +206,10 @@
         reason = self._unfit(ticket, now)
         if reason is not None:
             return self._refuse(ticket, reason)
-        if self.running < self.slots and not self._waiting:
+        if self._fits(ticket) and not self._waiting:
             return self._start(ticket, now)
         place = (ticket.priority, ticket.aim, self._arrivals + 1)
-        wait = self._expected_wait(place, now)
+        wait = self._expected_wait(place, now, ticket.alone)
         takes = self._usual(ticket, now).expected
         late = now + wait + takes > ticket.deadline
         late = late or now + wait > ticket.start_by
@@ -296,18 +299,30 @@
         return self.latencies.of(ticket.route, ticket.aim - now)
 
     def _expected_wait(
-        self, place: tuple[int, float, int], now: float
+        self, place: tuple[int, float, int], now: float, alone: bool
     ) -> float:
         """Seconds until a slot is likely for one that waits at a place."""
         free = [self._residual(r, now) for r in self._running_by_id.values()]
-        free += [0.0] * (self.slots - len(free))
+        closed = max(free) if self._closed else 0.0
+        free += [closed] * (self.slots - len(free))
         heapq.heapify(free)
         for ahead, ticket in self._waiting:
             if ahead > place:
                 break
             mean = self._usual(ticket, now).mean
             heapq.heapreplace(free, free[0] + mean)
-        return free[0]
+        return max(free) if alone else free[0]
+
+    @property
+    def _closed(self) -> bool:
+        """Whether one runs that runs alone."""
+        return any(run.ticket.alone for run in self._running_by_id.values())
+
+    def _fits(self, ticket: Ticket) -> bool:
+        """Whether there is a slot for a request."""
+        if ticket.alone:
+            return not self.running
+        return self.running < self.slots and not self._closed
 
     def _residual(self, running: _Running, now: float) -> float:
         """Seconds that a running request is expected to take on."""
@@ -343,16 +358,21 @@
     def _next(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         while self._waiting and self.running < self.slots:
-            ticket = self._take(now)
+            index = self._first(now)
+            ticket = self._waiting[index][1]
             reason = self._unfit(ticket, now)
+            if reason is None and not self._fits(ticket):
+                # One that runs alone holds up the others, or never began.
+                break
+            del self._waiting[index]
             if reason is not None:
                 decisions.append(self._refuse(ticket, reason))
             else:
                 decisions.append(self._start(ticket, now))
         return decisions
 
-    def _take(self, now: float) -> Ticket:
-        """Takes the one that waits and goes next.
+    def _first(self, now: float) -> int:
+        """Place of the one that waits and goes next.
 
         Among equally urgent ones, those go first whose answer can still have
         its full worth: to serve in order while all are late would make every
@@ -363,8 +383,8 @@
             if ticket.priority != priority:
                 break
             if now + self._usual(ticket, now).median <= ticket.aim:
-                return self._waiting.pop(index)[1]
-        return self._waiting.pop(0)[1]
+                return index
+        return 0
 
     def _expire(self, now: float) -> list[Decision]:
         waiting = [entry[1] for entry in self._waiting]
--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -10,11 +10,14 @@
 import dataclasses
 import math
 import random
+from collections.abc import Callable
 
 from forklift import membership
 from forklift import messages
 from forklift import overlay
 
+# What tells the digest of this process's quarantine.
+Digest = Callable[[], int]
 Liveness = messages.Liveness
 
 PEERS = 48
@@ -58,8 +61,14 @@
 class Gossip:
     """Decides whom to tell what: pings, rumors, syncs."""
 
-    def __init__(self, directory: membership.Directory, rng: random.Random):
+    def __init__(
+        self,
+        directory: membership.Directory,
+        rng: random.Random,
+        evidence: Digest = lambda: 0,
+    ):
         self.directory = directory
+        self._evidence = evidence
         self._rng = rng
         self._number = 0
         self._round: list[str] = []
@@ -181,6 +190,7 @@
                 message.number,
                 self.directory.digest(),
                 self._rumors(),
+                self._evidence(),
             )
             sends.append(Send(back, pong, message.again))
         elif isinstance(message, messages.Pong):
@@ -194,7 +204,10 @@
 
     def join(self, address: str) -> Send:
         """Asks a process that is known by address only for all it knows."""
-        return Send(address, messages.SyncRequest(self.directory.own))
+        return Send(address, self._sync_request())
+
+    def _sync_request(self) -> messages.SyncRequest:
+        return messages.SyncRequest(self.directory.own, self._evidence())
 
     def leave(self) -> list[Send]:
         """Tells peers that this process is leaving for good."""
@@ -203,7 +216,9 @@
         sends = []
         for name in self.peers()[: FAN_OUT * 4]:
             address = self.directory.member_by_name[name].info.control
-            ping = messages.Ping(own, 0, 0.0, 0, (rumor,))
+            ping = messages.Ping(
+                own, 0, 0.0, 0, (rumor,), evidence=self._evidence()
+            )
             sends.append(Send(address, ping))
         return sends
 
@@ -256,6 +271,7 @@
             self.directory.digest(),
             self._rumors(about=name),
             again,
+            self._evidence(),
         )
         address = self.directory.member_by_name[name].info.control
         return Send(address, ping, again)
@@ -294,8 +310,7 @@
         if same or settling or now < self._next_sync:
             return []
         self._next_sync = now + SYNC_PERIOD
-        request = messages.SyncRequest(self.directory.own)
-        return [Send(message.sender.control, request)]
+        return [Send(message.sender.control, self._sync_request())]
 
     def _everything(self, wanted: frozenset[str]) -> list[messages.SyncReply]:
         """Members that share a wanted service; all where none is named."""
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -41,6 +41,7 @@
     NO_TARGET = "no-target"
     NO_SERVICE = "no-service"
     PEER_LOST = "peer-lost"
+    QUARANTINED = "quarantined"
     SHED = "shed"
     STALE = "stale"
     TARGET_BROKE = "target-broke"
@@ -163,6 +164,8 @@
         wait: Whether it waits for a slot, rather than being refused.
         start_within: Seconds, when sent, within which it must have started.
         fingerprint: Tells it from all others; the same when it comes again.
+        alone: Whether it runs only where nothing else does: a target crashed
+            that was running it.
     """
 
     id: int
@@ -187,6 +190,7 @@
     wait: bool = False
     start_within: float = math.inf
     fingerprint: bytes = b""
+    alone: bool = False
 
 
 class Body(_Wire, tag=4):
@@ -433,6 +437,7 @@
         rumors: News.
         again: Whether an earlier one was not answered, so that the answer goes
             over a new connection.
+        evidence: Digest of the sender's quarantine; 0 of an empty one.
     """
 
     sender: ProcessInfo
@@ -441,6 +446,7 @@
     digest: int
     rumors: tuple[Rumor, ...]
     again: bool = False
+    evidence: int = 0
 
     @property
     def wants_answer(self) -> bool:
@@ -455,12 +461,14 @@
     number: int
     digest: int
     rumors: tuple[Rumor, ...]
+    evidence: int = 0
 
 
 class SyncRequest(_Wire, tag=42):
-    """Asks for all that the receiver knows of processes."""
+    """Asks for all that the receiver knows of processes, and its quarantine."""
 
     sender: ProcessInfo
+    evidence: int = 0
 
 
 class SyncReply(_Wire, tag=43):
@@ -536,6 +544,63 @@
     again: bool = False
 
 
+class Crash(_Wire):
+    """The end of a target while it ran a request.
+
+    Attributes:
+        id: Drawn by the process beside the target.
+        age: Seconds since then, when sent.
+        alone: Whether the target ran nothing else.
+        void: Whether the request turned out not to be the cause.
+    """
+
+    id: int
+    age: float
+    alone: bool
+    void: bool
+
+
+class Evidence(_Wire):
+    """What there is against a request.
+
+    Attributes:
+        fingerprint: Of the request.
+        crashes: Targets that crashed while they ran it.
+    """
+
+    fingerprint: bytes
+    crashes: tuple[Crash, ...]
+
+
+class Suspects(_Wire, tag=54):
+    """Requests that may have crashed targets.
+
+    Attributes:
+        sender: Who tells.
+        digest: Of all that the sender knows of such requests.
+        evidence: News, or a part of all.
+        ask: Whether this is the last part of all it knows, and the receiver
+            is to tell its own where it knows more.
+    """
+
+    sender: Sender
+    digest: int
+    evidence: tuple[Evidence, ...]
+    ask: bool = False
+
+
+class KeptEvidence(_Wire, tag=23):
+    """What the store keeps of a request that is held back.
+
+    Attributes:
+        at: Time of day when it was written, seconds since the epoch.
+        evidence: What there was against it then.
+    """
+
+    at: float
+    evidence: Evidence
+
+
 Control: TypeAlias = (
     Ping
     | Pong
@@ -545,11 +610,13 @@
     | LeavingTargets
     | CatalogVersion
     | CatalogRequest
+    | Suspects
 )
 
 _encoder = msgspec.msgpack.Encoder()
 _frames = msgspec.msgpack.Decoder(Frame)
 _records = msgspec.msgpack.Decoder(Announcement)
+_kept = msgspec.msgpack.Decoder(KeptEvidence)
 _controls = msgspec.msgpack.Decoder(Control)
 
 
@@ -614,6 +681,32 @@
     return record
 
 
+def decode_kept(data: bytes) -> KeptEvidence:
+    """Decodes a record of a request that is held back.
+
+    Raises:
+        Malformed: No process of ours wrote it.
+    """
+    kept = _decode(_kept, data)
+    ages = [crash.age for crash in kept.evidence.crashes]
+    if not all(map(math.isfinite, (kept.at, *ages))):
+        raise Malformed("a number out of range")
+    return kept
+
+
+def aged(evidence: Evidence, seconds: float) -> Evidence:
+    """Evidence some time after it was told.
+
+    >>> aged(Evidence(b"f", (Crash(1, 2.0, True, False),)), 3.0).crashes[0].age
+    5.0
+    """
+    crashes = tuple(
+        Crash(one.id, one.age + seconds, one.alone, one.void)
+        for one in evidence.crashes
+    )
+    return Evidence(evidence.fingerprint, crashes)
+
+
 def decode_control(data: bytes) -> Control:
     """Decodes a control message.
 
--- a/forklift/ports.py
+++ b/forklift/ports.py
@@ -51,6 +51,9 @@
     async def announce(self, name: str, data: bytes) -> None:
         """Announces a process, in place of what it announced before.
 
+        Other records that all are to read may stand beside those of processes.
+        Empty data drops a record.
+
         Raises:
             errors.RegistryUnavailable: No answer; it may have happened.
         """
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -141,6 +141,8 @@
         running: Requests in flight in any role.
         connections: Connections of callers.
         incarnation: Rises with each pause of the process.
+        held: Seconds for which requests are held back that crashed targets,
+            by fingerprint.
         store: Calls to the store, and how many of them failed.
     """
 
@@ -152,6 +154,7 @@
     running: int
     connections: int
     incarnation: int
+    held: dict[str, float]
     store: dict[str, int]
 
 
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import secrets
 
 import msgspec
 import structlog
@@ -13,6 +14,7 @@
 from forklift import health
 from forklift import messages
 from forklift import policy
+from forklift import quarantine as quarantines
 from forklift.shell import exchange
 from forklift.shell import pool as pools
 from forklift.shell import upstream
@@ -21,6 +23,8 @@
 Reason = messages.Reason
 Sign = health.Sign
 
+# Of the identity of a crash: two are never the same in a fleet.
+_CRASH_BITS = 63
 _SIGN_BY_REASON = {
     Reason.CONNECT_FAILED: Sign.UNREACHABLE,
     Reason.SHED: Sign.SHED,
@@ -89,12 +93,16 @@
         clock,
         on_change,
         failing=lambda service, now: 0,
+        quarantine: quarantines.Quarantine | None = None,
+        on_evidence=lambda: None,
     ):
         self._dialect = dialect
         self._program = program
         self._clock = clock
         self._on_change = on_change
         self._failing = failing
+        self._quarantine = quarantine or quarantines.Quarantine()
+        self._on_evidence = on_evidence
         self.site_by_target: dict[str, Site] = {}
         self.fences = fences.Fences()
         # Names that targets had before the time of their birth was told.
@@ -164,6 +172,13 @@
             return exchange.not_run(Reason.UNKNOWN_TARGET)
         if not self.fences.may_start(ticket.id):
             return self._fenced(ticket)
+        now = self._clock.monotonic()
+        fingerprint = request.fingerprint
+        held = self._quarantine.held_for(fingerprint, now)
+        if held:
+            return exchange.not_run(Reason.QUARANTINED, held)
+        if self._quarantine.suspects(fingerprint, now):
+            ticket = dataclasses.replace(ticket, alone=True)
         if ticket.repeatable:
             return await self._admitted(site, ticket, request, sink)
         kept = _Leaving(sink)
@@ -255,6 +270,7 @@
                     sink,
                 )
             exposed.survived(ticket.id)
+            self._survived(request.fingerprint)
             sign = self._sign(site.gate.service, status)
             result = exchange.answered(status, site.gate.name)
         except pools.NotSent as error:
@@ -262,7 +278,9 @@
             if isinstance(error.__cause__, ConnectionRefusedError):
                 self.crashed(site)
             sign = _SIGN_BY_REASON.get(error.reason)
-            result = exchange.not_run(error.reason)
+            now = self._clock.monotonic()
+            held = self._quarantine.held_for(request.fingerprint, now)
+            result = exchange.not_run(error.reason, held)
         except upstream.AnswerBroken as error:
             sign = Sign.BROKEN
             reason = error.reason
@@ -301,14 +319,29 @@
 
     def crashed(self, site: Site) -> None:
         """A target ended; unless it said before that it leaves, it crashed."""
-        running = site.exposure.crash(self._clock.monotonic())
+        now = self._clock.monotonic()
+        running = site.exposure.crash(now)
         if not running or site.gate.left:
             return
+        crash = secrets.randbits(_CRASH_BITS)
+        self._quarantine.crashed(running, crash, now)
         _log.warning(
             "target_crashed",
             target=site.gate.name,
             running=[one.hex() for one in running],
+            held=[
+                one.hex()
+                for one in running
+                if self._quarantine.held_for(one, now)
+            ],
         )
+        self._on_evidence()
+
+    def _survived(self, fingerprint: bytes) -> None:
+        """The target lives, so this request does not crash each one."""
+        self._quarantine.answered(fingerprint, self._clock.monotonic())
+        if self._quarantine.has_news:
+            self._on_evidence()
 
     def _launch(
         self, site: Site, ticket: gate.Ticket, fingerprint: bytes
@@ -319,6 +352,9 @@
             return Reason.DRAINING
         if ticket.deadline <= now:
             return Reason.DEADLINE
+        if self._quarantine.held_for(fingerprint, now):
+            # It crashed others while it waited here.
+            return Reason.QUARANTINED
         if not self.fences.start(ticket.id, now):
             return Reason.FENCED
         site.exposure.begin(ticket.id, fingerprint, now)
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -18,6 +18,7 @@
 from forklift import latency
 from forklift import messages
 from forklift import policy
+from forklift import quarantine as quarantines
 from forklift import walk as walks
 from forklift.shell import beside as besides
 from forklift.shell import exchange
@@ -52,8 +53,10 @@
         program,
         clock,
         rng: random.Random,
+        quarantine: quarantines.Quarantine | None = None,
     ):
         self.name = name
+        self.quarantine = quarantine or quarantines.Quarantine()
         self.boot = boot
         self.chooser = chooser
         self.beside = beside
@@ -231,6 +234,19 @@
         sent = max(request.length, len(request.body.first))
         return (sent + self._chooser.sizes.of(request.route)) / 1024
 
+    def _held_for(self) -> float:
+        """Seconds for which it is held back, as it crashes targets."""
+        fingerprint = self._request.fingerprint
+        return self._forwarder.quarantine.held_for(fingerprint, self._now())
+
+    @property
+    def _alone(self) -> bool:
+        """Whether it runs only where nothing else does."""
+        fingerprint = self._request.fingerprint
+        quarantine = self._forwarder.quarantine
+        suspect = quarantine.suspects(fingerprint, self._now())
+        return suspect or self._walk.alone
+
     @property
     def _again(self) -> bool:
         """Whether the request can still be sent from its start."""
@@ -240,6 +256,9 @@
         result = exchange.not_run(Reason.NO_TARGET, RETRY_AFTER)
         aim = self._request.aim
         while not self._walk.too_late(self._usual, aim, self._now()):
+            held = self._held_for()
+            if held:
+                return exchange.not_run(Reason.QUARANTINED, held)
             choice = self._choose()
             if choice is None:
                 if self._held is not None:
@@ -293,7 +312,7 @@
         if ending.outcome is Outcome.NOT_RUN:
             self._walk.not_run(target, ending.reason)
             return self._again and not self._walk.hopeless
-        self._walk.ran(target)
+        self._walk.ran(target, ending.reason)
         self._note_failure(ending)
         if not self._request.repeatable:
             invariants.at_most_once(self._walk.runs, self._request.id)
@@ -351,6 +370,9 @@
         once = not request.repeatable or not request.body.again
         if once or self._walk.sends + 2 > request.attempts:
             return None
+        if self._alone:
+            # A second target is not put at risk beside the first.
+            return None
         return self._walk.patience(self._usual, request.aim, self._now())
 
     def _second(
@@ -405,6 +427,7 @@
                     insist,
                     self._walk.wait,
                     start_by,
+                    self._alone,
                 )
             return result
         finally:
@@ -437,6 +460,7 @@
             request.route,
             self._walk.wait,
             start_by,
+            self._alone,
         )
         return await self._forwarder.beside.run(
             choice.target, ticket, request, sink
--- a/forklift/shell/http.py
+++ b/forklift/shell/http.py
@@ -75,6 +75,11 @@
     messages.Reason.TIMEOUT: _Advice(
         504, "The target did not answer in time", "look up before repeating"
     ),
+    messages.Reason.QUARANTINED: _Advice(
+        503,
+        "Targets crashed while they ran this request",
+        "change it, or have its service mended; it is tried after Retry-After",
+    ),
     messages.Reason.DEADLINE: _Advice(
         503, "The deadline passed before it ran", "send it again"
     ),
--- a/forklift/shell/neighbours.py
+++ b/forklift/shell/neighbours.py
@@ -14,10 +14,13 @@
 from forklift import membership
 from forklift import messages
 from forklift import ports
+from forklift import quarantine as quarantines
+from forklift import quarantine_sync
 from forklift import readers
 from forklift import unreadable
 from forklift.shell import beside as besides
 from forklift.shell import clock as clocks
+from forklift.shell import keeping
 from forklift.shell import registry
 
 _log = structlog.get_logger(__name__)
@@ -41,9 +44,15 @@
         send: Callable[[str, messages.Control, bool], object],
         on_record: Callable[[bytes, str], None],
         on_gone: Callable[[str], None],
+        quarantine: quarantines.Quarantine | None = None,
+        on_kept: Callable[[str, bytes], None] = lambda name, data: None,
     ):
         self.directory = membership.Directory(own, membership.KEEP_ALL)
-        self.gossip = gossip.Gossip(self.directory, rng)
+        quarantine = quarantine or quarantines.Quarantine()
+        self.gossip = gossip.Gossip(self.directory, rng, quarantine.digest)
+        self.quarantine_sync = quarantine_sync.QuarantineSync(
+            self.directory, quarantine, self.gossip.peers, rng
+        )
         self.readers = readers.Readers(self.directory)
         self.dissemination = dissemination.Dissemination(
             self.directory, in_force, self.readers
@@ -60,6 +69,7 @@
         self._send_to = send
         self._on_record = on_record
         self._on_gone = on_gone
+        self._on_kept = on_kept
         # Targets that an earlier run of a process had let go.
         self._leaving_by_process: dict[str, tuple[str, ...]] = {}
 
@@ -73,11 +83,20 @@
         """Lets time pass."""
         self._send(self.gossip.tick(now))
         self._send(self.dissemination.tick(now))
+        self._send(self.quarantine_sync.tick(now))
         self._learn()
 
     def active(self, now: float) -> bool:
         """Whether there is something to tell that does not wait."""
-        return self.gossip.has_news or self.dissemination.active(now)
+        return (
+            self.gossip.has_news
+            or self.quarantine_sync.active
+            or self.dissemination.active(now)
+        )
+
+    def paused(self) -> None:
+        """This process stood still, and may have missed what others told."""
+        self._send(self.quarantine_sync.ask(self._clock.monotonic()))
 
     def leave(self) -> None:
         """Tells peers that this process is leaving."""
@@ -94,6 +113,9 @@
         for name, data in data_by_name.items():
             if name == self.directory.own.name:
                 continue
+            if name.startswith(keeping.PREFIX):
+                self._on_kept(name, data)
+                continue
             try:
                 record = messages.decode_record(name, data)
             except messages.Malformed as error:
@@ -120,6 +142,9 @@
         ):
             self._send(self.dissemination.receive(message, now))
             return
+        if isinstance(message, messages.Suspects):
+            self._send(self.quarantine_sync.receive(message, now))
+            return
         if isinstance(message, messages.LeavingTargets):
             for name in message.names:
                 self._on_gone(name)
@@ -127,6 +152,12 @@
         if isinstance(message.sender, messages.ProcessInfo):
             self._remind(message.sender)
         self._send(self.gossip.receive(message, now))
+        if not isinstance(message, messages.SyncReply):
+            self._send(
+                self.quarantine_sync.compare(
+                    message.sender.control, message.evidence, now
+                )
+            )
         if isinstance(message, messages.SyncReply):
             self._counted = True
         sender = message.sender
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -20,6 +20,7 @@
 from forklift import messages
 from forklift import policy
 from forklift import ports
+from forklift import quarantine
 from forklift import settings
 from forklift import unreadable
 from forklift.shell import announced
@@ -30,6 +31,7 @@
 from forklift.shell import forward
 from forklift.shell import framing
 from forklift.shell import ingress
+from forklift.shell import keeping
 from forklift.shell import links
 from forklift.shell import neighbours
 from forklift.shell import registry
@@ -88,6 +90,7 @@
         self.bounds: stopping.Bounds | None = None
         self.figures = figures.Figures()
         self.in_force = catalog.InForce()
+        self.quarantine = quarantine.Quarantine()
         self._build()
 
     # Construction.
@@ -117,6 +120,8 @@
             self.clock,
             self._target_changed,
             self.chooser.failing,
+            self.quarantine,
+            self._evidence,
         )
         self.announced = announced.Announced(
             self.settings,
@@ -126,6 +131,15 @@
             self.clock,
             lambda: self.neighbours.tell_all(),
         )
+        self.keeper = keeping.Keeper(
+            own.name,
+            self.quarantine,
+            self.store,
+            self.clock,
+            self._rng,
+            self.spawn,
+            lambda: self.directory.alive(),
+        )
         self.neighbours = neighbours.Neighbours(
             self._describe_first(),
             self._rng,
@@ -136,6 +150,8 @@
             self.control.send,
             self._record,
             self.announced.recalled,
+            self.quarantine,
+            self.keeper.read,
         )
         self.directory = self.neighbours.directory
         self.follower = registry.Follower(
@@ -162,6 +178,7 @@
             self.program,
             self.clock,
             self._rng,
+            self.quarantine,
         )
         self.ingress = ingress.Ingress(
             ingress.Desk(
@@ -343,6 +360,7 @@
     async def _handle(
         self, request: exchange.Request, sink: exchange.Sink
     ) -> exchange.Result:
+        self._observe()
         self.ticker.nudge()
         return await self.forwarder.run(request, sink)
 
@@ -352,6 +370,12 @@
             return None
         return ingress.Found(route, route.pick(self._rng))
 
+    def _evidence(self) -> None:
+        """What is known of requests that crash targets has changed here."""
+        # It is told ahead of the next attempt of such a request.
+        self.ticker.nudge(0.0)
+        self.keeper.crashed()
+
     def _target_changed(self, changed: gate.Gate) -> None:
         """A target's state changed: those who send to it hear at once."""
         load = changed.load(self.clock.monotonic())
@@ -419,6 +443,7 @@
             start.route,
             start.wait,
             now + start.start_within,
+            start.alone,
         )
         return await self.beside.run(start.target, ticket, request, answerer)
 
@@ -524,6 +549,7 @@
             self.ingress.tick(now)
             self.announced.expire(now)
             self.neighbours.describe()
+            self.keeper.tick()
         self.neighbours.tick(now)
         self.follower.look()
 
@@ -546,6 +572,7 @@
         _log.warning("paused", seconds=round(paused, 2))
         for site in self.beside.site_by_target.values():
             site.gate.excuse(paused)
+        self.neighbours.paused()
 
 
 def load_policy(read: settings.Settings) -> policy.Policy:
--- a/forklift/shell/registry.py
+++ b/forklift/shell/registry.py
@@ -40,7 +40,7 @@
 MEET_EVERY = 300.0
 
 
-class _Pause:
+class Pause:
     """Pauses between failed calls, which grow."""
 
     def __init__(self, rng: random.Random):
@@ -85,7 +85,7 @@
         self._waits = waits
         # Set while this process is one that waits at the store.
         self._waiting = asyncio.Event()
-        self._pause = _Pause(rng)
+        self._pause = Pause(rng)
         self._overtaken = asyncio.Event()
         self._renewed_at = -math.inf
         # Whether the last read ended by a version, as those of all others did.
@@ -211,7 +211,7 @@
     data: bytes,
     on_members: Callable[[dict[str, bytes]], None],
 ) -> None:
-    pause = _Pause(rng)
+    pause = Pause(rng)
     announced = False
     while True:
         try:
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -38,10 +38,19 @@
         proxy.running(),
         proxy.ingress.connections,
         proxy.incarnation,
+        _held(proxy),
         {"calls": proxy.store.calls, "failures": proxy.store.failures},
     )
 
 
+def _held(proxy) -> dict[str, float]:
+    now = proxy.clock.monotonic()
+    return {
+        one.hex(): round(proxy.quarantine.held_for(one, now), 1)
+        for one in proxy.quarantine.held(now)
+    }
+
+
 def explain(proxy, name: str) -> report.Explanation | None:
     """Why a target beside this process stands so; None when not here."""
     site = proxy.beside.site_by_target.get(name)
--- a/forklift/shell/sending.py
+++ b/forklift/shell/sending.py
@@ -64,6 +64,7 @@
         insist: gate.Insist,
         wait: bool,
         start_by: float,
+        alone: bool = False,
     ) -> exchange.Result:
         """Sends a request over the path to a guard.
 
@@ -74,6 +75,7 @@
             insist: How much doubt about the target it accepts.
             wait: Whether it waits there for a slot.
             start_by: Monotonic seconds by which it must have started there.
+            alone: Whether it runs only while nothing else does.
 
         Raises:
             wire.Lost: The sink is gone.
@@ -82,7 +84,7 @@
         try:
             link = await self._links.get(choice.process)
             return await self._send_over(
-                link, request, choice, sink, insist, wait, start_by
+                link, request, choice, sink, insist, wait, start_by, alone
             )
         except errors.PeerUnreachable:
             return exchange.not_run(Reason.PEER_LOST, RETRY_AFTER)
@@ -96,6 +98,7 @@
         insist: gate.Insist,
         wait: bool,
         start_by: float,
+        alone: bool = False,
     ) -> exchange.Result:
         remaining = request.deadline - self._clock.monotonic()
         if remaining <= 0:
@@ -108,6 +111,7 @@
             aim=round(request.aim - now, 3),
             wait=wait,
             start_within=start_by - now,
+            alone=alone,
         )
         to_boot = link.peer.boot
         try:
--- a/forklift/stories.py
+++ b/forklift/stories.py
@@ -40,6 +40,7 @@
     "no-configuration": "the process knew no configuration yet",
     "draining": "its target was leaving",
     "fenced": "its guard was told in time not to start it",
+    "quarantined": "targets crashed while they ran it, each time it came",
     "stale": "its guard had been paused",
 }
 _END = "request"
--- a/forklift/ui/run.py
+++ b/forklift/ui/run.py
@@ -27,6 +27,7 @@
     _load_lean()
     import asyncio  # noqa: PLC0415
 
+    from forklift.shell import clock  # noqa: PLC0415
     from forklift.shell import logs  # noqa: PLC0415
     from forklift.shell import serve  # noqa: PLC0415
 
@@ -34,7 +35,8 @@
     faulthandler.enable()
     read = settings.load(file)
     logs.configure(logging.DEBUG if verbose else logging.INFO)
-    asyncio.run(serve.serve(read, file))
+    with asyncio.Runner(loop_factory=clock.Loop) as runner:
+        runner.run(serve.serve(read, file))
 
 
 def _load_lean() -> None:
--- a/forklift/walk.py
+++ b/forklift/walk.py
@@ -75,6 +75,7 @@
             ends then.
         sound: Whether it accepts targets whose risk is not low, only no doubt.
         wait: Whether it waits where no slot is free.
+        alone: Whether a target crashed that was running it.
         polls: How often it found no target that it may be sent to.
         refusals_by_reason: How often it was refused, for its story.
     """
@@ -90,6 +91,7 @@
     end_by: float = math.inf
     sound: bool = False
     wait: bool = False
+    alone: bool = False
     refusals_by_reason: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -161,7 +163,7 @@
         self.refusals_by_reason[str(reason or "")] += 1
         if reason in _ARRIVED:
             self._arrived(target)
-        if reason is Reason.DEADLINE:
+        if reason in (Reason.DEADLINE, Reason.QUARANTINED):
             # Any other gate would say the same, at once.
             self._expired = True
         if reason not in _PASSING_BY:
@@ -175,10 +177,11 @@
         if self._refusals >= MAX_REFUSALS:
             self.accept_more()
 
-    def ran(self, target: str) -> None:
+    def ran(self, target: str, reason: Reason | None = None) -> None:
         """A target ran it, or may have."""
         self._arrived(target)
         self.runs += 1
+        self.alone = self.alone or reason is Reason.TARGET_CRASHED
 
     def too_late(self, usual: latency.Latency, aim: float, now: float) -> bool:
         """Whether it is given up: no answer can come in time any more.
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -15,6 +15,7 @@
 from forklift import chooser
 from forklift import messages
 from forklift import policy
+from forklift import quarantine
 from forklift import routing
 from forklift.shell import neighbours
 from forklift.shell import ticking
@@ -36,6 +37,7 @@
         self.name = name
         self.deaf = False
         self.in_force = catalog.InForce()
+        self.quarantine = quarantine.Quarantine()
         rng = random.Random(boot)
         self.neighbours = neighbours.Neighbours(
             helper.info(
@@ -54,6 +56,7 @@
             self._send,
             self.take,
             lambda target: None,
+            self.quarantine,
         )
         self.directory = self.neighbours.directory
         # When it ticks next, and the number of that tick: an earlier one that
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -318,3 +318,26 @@
     found.arrive(one, 5.0)
     found.finish(one, Sign.WELL, 5.0)
     assert isinstance(found.arrive(ticket(), 5.1), gate.Start)
+
+
+def test_a_suspect_runs_alone():
+    """What ran beside it would be lost with it, and suspected too."""
+    one = made(3)
+    beside, behind = ticket(), ticket(wait=True)
+    suspect = ticket(alone=True, wait=True)
+    assert isinstance(one.arrive(beside, 0.0), gate.Start)
+    assert isinstance(one.arrive(suspect, 0.0), gate.Wait)
+    # Slots are free, but to fill them would keep the suspect out for ever.
+    assert isinstance(one.arrive(behind, 0.0), gate.Wait)
+    assert one.finish(beside, Sign.WELL, 0.1) == [gate.Start(suspect)]
+    assert one.running == 1
+    assert one.finish(suspect, Sign.WELL, 0.2) == [gate.Start(behind)]
+
+
+def test_a_suspect_goes_elsewhere_where_others_run_for_long():
+    one = made(3)
+    takes(one, 0.9)
+    one.arrive(ticket(), 0.0)
+    found = one.arrive(ticket(alone=True, wait=False), 0.0)
+    assert isinstance(found, gate.Refuse)
+    assert isinstance(one.arrive(ticket(), 0.0), gate.Start)
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -1,9 +1,17 @@
 """Requests that crash every target that begins to run them."""
 
+import asyncio
+import time
+
 import pytest
 
 from forklift import announcement
+from forklift import gate
+from forklift.shell import http
+from forklift.shell import keeping
 from forklift.shell import stopping
+from forklift_lab import scripted
+from test import helper
 from test import processes
 
 KINDS = ("idempotent", "non_idempotent")
@@ -11,6 +19,7 @@
 # one after that.
 ENOUGH = 3
 SPARE = 3
+INNOCENT = ("/a/one", "/a/two")
 
 
 @pytest.fixture(autouse=True)
@@ -59,3 +68,175 @@
 
     first = processes.record(1, r=processes.route(kind))
     processes.play(work, [[] for _ in range(8)], first=first)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_what_ran_beside_it_is_served_again(kind):
+    """Three requests broke off within 1.5 ms, as one of them ended its target.
+
+    All three were repeated within 4 ms of each other. Had they met again at
+    each next target, nothing would have told them apart.
+    """
+
+    async def work(fleet):
+        await crash_beside_others(fleet)
+        await revive(fleet)
+        for turn in range(len(fleet.proxies)):
+            for path in INNOCENT:
+                answer = await fleet.ask(turn, path)
+                assert (answer.status, answer.body) == (200, scripted.BODY)
+        assert crashes(fleet) <= ENOUGH + SPARE
+
+    first = processes.record(1, r=processes.route(kind))
+    processes.play(work, [[] for _ in range(6)], first=first)
+
+
+async def crash_beside_others(fleet: processes.Fleet) -> None:
+    """Innocent requests run at every target when the deadly one comes."""
+    for target in fleet.targets:
+        target.script += ["hold", "hold"]
+    count = len(fleet.proxies)
+    innocent = [
+        asyncio.create_task(fleet.ask(number, path))
+        for number in range(count)
+        for path in INNOCENT
+    ]
+    await helper.until(lambda: fleet.runs() == len(innocent))
+    deadly(fleet, b"/a/deadly ")
+    answer = await fleet.ask(0, "/a/deadly")
+    assert answer.status in (502, 503)
+    for target in fleet.targets:
+        target.release.set()
+        target.script.clear()
+    await asyncio.gather(*innocent)
+
+
+def test_what_is_repeated_after_a_crash_runs_alone():
+    """So its next run tells whether it was the cause."""
+
+    async def work(fleet):
+        seen = []
+        for one in fleet.proxies:
+            note(one.beside, seen)
+        fleet.targets[0].crashes_on = b"/a/ "
+        assert (await fleet.ask(0)).status == 200
+        assert [ticket.alone for ticket in seen] == [False, True]
+
+    processes.play(work, [[], []])
+
+
+def note(beside, seen: list[gate.Ticket]) -> None:
+    """Takes note of what reaches the targets beside one process."""
+    run = beside.run
+
+    async def noted(target, ticket, *rest):
+        seen.append(ticket)
+        return await run(target, ticket, *rest)
+
+    beside.run = noted
+
+
+@pytest.mark.parametrize("fault", ["reset", "close", "short", "garbage"])
+def test_a_target_that_breaks_an_answer_and_lives_accuses_nobody(fault):
+    """284 answers broke in a day, most of them at targets that lived on."""
+
+    async def work(fleet):
+        assert (await fleet.ask()).status == 502
+        assert fleet.targets[0].played == [fault]
+        one = fleet.proxies[0]
+        assert one.quarantine.everything(one.clock.monotonic()) == []
+
+    first = processes.record(1, r=processes.route("non_idempotent"))
+    processes.play(work, [[fault]], first=first)
+
+
+def test_a_crash_of_which_only_the_next_life_tells_is_noted():
+    """It was back before anybody looked."""
+
+    async def work(fleet):
+        one, target = fleet.proxies[0], fleet.targets[0]
+        target.script.append("reset")
+        assert (await fleet.ask()).status == 502
+        target.born += scripted.RESTART_MS
+        life = announcement.Life(target.name, target.born)
+        fleet.announce(one, 0, life=life)
+        (found,) = one.quarantine.everything(one.clock.monotonic())
+        assert len(found.crashes) == 1
+
+    first = processes.record(1, r=processes.route("non_idempotent"))
+    processes.play(work, [["reset"]], first=first)
+
+
+def test_a_target_that_leaves_accuses_nobody():
+    async def work(fleet):
+        one, target = fleet.proxies[0], fleet.targets[0]
+        target.script.append("hold")
+        runs = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        one.announced.left(announcement.Life(target.name))
+        target.crash()
+        assert (await runs).status == 502
+        assert one.quarantine.everything(one.clock.monotonic()) == []
+
+    first = processes.record(1, r=processes.route("non_idempotent"))
+    processes.play(work, [[]], first=first)
+
+
+def test_it_is_held_back_though_all_processes_ended_since():
+    """All lose power at once, and it comes again to those that follow."""
+
+    async def work(fleet):
+        deadly(fleet, b"/a/deadly ")
+        for _ in range(3):
+            await fleet.ask(0, "/a/deadly")
+            await revive(fleet)
+        before = crashes(fleet)
+        await helper.until(lambda: kept(fleet))
+        for one in fleet.proxies:
+            await one.close()
+        fleet.proxies.clear()
+        for number in range(len(fleet.targets)):
+            await fleet.start(number)
+        await helper.until(
+            lambda: (
+                fleet.meets()
+                and all(
+                    one.quarantine.held(one.clock.monotonic())
+                    for one in fleet.proxies
+                )
+            )
+        )
+        answer = await fleet.ask(0, "/a/deadly")
+        assert answer.status == 503
+        assert float(http.value(answer.headers, b"retry-after")) > 60
+        assert crashes(fleet) == before
+
+    processes.play(work, [[], [], []])
+
+
+def kept(fleet: processes.Fleet) -> list[str]:
+    """Names of the records of requests that are held back."""
+    return [
+        key
+        for partition in fleet.store.partition_by_place.values()
+        for key in partition.newest_by_key
+        if key.startswith(keeping.PREFIX)
+    ]
+
+
+def test_a_suspended_process_knows_that_it_stood_still(monkeypatch):
+    """The system's monotonic clock does not count that time."""
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        before, real = one.incarnation, time.clock_gettime
+
+        def later(which: int) -> float:
+            gone = 5.0 if which == time.CLOCK_BOOTTIME else 0.0
+            return real(which) + gone
+
+        monkeypatch.setattr(time, "clock_gettime", later)
+        assert (await fleet.ask()).status == 200
+        assert one.incarnation > before
+
+    processes.play(work, [[], []])
--- a/test/test_start.py
+++ b/test/test_start.py
@@ -40,7 +40,7 @@
 def load_and_stop():
     load()
     import asyncio
-    asyncio.run = lambda work: (
+    asyncio.Runner.run = lambda runner, work: (
         work.close(), print(json.dumps(list(sys.modules)))
     )
 run._load_lean = load_and_stop
