Only success clears a suspect; the soak lets requests crash targets

Cause: a target in a bad phase may answer an error where it would crash otherwise, and that answer cleared the request. Ruled out by test: that it needs a crash to be cleared wrongly. Change: only what a target serves clears; what ran beside one that is held back is excused by each process for itself, untold; a suspect gets no second target beside its first.

--- a/forklift/quarantine.py
+++ b/forklift/quarantine.py
@@ -200,7 +200,7 @@
             self._add(fingerprint, {crash: Crash(now, alone)}, now)
 
     def answered(self, fingerprint: bytes, now: float) -> None:
-        """A target ran a request and lived to answer it."""
+        """A target ran a request, lived, and answered it with success."""
         if not fingerprint:
             return
         self._answered[fingerprint] = now
@@ -317,8 +317,8 @@
                 for number, one in case.crash_by_id.items()
             }
             if crash_by_id != case.crash_by_id:
+                # Whoever learns of the culprit finds the same, untold.
                 self._case_by_fingerprint[fingerprint] = _Case(crash_by_id)
-                self._news[fingerprint] = True
 
     def _bound(self) -> None:
         """Forgets the weakest case where there are too many."""
--- a/forklift/shell/beside.py
+++ b/forklift/shell/beside.py
@@ -270,8 +270,10 @@
                     sink,
                 )
             exposed.survived(ticket.id)
-            self._survived(request.fingerprint)
             sign = self._sign(site.gate.service, status)
+            if sign is Sign.WELL:
+                # In a bad phase it may fail what would crash it otherwise.
+                self._served(request.fingerprint)
             result = exchange.answered(status, site.gate.name)
         except pools.NotSent as error:
             exposed.survived(ticket.id)
@@ -337,8 +339,8 @@
         )
         self._on_evidence()
 
-    def _survived(self, fingerprint: bytes) -> None:
-        """The target lives, so this request does not crash each one."""
+    def _served(self, fingerprint: bytes) -> None:
+        """A target served a request, so it does not crash each one."""
         self._quarantine.answered(fingerprint, self._clock.monotonic())
         if self._quarantine.has_news:
             self._on_evidence()
--- a/forklift/shell/forward.py
+++ b/forklift/shell/forward.py
@@ -379,7 +379,10 @@
         self, first: choosers.Choice, under_way: int
     ) -> choosers.Choice | None:
         """A free, sound target for a second attempt, if one may be made."""
-        if self._walk.sends + under_way >= self._request.attempts:
+        if (
+            self._alone
+            or self._walk.sends + under_way >= self._request.attempts
+        ):
             return None
         service, now = self._request.service, self._now()
         wish = choosers.Wish(
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -393,12 +393,13 @@
             priority=route.priority,
             aim=now + route.aim,
             attempts=route.attempts,
-            fingerprint=self._fingerprint(event, body),
+            fingerprint=self._fingerprint(event, headers, body),
         )
         return request, None
 
-    def _fingerprint(self, event: h11.Request, body: exchange.Body) -> bytes:
-        headers = http.fields(event)
+    def _fingerprint(
+        self, event: h11.Request, headers: http.Headers, body: exchange.Body
+    ) -> bytes:
         credentials = self._desk.dialect.credentials
         return fingerprint.of(
             event.method,
--- a/forklift_lab/programs.py
+++ b/forklift_lab/programs.py
@@ -282,6 +282,9 @@
         sequence = FIRST_SEQUENCE
         life = target.life
         while True:
+            if target.down:
+                await asyncio.sleep(HEARTBEAT_EVERY)
+                continue
             # The numbers of each life begin anew.
             sequence = sequence + 1 if life == target.life else 1
             life, leaving = target.life, target.leaving
--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -113,6 +113,33 @@
     ]
 
 
+@soaks.promise("a request that crashes targets reaches few more")
+def _held_back(soak: soaks.Soak) -> list[str]:
+    """Each that it reaches crashes, so its arrivals are the crashes."""
+    arrivals = sorted(
+        (received.at, place)
+        for place, target in soak.running.target_by_name.items()
+        for received in target.received
+        if soaks.DEADLY in received.head
+    )
+    if len(arrivals) <= soaks.ENOUGH:
+        return []
+    known = arrivals[soaks.ENOUGH - 1][0] + soaks.CONTACT
+    late = [
+        f"{at - known:.1f} s late at {place}"
+        for at, place in arrivals[soaks.ENOUGH :]
+        if at > known + soak.late(known, at) and _all_left_alone(soak, at)
+    ]
+    return late if len(late) > soaks.SPARE else []
+
+
+def _all_left_alone(soak: soaks.Soak, at: float) -> bool:
+    """Whether every process had been in touch with the others for long."""
+    since = at - soaks.CONTACT
+    places = [one.name for one in soak.running.places]
+    return all(_left_alone(soak, place, since, at) for place in places)
+
+
 def _without_work(
     soak: soaks.Soak, place: str, life: announcement.Life
 ) -> list[tuple[float, float]]:
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -72,6 +72,18 @@
 # Seeds from this one on also let targets return; those before stay what they
 # were when they were kept.
 RETURNS_FROM = 10_000
+# Seeds from this one on also let a request come that crashes targets.
+DEADLY_FROM = 20_000
+# It, as targets see the head of one, and its path.
+DEADLY_PATH = "/history/deadly"
+DEADLY = DEADLY_PATH.encode() + b" "
+# Seconds that a target is down which it crashed.
+DOWN = (0.2, 1.5)
+# Targets that it may end, times that it may reach one later than so many
+# seconds after that, and where no process was harmed for as long: the users'.
+ENOUGH = 3
+SPARE = 3
+CONTACT = 3.0
 # Milliseconds between two heartbeats, as processes of such seeds are told, and
 # the seconds that are played on, in which the lease of a target that is taken
 # for silent ends and its work is missed.
@@ -163,6 +175,8 @@
         self._troubles = list(names_by_theme[self.theme])
         if self._returning and self.theme != RETURNS:
             self._troubles += names_by_theme[RETURNS]
+        if seed >= DEADLY_FROM:
+            self._troubles += names_by_theme[CRASHES] * DEADLY_SHARE
         self._number = 0
 
     def now(self) -> float:
@@ -413,6 +427,15 @@
         self.returns.append((place.name, target.life))
         self.tell(f"{target.life.name} is back")
 
+    async def crash(self, place: programs.Place) -> None:
+        """The target beside a process crashed: it is back after a while."""
+        target = self.target(place)
+        await asyncio.sleep(self.rng.uniform(*DOWN))
+        if target.down:
+            self.ended_at_by_life[target.life] = self.now()
+            await target.revive()
+            self.tell(f"{target.life.name} is back after a crash")
+
     def relays(self, place: programs.Place) -> programs.Relays:
         """The relays around a process."""
         return self.running.relays_by_name[place.name]
@@ -450,6 +473,9 @@
 ALL, NEWS, PLANNED = THEMES = ("all", "news", "planned")
 # Targets that start again under their names.
 RETURNS = "returns"
+# A request that crashes targets, and how often it is drawn before another.
+CRASHES = "crashes"
+DEADLY_SHARE = 4
 names_by_theme: dict[str, list[str]] = collections.defaultdict(list)
 
 
@@ -460,7 +486,7 @@
         trouble_by_name[name] = function
         for theme in themes:
             names_by_theme[theme].append(name)
-        if RETURNS not in themes:
+        if not {RETURNS, CRASHES} & set(themes):
             names_by_theme[ALL].append(name)
         return function
 
--- /dev/null
+++ b/test/test_keeping.py
@@ -0,0 +1,147 @@
+"""Requests that are held back, past the end of all processes."""
+
+import asyncio
+import random
+
+from forklift import errors
+from forklift import messages
+from forklift import quarantine as quarantines
+from forklift import unreadable
+from forklift.shell import keeping
+from forklift.shell import registry
+from test import helper
+
+DEADLY = b"deadly"
+NAMES = ("p0", "p1", "p2")
+
+
+class Store:
+    """A store that fails a few times, then keeps the newest of each name."""
+
+    def __init__(self, failures: int = 0):
+        self.failures = failures
+        self.data_by_name: dict[str, bytes] = {}
+        self.writes = 0
+
+    async def announce(self, name: str, data: bytes) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise errors.RegistryUnavailable("no answer")
+        self.writes += 1
+        self.data_by_name[name] = data
+
+
+class Process:
+    """The part of a process that keeps requests."""
+
+    def __init__(self, name: str, store: Store, clock: helper.FakeClock):
+        self.clock = clock
+        self.quarantine = quarantines.Quarantine()
+        self.tasks: list[asyncio.Task] = []
+        others = [other for other in NAMES if other != name]
+        self.keeper = keeping.Keeper(
+            name,
+            self.quarantine,
+            store,
+            clock,
+            random.Random(1),
+            lambda work: self.tasks.append(asyncio.create_task(work)),
+            lambda: others,
+        )
+
+    def hold(self) -> None:
+        """Two targets crash that ran nothing but the request."""
+        for number in (1, 2):
+            self.quarantine.crashed({DEADLY}, number, self.clock.now)
+
+    async def done(self) -> None:
+        await asyncio.gather(*self.tasks)
+
+
+def held(process: Process) -> float:
+    return process.quarantine.held_for(DEADLY, process.clock.now)
+
+
+def play(work, monkeypatch, failures: int = 0) -> None:
+    monkeypatch.setattr(registry, "PAUSE_FIRST", 0.01)
+
+    async def run():
+        store, clock = Store(failures), helper.FakeClock()
+        await work(store, [Process(name, store, clock) for name in NAMES])
+
+    helper.run(run())
+
+
+def test_who_saw_the_crash_writes_until_the_store_has_it(monkeypatch):
+    async def work(store, processes):
+        first, later = processes[:2]
+        first.hold()
+        first.keeper.crashed()
+        await first.done()
+        ((name, data),) = store.data_by_name.items()
+        later.clock.now += 100.0
+        later.keeper.read(name, data)
+        assert held(later) == held(first) == quarantines.HOLD - 100.0
+
+    play(work, monkeypatch, failures=3)
+
+
+def test_one_process_writes_what_its_finder_could_not(monkeypatch):
+    """It ended before; the others had heard of it."""
+
+    async def work(store, processes):
+        for one in processes:
+            one.hold()
+            for _ in range(5):
+                one.keeper.tick()
+            await one.done()
+        assert store.writes == 1
+
+    play(work, monkeypatch)
+
+
+def test_what_was_read_is_not_written_again(monkeypatch):
+    async def work(store, processes):
+        processes[0].hold()
+        processes[0].keeper.crashed()
+        await processes[0].done()
+        ((name, data),) = store.data_by_name.items()
+        for one in processes[1:]:
+            one.keeper.read(name, data)
+            one.keeper.tick()
+            await one.done()
+        assert store.writes == 1
+
+    play(work, monkeypatch)
+
+
+def test_the_record_of_one_that_is_released_is_dropped(monkeypatch):
+    async def work(store, processes):
+        for one in processes:
+            one.hold()
+            one.keeper.tick()
+        for one in processes:
+            one.clock.now += quarantines.HOLD / len(processes)
+        for one in processes:
+            one.keeper.tick()
+            await one.done()
+        assert list(store.data_by_name.values()) == [b""]
+
+    play(work, monkeypatch)
+
+
+def test_a_record_of_another_writer_holds_nothing_back(monkeypatch):
+    async def work(store, processes):
+        one = processes[0]
+        before = unreadable.count_by_source[unreadable.Source.MEMBER]
+        far = messages.Evidence(
+            DEADLY, (messages.Crash(1, float("nan"), True, False),)
+        )
+        strange = messages.encode(messages.KeptEvidence(float("inf"), far))
+        for data in (b"", b"\xff", b"{}", strange):
+            one.keeper.read(keeping.PREFIX + "x", data)
+        assert not held(one)
+        after = unreadable.count_by_source[unreadable.Source.MEMBER]
+        assert after == before + 4
+
+    play(work, monkeypatch)
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -240,3 +240,23 @@
         assert one.incarnation > before
 
     processes.play(work, [[], []])
+
+
+def test_an_answer_of_a_failing_target_clears_nobody():
+    """In a bad phase it may fail at once what would crash it otherwise."""
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        now = one.clock.monotonic()
+        target = fleet.targets[0]
+        target.crashes_on = b"/a/deadly "
+        await fleet.ask(0, "/a/deadly")
+        await revive(fleet)
+        target.crashes_on = b""
+        target.script[:] = ["error"]
+        await fleet.ask(0, "/a/deadly")
+        (found,) = one.quarantine.everything(now)
+        assert [crash.void for crash in found.crashes] == [False]
+
+    first = processes.record(1, r=processes.route("idempotent"))
+    processes.play(work, [[]], first=first)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -44,12 +44,18 @@
     "known": {LIFE: 30.0},
     "over": WORKED + 0.2,
 }
+# A request that crashes targets, its third crash, and since when all know.
+DEADLY = "deadly"
+CRASHES = [(DEADLY, 1.0 + number) for number in range(soak.ENOUGH)]
+KNOWN = CRASHES[-1][1] + soak.CONTACT
+MORE = [(DEADLY, KNOWN + 1.0 + n) for n in range(soak.SPARE + 1)]
 SPAN = [(ACKNOWLEDGED + 1.0, DUE)]
 
 
 def received(request_id: str, at: float) -> types.SimpleNamespace:
     value = request_id.encode()
-    return types.SimpleNamespace(field=lambda name: value, at=at)
+    head = soak.DEADLY if request_id == DEADLY else b""
+    return types.SimpleNamespace(field=lambda name: value, at=at, head=head)
 
 
 class Target:
@@ -206,6 +212,22 @@
     assert drawn == {*soak.THEMES, soak.RETURNS}
 
 
+def test_a_request_that_goes_on_to_crash_targets_is_a_breach():
+    (found,) = breaches([*CRASHES, *MORE])[-1:]
+    assert "crashes targets" in found
+    assert breaches([*CRASHES, *MORE[:-1]]) == []
+    assert breaches([*CRASHES, *MORE], harms=[(KNOWN, KNOWN + 9.0)]) == []
+
+
+def test_seeds_before_let_nothing_crash():
+    drawn = soak.Soak(soak.DEADLY_FROM, None)._troubles
+    assert set(soak.names_by_theme[soak.CRASHES]) <= set(drawn)
+    for seed in SEEDS:
+        if seed < soak.DEADLY_FROM:
+            drawn = soak.Soak(seed, None)._troubles
+            assert not set(drawn) & set(soak.names_by_theme[soak.CRASHES])
+
+
 def test_what_a_killed_process_cut_off_is_no_breach():
     told = [seen("u-1", 0), seen("s-2", 0, hung=True)]
     assert breaches([("u-1", 1.0)], told, harms=[(1.5, 1.6)]) == []
