Large bodies are told apart by their first 16 KB, too

Cause: of a body over 16 KB the fingerprint covered the length only, so who can crash targets could have had all uploads of one size to a path refused to callers without credentials. Ruled out: hashing it whole, as nothing would stream. Change: as much of each large body is read before it is sent on, however it is cut on the way. Figures: the test sees one fingerprint for two cuts of one body, and another for another body of its length.

--- a/forklift/fingerprint.py
+++ b/forklift/fingerprint.py
@@ -27,7 +27,7 @@
         path: Request target as the caller sent it.
         caller: What tells its caller from others.
         length: Length of the body, -1 when chunked and not known.
-        body: The body; empty for one that is passed on in pieces.
+        body: The body; of a large one its beginning, always as much.
 
     >>> of(b"GET", b"h", b"/a", (), 0, b"") == of(
     ...     b"GET", b"h", b"/a", (), 0, b""
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -407,7 +407,7 @@
             event.target,
             tuple(http.value(headers, name) or b"" for name in credentials),
             len(body.first) if body.complete else http.content_length(headers),
-            body.first if body.complete else b"",
+            body.first[: exchange.INLINE_BYTES],
         )
 
     async def _serve(
--- a/forklift/shell/receiving.py
+++ b/forklift/shell/receiving.py
@@ -40,9 +40,8 @@
                 "the body is too large", "send a smaller one", 413
             )
         pieces = self._pieces(protocol)
+        # Of a large one as much is read first as its fingerprint covers.
         first = bytearray()
-        if length > exchange.INLINE_BYTES:
-            return exchange.Body(b"", pieces)
         async for piece in pieces:
             first += piece
             if len(first) > exchange.INLINE_BYTES:
--- a/test/test_ingress.py
+++ b/test/test_ingress.py
@@ -12,9 +12,11 @@
 from forklift.shell import answering
 from forklift.shell import exchange
 from forklift.shell import ingress
+from forklift.shell import proxy
 from forklift.shell import receiving
 from forklift.shell import wire
 from test import helper
+from test import processes
 
 LIMITS = catalog.CallerLimits(1024, 100, 10.0, 10.0)
 ROUTE = catalog.Route(
@@ -527,3 +529,38 @@
         assert await rig.reader.read() == b""
 
     play(work)
+
+
+def test_large_bodies_are_told_apart_by_their_beginning_and_length():
+    """However they are cut on the way; of one length, others go on."""
+
+    async def work(fleet):
+        seen = []
+        one = fleet.proxies[0]
+        run = one.forwarder.run
+
+        async def note(request, sink):
+            seen.append(request.fingerprint)
+            return await run(request, sink)
+
+        one.ingress.desk = dataclasses.replace(one.ingress.desk, handle=note)
+        size = 3 * exchange.INLINE_BYTES
+        for body, cut in ((b"a", 100), (b"a", size - 1), (b"b", 100)):
+            await post(one, body * size, cut)
+        assert seen[0] == seen[1] != seen[2]
+
+    processes.play(work, [[]])
+
+
+async def post(one: proxy.Proxy, body: bytes, cut: int) -> None:
+    """Sends a request whose body comes in two pieces."""
+    address = wire.split_address(one.caller_address)
+    reader, writer = await asyncio.open_connection(*address)
+    head = b"POST /a/ HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+    writer.write(head + b"content-length: %d\r\n\r\n" % len(body) + body[:cut])
+    await writer.drain()
+    # The first piece is read by itself.
+    await helper.until(lambda: one.ingress.owing)
+    writer.write(body[cut:])
+    assert (await reader.read()).startswith(b"HTTP/1.1 200")
+    writer.close()
