Soak and tests: a request that crashes targets comes back where all have settled

Change: the request comes at each process twice once all have settled, and only the process beside the target can excuse an arrival. Tests for each place that refuses, by itself.

--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -105,7 +105,8 @@
     none from then on.
     """
     return [
-        f"{life.name} beside {place} had none for {until - since:.1f} s"
+        f"{life.name} beside {place} had none for {until - since:.1f} s, "
+        f"{_came(soak, place, since, until)} requests came to {place}"
         for place, life in soak.returns
         for since, until in _without_work(soak, place, life)
         if _left_alone(soak, place, since, until)
@@ -115,7 +116,11 @@
 
 @soaks.promise("a request that crashes targets reaches few more")
 def _held_back(soak: soaks.Soak) -> list[str]:
-    """Each that it reaches crashes, so its arrivals are the crashes."""
+    """Each that it reaches crashes, so its arrivals are the crashes.
+
+    The process beside a target lets none through, whatever entries know, if it
+    was left alone for long.
+    """
     arrivals = sorted(
         (received.at, place)
         for place, target in soak.running.target_by_name.items()
@@ -128,16 +133,19 @@
     late = [
         f"{at - known:.1f} s late at {place}"
         for at, place in arrivals[soaks.ENOUGH :]
-        if at > known + soak.late(known, at) and _all_left_alone(soak, at)
+        if at > known + soak.late(known, at)
+        and _left_alone(soak, place, at - soaks.CONTACT, at)
     ]
     return late if len(late) > soaks.SPARE else []
 
 
-def _all_left_alone(soak: soaks.Soak, at: float) -> bool:
-    """Whether every process had been in touch with the others for long."""
-    since = at - soaks.CONTACT
-    places = [one.name for one in soak.running.places]
-    return all(_left_alone(soak, place, since, at) for place in places)
+def _came(soak: soaks.Soak, place: str, since: float, until: float) -> int:
+    """Requests of callers to a process: it looks after the target beside it."""
+    return sum(
+        1
+        for seen in soak.seen
+        if seen.place == place and since < seen.began < until
+    )
 
 
 def _without_work(
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -175,7 +175,8 @@
         self._troubles = list(names_by_theme[self.theme])
         if self._returning and self.theme != RETURNS:
             self._troubles += names_by_theme[RETURNS]
-        if seed >= DEADLY_FROM:
+        self._deadly = seed >= DEADLY_FROM
+        if self._deadly:
             self._troubles += names_by_theme[CRASHES] * DEADLY_SHARE
         self._number = 0
 
@@ -362,6 +363,8 @@
             breaches.append("not all processes served again")
         if self._returning:
             await asyncio.sleep(OUTLIVES)
+        if self._deadly:
+            await self._come_again()
         self.over_at = self.now()
         self.over = True
         await asyncio.gather(watching, *callers)
@@ -427,7 +430,25 @@
         self.returns.append((place.name, target.life))
         self.tell(f"{target.life.name} is back")
 
-    async def crash(self, place: programs.Place) -> None:
+    async def ask_deadly(self, place: programs.Place) -> None:
+        """Sends the request that crashes each target which runs it."""
+        for one in self.running.places:
+            self.target(one).crashes_on = DEADLY
+        asker = client.Client(place.caller)
+        with contextlib.suppress(client.Failed):
+            await asker.request("GET", DEADLY_PATH, timeout=3.0, host="h")
+        asker.close()
+        down = [one for one in self.running.places if self.target(one).down]
+        await asyncio.gather(*(self._revive(one) for one in down))
+
+    async def _come_again(self) -> None:
+        """It comes once more everywhere, twice, where all have settled."""
+        for _ in range(2):
+            for place in self.running.places:
+                await self.ask_deadly(place)
+            await asyncio.sleep(CONTACT + DOWN[1])
+
+    async def _revive(self, place: programs.Place) -> None:
         """The target beside a process crashed: it is back after a while."""
         target = self.target(place)
         await asyncio.sleep(self.rng.uniform(*DOWN))
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -5,7 +5,6 @@
 import random
 import signal
 
-from forklift.shell import client
 from forklift.shell import stopping
 from forklift_lab import kept
 from forklift_lab import programs
@@ -225,15 +224,8 @@
 @soaks.trouble("deadly", soaks.CRASHES)
 async def _deadly(soak: soaks.Soak, place: programs.Place) -> None:
     """A request crashes each target that runs it, and comes again anywhere."""
-    for one in soak.running.places:
-        soak.target(one).crashes_on = soaks.DEADLY
     for _ in range(soak.rng.randint(2, 8)):
-        asker = client.Client(soak.rng.choice(soak.running.places).caller)
-        with contextlib.suppress(client.Failed):
-            await asker.request("GET", soaks.DEADLY_PATH, timeout=3.0, host="h")
-        asker.close()
-        down = [p for p in soak.running.places if soak.target(p).down]
-        await asyncio.gather(*(soak.crash(one) for one in down))
+        await soak.ask_deadly(soak.rng.choice(soak.running.places))
 
 
 def _part(soak: soaks.Soak) -> list[programs.Place]:
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -6,7 +6,10 @@
 import pytest
 
 from forklift import announcement
+from forklift import dialect
+from forklift import fingerprint
 from forklift import gate
+from forklift.shell import clock
 from forklift.shell import http
 from forklift.shell import keeping
 from forklift.shell import stopping
@@ -260,3 +263,105 @@
 
     first = processes.record(1, r=processes.route("idempotent"))
     processes.play(work, [[]], first=first)
+
+
+def hold(one) -> None:
+    """A process knows that the deadly request crashes targets."""
+    now = one.clock.monotonic()
+    for number in range(ENOUGH):
+        one.quarantine.crashed({deadly_fingerprint()}, number, now)
+    # Others are not told, so that each has to see to it by itself.
+    one.quarantine.take_news(now)
+
+
+def deadly_fingerprint() -> bytes:
+    none = tuple(b"" for _ in dialect.OWN.credentials)
+    return fingerprint.of(b"GET", b"h", b"/a/deadly", none, 0, b"")
+
+
+def test_an_entry_that_knows_refuses_at_once():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        hold(one)
+        answer = await fleet.ask(0, "/a/deadly")
+        assert answer.status == 503
+        assert float(http.value(answer.headers, b"retry-after")) > 60
+        assert one.forwarder.sends == 0
+        # The same path with another query is another request.
+        assert (await fleet.ask(0, "/a/deadly?x")).status == 200
+
+    processes.play(work, [[], []])
+
+
+def test_the_process_beside_the_target_refuses_what_an_entry_lets_through():
+    """The entry may have started a moment ago, or have been cut off."""
+
+    async def work(fleet):
+        entry, other = fleet.proxies
+        entry.announced.left(announcement.Life("t0"))
+        hold(other)
+        answer = await fleet.ask(0, "/a/deadly")
+        assert answer.status == 503
+        assert entry.forwarder.sends == 1
+        assert fleet.runs() == 0
+
+    processes.play(work, [[], []])
+
+
+def test_what_waits_is_refused_once_it_is_held_back():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        site = one.beside.site_by_target["t0"]
+        site.gate.slots = 1
+        fleet.targets[0].script.append("hold")
+        runs = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        waits = asyncio.create_task(fleet.ask(0, "/a/deadly"))
+        await helper.until(lambda: site.gate.waiting == 1)
+        hold(one)
+        fleet.targets[0].release.set()
+        assert (await runs).status == 200
+        assert (await waits).status == 503
+        assert fleet.runs() == 1
+
+    first = processes.record(1, r=processes.route(**{"timeout-ms": 60000}))
+    processes.play(work, [[]], first=first)
+
+
+def test_a_crash_under_what_its_caller_gave_up_is_noted():
+    """Nothing was in flight any more when the target was found gone."""
+
+    async def work(fleet):
+        one, target = fleet.proxies[0], fleet.targets[0]
+        target.script.append("hold")
+        caller = asyncio.create_task(fleet.ask(0, "/a/deadly"))
+        await helper.until(lambda: fleet.runs() == 1)
+        caller.cancel()
+        await helper.until(lambda: one.beside.running == 0)
+        target.crash()
+        await fleet.ask()
+        found = one.quarantine.everything(one.clock.monotonic())
+        assert deadly_fingerprint() in [case.fingerprint for case in found]
+
+    processes.play(work, [[]])
+
+
+def test_a_process_that_stood_still_asks_what_it_missed():
+    async def work(fleet):
+        one, other = fleet.proxies
+        hold(other)
+        one.neighbours.paused()
+        await helper.until(lambda: one.quarantine.held(one.clock.monotonic()))
+
+    processes.play(work, [[], []])
+
+
+def test_a_loop_counts_the_time_that_its_instance_was_suspended(monkeypatch):
+    loop = clock.Loop()
+    try:
+        before = loop.time()
+        real = time.clock_gettime
+        monkeypatch.setattr(time, "clock_gettime", lambda c: real(c) + 5.0)
+        assert loop.time() >= before + 5.0
+    finally:
+        loop.close()
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -25,7 +25,9 @@
 #   4013, 4016: a planned stop cut off requests that had come in pieces.
 #   10000: targets that started again under their names got no work once the
 #      lease of their earlier lives was over, where names alone were remembered.
-SEEDS = (2, 4001, 4009, 4013, 4016, 10_000)
+#   20003: a request that crashes targets reached 20 more of them, where nothing
+#      held it back.
+SEEDS = (2, 4001, 4009, 4013, 4016, 10_000, 20_003)
 
 
 # When the store had acknowledged version 2, and when that is due for certain.
--- a/test/test_walk.py
+++ b/test/test_walk.py
@@ -123,3 +123,12 @@
     uneven = latency.Latency(0.1, spread=0.8)
     waits = [found.patience(usual, 5.0, 0.0) for usual in (even, uneven)]
     assert waits[0] < 0.2 < waits[1]
+
+
+def test_what_crashed_a_target_runs_alone_from_then_on():
+    one = walk.Walk(0.0, 1.0)
+    one.ran("t", Reason.TARGET_BROKE)
+    assert not one.alone
+    one.ran("t", Reason.TARGET_CRASHED)
+    one.ran("u", Reason.TIMEOUT)
+    assert one.alone
