--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -328,3 +328,21 @@
         other.learn((accused, cleared, held)[number], 0.5)
     assert other.standing(INNOCENT, 0.6) is Standing.CLEAR
     assert other.standing(DEADLY, 0.6) is Standing.HELD
+
+
+def test_both_sides_of_a_difference_know_all_after_one_exchange():
+    """Each lacks what the other has."""
+    made = fleets.Fleet(2, 1)
+    for name, fingerprints in (("p0", DEADLY), ("p1", OTHER)):
+        quarantine = made.node_by_name[name].quarantine
+        crash(quarantine, ord(name[1]), made.clock.now, fingerprints)
+        quarantine.take_news(made.clock.now)
+    first, second = made.node_by_name.values()
+    first.neighbours.paused()
+    made.run(0.01)
+    for node in (first, second):
+        found = {
+            one.fingerprint
+            for one in node.quarantine.everything(made.clock.now)
+        }
+        assert found == {DEADLY, OTHER}
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from click import testing
 
 from forklift import announcement
 from forklift import dialect
@@ -12,7 +13,9 @@
 from forklift.shell import clock
 from forklift.shell import http
 from forklift.shell import keeping
+from forklift.shell import logs
 from forklift.shell import stopping
+from forklift.ui import run
 from forklift_lab import scripted
 from test import helper
 from test import processes
@@ -233,6 +236,8 @@
     async def work(fleet):
         one = fleet.proxies[0]
         before, real = one.incarnation, time.clock_gettime
+        asked = []
+        monkeypatch.setattr(one.neighbours, "paused", lambda: asked.append(1))
 
         def later(which: int) -> float:
             gone = 5.0 if which == time.CLOCK_BOOTTIME else 0.0
@@ -241,6 +246,7 @@
         monkeypatch.setattr(time, "clock_gettime", later)
         assert (await fleet.ask()).status == 200
         assert one.incarnation > before
+        assert asked
 
     processes.play(work, [[], []])
 
@@ -365,3 +371,116 @@
         assert loop.time() >= before + 5.0
     finally:
         loop.close()
+
+
+def suspect(one) -> None:
+    """A process knows of one crash under the deadly request."""
+    now = one.clock.monotonic()
+    one.quarantine.crashed({deadly_fingerprint(), b"another"}, 1, now)
+    one.quarantine.take_news(now)
+
+
+def test_what_is_held_back_is_refused_where_slots_are_full_too():
+    """It does not wait for a slot only to be refused then."""
+
+    async def work(fleet):
+        entry, other = fleet.proxies
+        entry.announced.left(announcement.Life("t0"))
+        other.beside.site_by_target["t1"].gate.slots = 1
+        fleet.targets[1].script.append("hold")
+        runs = asyncio.create_task(fleet.ask(1))
+        await helper.until(lambda: fleet.runs() == 1)
+        hold(other)
+        answer = await fleet.ask(0, "/a/deadly")
+        assert answer.status == 503
+        assert float(http.value(answer.headers, b"retry-after")) > 60
+        assert not runs.done()
+        fleet.targets[1].release.set()
+        assert (await runs).status == 200
+
+    first = processes.record(1, r=processes.route(**{"timeout-ms": 60000}))
+    processes.play(work, [[], []], first=first)
+
+
+def test_the_process_beside_the_target_has_a_suspect_run_alone():
+    """Its entry may not have heard yet that it is one."""
+
+    async def work(fleet):
+        entry, other = fleet.proxies
+        entry.announced.left(announcement.Life("t0"))
+        suspect(other)
+        gate_of = other.beside.site_by_target["t1"].gate
+        arrive, seen = gate_of.arrive, []
+
+        def noted(ticket, now):
+            seen.append(ticket.alone)
+            return arrive(ticket, now)
+
+        gate_of.arrive = noted
+        assert (await fleet.ask(0, "/a/deadly")).status == 200
+        assert seen == [True]
+
+    processes.play(work, [[], []])
+
+
+def test_a_suspect_is_sent_to_no_second_target_beside_the_first():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        for process in fleet.proxies:
+            suspect(process)
+        for target in fleet.targets:
+            target.script.append("hold")
+        asked = asyncio.create_task(fleet.ask(0, "/a/deadly"))
+        await helper.until(lambda: fleet.runs() == 1)
+        # Another of the same route is sent to a second target meanwhile.
+        other = asyncio.create_task(fleet.ask(0))
+        await helper.until(lambda: one.forwarder.hedges == 1)
+        paths = [r.head for t in fleet.targets for r in t.received]
+        assert sum(b"/a/deadly " in head for head in paths) == 1
+        for target in fleet.targets:
+            target.release.set()
+        assert [(await asked).status, (await other).status] == [200, 200]
+
+    first = processes.record(1, r=processes.route(**{"timeout-ms": 60000}))
+    processes.play(work, [[], [], []], first=first)
+
+
+def test_another_target_at_the_address_tells_of_a_crash():
+    async def work(fleet):
+        one, target = fleet.proxies[0], fleet.targets[0]
+        target.script.append("reset")
+        assert (await fleet.ask()).status == 502
+        fleet.announce(one, 0, life=announcement.Life("t9"))
+        assert len(one.quarantine.everything(one.clock.monotonic())) == 1
+
+    first = processes.record(1, r=processes.route("non_idempotent"))
+    processes.play(work, [["reset"]], first=first)
+
+
+def test_what_others_told_is_kept_in_the_store_by_one_of_them():
+    """Who saw the crashes may have ended before it wrote them down."""
+
+    async def work(fleet):
+        for one in fleet.proxies:
+            hold(one)
+        await helper.until(lambda: kept(fleet))
+
+    processes.play(work, [[], [], []])
+
+
+def test_a_process_serves_on_a_loop_that_counts_suspended_time(monkeypatch):
+    made = []
+
+    class Runner(asyncio.Runner):
+        def run(self, work):
+            made.append(self.get_loop())
+            work.close()
+
+    monkeypatch.setattr(asyncio, "Runner", Runner)
+    monkeypatch.setattr(run, "_load_lean", lambda: None)
+    monkeypatch.setattr(run.faulthandler, "enable", lambda: None)
+    monkeypatch.setattr(logs, "configure", lambda level: None)
+    file = str(helper.EXAMPLES / "almadies-1.ini")
+    found = testing.CliRunner().invoke(run.command, [file])
+    assert found.exit_code == 0, found.output
+    assert [type(loop) for loop in made] == [clock.Loop]
