Two seeds of the soak that broke a promise once: listed as known red

Seen: a target that had returned got no work for 5.2 s in seed 20005, not in three more plays of it, and for 4.6 s in seed 20020; 4.0 s are allowed. Ruled out: that it was doubted, as no line tells of doubt in that time. Not traced; check, bound and seeds stay as they are, and the logs are kept.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -27,7 +27,9 @@
 #      lease of their earlier lives was over, where names alone were remembered.
 #   20003: a request that crashes targets reached 20 more of them, where nothing
 #      held it back.
-SEEDS = (2, 4001, 4009, 4013, 4016, 10_000, 20_003)
+#   20005, 20020: a target that had returned got no work for 5.2 s, and for 4.6 s
+#      while 5 requests came to its process; not traced.
+SEEDS = (2, 4001, 4009, 4013, 4016, 10_000, 20_003, 20_005, 20_020)
 
 
 # When the store had acknowledged version 2, and when that is due for certain.
