--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -27,8 +27,8 @@
 #      lease of their earlier lives was over, where names alone were remembered.
 #   20003: a request that crashes targets reached 20 more of them, where nothing
 #      held it back.
-#   20005, 20020: a target that had returned got no work for 5.2 s, and for 4.6 s
-#      while 5 requests came to its process; not traced.
+#   20005, 20020: a target that had returned got no work for 5.2 s, and for
+#      4.6 s while 5 requests came to its process; not traced.
 SEEDS = (2, 4001, 4009, 4013, 4016, 10_000, 20_003, 20_005, 20_020)
 
 
