Grant tokens that are earned within 50 ms in advance

Callers saw: an organisation far below its limit got 429 with Retry-After 0.1 to 0.2 s for one of its first requests at a process, the known red test.

Cause: the token bucket of an allocator begins empty whenever its capacity grows, and "no token now" became a 429 at once, also where the next token was due in 1 to 3 ms and the request had 80 ms left to wait for it. A process that asks in the moment in which its share arrives finds the empty bucket.

Change: an allocator grants tokens that it earns within 50 ms, and says when they may be used; the request waits for that time. Its bucket goes below zero meanwhile, so no token is granted twice and none is used before it is earned. What takes longer is rejected at once, as before. An older process ignores the new field and uses tokens up to 50 ms early, within the permitted overshoot.

--- a/forklift/allocator.py
+++ b/forklift/allocator.py
@@ -28,6 +28,9 @@
 # Fraction of the delegated capacity that may be leased. The rest is granted as
 # single tokens to processes whose leases are used up.
 LEASABLE_FRACTION = 0.5
+# Tokens that are earned within this time are granted in advance. A request
+# waits for its token for a shorter time than a rejected caller would.
+MAX_TOKEN_WAIT_SECONDS = 0.05
 # Upper bound for the retry_after of a token grant.
 MAX_RETRY_AFTER_SECONDS = 10.0
 # Increase of the capacity, as a fraction of a limit, after which new token
@@ -381,12 +384,19 @@
             pool = _TokenPool(self._stable_since)
             self._pool_by_organisation[demand.organisation] = pool
         bucket = pool.refill(now, free, limit.rate, depth)
-        count = min(demand.tokens_wanted, int(bucket.tokens))
+        rate = limit.rate * free
+        soon = rate * MAX_TOKEN_WAIT_SECONDS
+        count = max(0, min(demand.tokens_wanted, int(bucket.tokens + soon)))
         bucket.tokens -= count
-        wait = 0.0
+        retry_after = 0.0
         if count < demand.tokens_wanted:
-            wait = min(MAX_RETRY_AFTER_SECONDS, bucket.wait(limit.rate * free))
-        return messages.TokenGrant(demand.organisation, count, round(wait, 3))
+            retry_after = min(MAX_RETRY_AFTER_SECONDS, bucket.wait(rate, 1.0))
+        return messages.TokenGrant(
+            demand.organisation,
+            count,
+            round(retry_after, 3),
+            round(bucket.wait(rate, 0.0), 3),
+        )
 
     # Expiry and handover.
 
--- a/forklift/limit_messages.py
+++ b/forklift/limit_messages.py
@@ -54,11 +54,13 @@
         organisation: Name of the organisation.
         count: Number of tokens granted.
         retry_after: Seconds until more are available; 0 if all were granted.
+        usable_in: Seconds until all of the granted tokens may be used.
     """
 
     organisation: str
     count: int
     retry_after: float
+    usable_in: float = 0.0
 
 
 class Delegation(_Wire, tag=60):
--- a/forklift/rate_limits.py
+++ b/forklift/rate_limits.py
@@ -45,6 +45,10 @@
     >>> bucket.refill(1.0, 2.0, 3.0)
     >>> bucket.try_take(), bucket.try_take(), bucket.try_take()
     (True, True, False)
+
+    Attributes:
+        tokens: Tokens in the bucket; negative if tokens were granted before
+            they are earned.
     """
 
     def __init__(self, now: float):
@@ -61,7 +65,7 @@
         """
         earned = rate * max(0.0, now - self._at)
         self._at = max(self._at, now)
-        self.tokens = max(0.0, min(depth, self.tokens + earned))
+        self.tokens = min(depth, self.tokens + earned)
 
     def try_take(self) -> bool:
         """Takes one token; returns False if there is none."""
@@ -70,8 +74,16 @@
         self.tokens -= 1.0
         return True
 
-    def wait(self, rate: float) -> float:
-        """Seconds until a token is available; infinite if the rate is 0."""
-        if self.tokens >= 1.0:
+    def wait(self, rate: float, tokens: float) -> float:
+        """Seconds until the bucket has some tokens.
+
+        >>> TokenBucket(0.0).wait(2.0, 1.0)
+        0.5
+
+        Args:
+            rate: Tokens per second; the wait is infinite if it is 0.
+            tokens: Number of tokens that the bucket is to have.
+        """
+        if self.tokens >= tokens:
             return 0.0
-        return (1.0 - self.tokens) / rate if rate > 0 else math.inf
+        return (tokens - self.tokens) / rate if rate > 0 else math.inf
--- a/forklift/shell/rate_limiting.py
+++ b/forklift/shell/rate_limiting.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -39,6 +40,20 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class _TokenDecision:
+    """The allocator's decision about a request that waits for a token.
+
+    Attributes:
+        granted: Whether the request gets a token.
+        seconds: Seconds until the token may be used, if it is granted, else
+            until a retry.
+    """
+
+    granted: bool
+    seconds: float
+
+
 class AsyncLimiter:
     """Runs a `limiter.Limiter`: sends its messages and queues requests.
 
@@ -163,12 +178,18 @@
             for seconds in (TOKEN_RETRY_SECONDS, TOKEN_TIMEOUT_SECONDS):
                 done, _ = await asyncio.wait([answer], timeout=seconds)
                 if done:
-                    return answer.result()
+                    break
                 self._request_tokens(organisation)
-            return DEFAULT_RETRY_AFTER
+            else:
+                return DEFAULT_RETRY_AFTER
         finally:
             if answer in waiting:
                 waiting.remove(answer)
+        decision = answer.result()
+        if not decision.granted:
+            return decision.seconds
+        await asyncio.sleep(decision.seconds)
+        return None
 
     def _request_tokens(self, organisation: str) -> None:
         waiting = self._waiting_by_organisation.get(organisation)
@@ -186,11 +207,13 @@
         waiting = self._waiting_by_organisation.get(grant.organisation)
         if waiting is None:
             return
+        admitted = _TokenDecision(True, grant.usable_in)
         for _ in range(min(grant.count, len(waiting))):
-            _set_result(waiting.popleft(), None)
+            _set_result(waiting.popleft(), admitted)
         if grant.retry_after > 0:
+            rejected = _TokenDecision(False, grant.retry_after)
             while waiting:
-                _set_result(waiting.popleft(), grant.retry_after)
+                _set_result(waiting.popleft(), rejected)
         if not waiting:
             del self._waiting_by_organisation[grant.organisation]
 
@@ -199,6 +222,6 @@
             self._send_to(send.address, send.message)
 
 
-def _set_result(future: asyncio.Future, value: float | None) -> None:
+def _set_result(future: asyncio.Future, value: _TokenDecision) -> None:
     if not future.done():
         future.set_result(value)
--- a/forklift_lab/limit_model.py
+++ b/forklift_lab/limit_model.py
@@ -126,7 +126,10 @@
         """Those that wait get what was granted, the others are refused."""
         waiting = self.waiting.pop(told.organisation, [])
         for number, at in enumerate(waiting):
-            self.model.ended(told.organisation, at, number < told.count)
+            if number < told.count:
+                self.model.admit_later(told.organisation, at, told.usable_in)
+            else:
+                self.model.ended(told.organisation, at, False)
 
     def send(self, sends: list[limiter.Send]) -> None:
         """Hands messages to the network."""
@@ -364,6 +367,12 @@
         """A request was let in now, or refused."""
         self.ends[organisation].append((came, self.now, let_in))
 
+    def admit_later(
+        self, organisation: str, came: float, seconds: float
+    ) -> None:
+        """Admits a request as soon as its token may be used."""
+        self.at(seconds, lambda: self.ended(organisation, came, True))
+
     # Time and the observer.
 
     def at(self, after: float, work: Callable[[], None]) -> None:
