Answer requests for tokens only where the capacity is known

Callers saw: 429 with a Retry-After of 10 to 20 s for requests within the limit of their organisation, while its allocator had just started or had just handed over.

Cause: an allocator to which no share is delegated yet has a capacity of 0, and answered like one that has run out: no tokens, MAX_RETRY_AFTER_SECONDS. The process that asked then rejected all requests of the organisation for 0.5 s more, also when shares had arrived meanwhile.

New tests, failing before: test_allocator_without_delegations_does_not_reject_requests (10 s), test_rejection_tells_when_the_capacity_can_be_granted (10 s instead of 3), test_rejection_tells_when_the_allocator_expects_a_token (0.4 s instead of 2.9).

Change: without a delegated share the allocator leaves the answer out, and the process asks again within its 80 ms; where a share may be granted from a known time on, as after another allocator failed, requests are rejected at once with that time. A process that rejects on its own tells callers when a token is due rather than when it asks again.

--- a/forklift/allocator.py
+++ b/forklift/allocator.py
@@ -304,11 +304,6 @@
         )
         for organisation in shares:
             self._user_names(organisation).add(delegator.process.name)
-        token_grants = tuple(
-            self._grant_tokens(one, capacity, now)
-            for one in delegation.demands
-            if one.tokens_wanted
-        )
         return messages.Allocation(
             self._own,
             self._shard,
@@ -318,10 +313,43 @@
             tuple(
                 messages.Lease(name, share) for name, share in shares.items()
             ),
-            token_grants,
+            self._answer_token_requests(delegation.demands, capacity, now),
             tuple(self._superseded),
         )
 
+    def _answer_token_requests(
+        self,
+        demands: Iterable[messages.Demand],
+        capacity: float,
+        now: float,
+    ) -> tuple[messages.TokenGrant, ...]:
+        """Answers the requests for tokens, unless capacity may arrive any time.
+
+        A process whose request is not answered asks again.
+        """
+        capacity_in = 0.0 if capacity else self._seconds_until_capacity(now)
+        if math.isinf(capacity_in):
+            return ()
+        return tuple(
+            self._grant_tokens(one, capacity, capacity_in, now)
+            for one in demands
+            if one.tokens_wanted
+        )
+
+    def _seconds_until_capacity(self, now: float) -> float:
+        """Seconds until a delegated share may be granted; infinite if none."""
+        return max(
+            0.0,
+            min(
+                (
+                    one.grantable_from - now
+                    for one in self._delegator_by_name.values()
+                    if one.share
+                ),
+                default=math.inf,
+            ),
+        )
+
     def _share_to_lease(
         self,
         delegator: _Delegator,
@@ -370,7 +398,11 @@
         )
 
     def _grant_tokens(
-        self, demand: messages.Demand, capacity: float, now: float
+        self,
+        demand: messages.Demand,
+        capacity: float,
+        capacity_in: float,
+        now: float,
     ) -> messages.TokenGrant:
         limit = self._find_organisation(demand.organisation)
         if limit is None or not limit.limited:
@@ -390,7 +422,9 @@
         bucket.tokens -= count
         retry_after = 0.0
         if count < demand.tokens_wanted:
-            retry_after = min(MAX_RETRY_AFTER_SECONDS, bucket.wait(rate, 1.0))
+            # Without a free share tokens accrue again once leases expire.
+            wait = bucket.wait(rate, 1.0) if rate else LEASE_SECONDS
+            retry_after = min(MAX_RETRY_AFTER_SECONDS, capacity_in or wait)
         return messages.TokenGrant(
             demand.organisation,
             count,
--- a/forklift/limit_messages.py
+++ b/forklift/limit_messages.py
@@ -109,7 +109,8 @@
             that delegation was sent.
         leases: All leases of the receiver; they replace the earlier leases
             from this allocator.
-        token_grants: Answers to the receiver's requests for tokens.
+        token_grants: Answers to the receiver's requests for tokens; none if the
+            sender doesn't know when it may grant tokens.
         supersedes: Boots of earlier allocators whose leases become invalid.
     """
 
--- a/forklift/local_quota.py
+++ b/forklift/local_quota.py
@@ -129,8 +129,9 @@
         self.arrivals = rates.DecayingCounter(DEMAND_WINDOW_SECONDS)
         self.seen_at = now
         # The allocator has no tokens left; requests are rejected until this
-        # time, monotonic seconds.
+        # time, monotonic seconds. It expects a token at retry_at.
         self.exhausted_until = -math.inf
+        self.retry_at = -math.inf
         self.tokens_wanted = 0
         self.admitted = 0
         self.refused = 0
@@ -196,7 +197,8 @@
             return AdmissionResult(Decision.ADMIT)
         if now < usage.exhausted_until:
             usage.refused += 1
-            return AdmissionResult(Decision.REJECT, usage.exhausted_until - now)
+            retry_at = max(usage.exhausted_until, usage.retry_at)
+            return AdmissionResult(Decision.REJECT, retry_at - now)
         return AdmissionResult(Decision.ASK_ALLOCATOR)
 
     def set_tokens_wanted(self, organisation: str, count: int) -> None:
@@ -393,6 +395,7 @@
                 max(MIN_EXHAUSTED_SECONDS, grant.retry_after),
             )
             usage.exhausted_until = now + wait
+            usage.retry_at = now + grant.retry_after
 
     def tick(self, now: float) -> None:
         """Forgets organisations without recent requests."""
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -498,6 +498,26 @@
     assert granted >= LIMIT.rate * now
 
 
+def test_allocator_without_delegations_does_not_reject_requests():
+    """Guards against a Retry-After of 10 s for a limit that is not used up."""
+    found = single_allocator()
+    asks = (limit_messages.Demand("o", 0.0, 1),)
+    answer = found.receive_delegation(delegation(demands=asks), 0.0)
+    assert answer.token_grants == ()
+
+
+def test_rejection_tells_when_the_capacity_can_be_granted():
+    """Guards against a Retry-After of 10 s where the wait is known."""
+    found = single_allocator(expected=("p", "q"))
+    asks = (limit_messages.Demand("o", 0.0, 1),)
+    tie = {"previous_allocators": (("b", 5),), "exclusive_in": 3.0}
+    given = found.receive_delegation(delegation(), 0.0)
+    answer = found.receive_delegation(
+        delegation(2, echo=given.sequence, demands=asks, **tie), 0.0
+    )
+    assert answer.token_grants == (limit_messages.TokenGrant("o", 0, 3.0),)
+
+
 # A single process.
 
 
@@ -616,6 +636,16 @@
     assert found.admit("o", 0.25).decision is local_quota.Decision.ASK_ALLOCATOR
 
 
+def test_rejection_tells_when_the_allocator_expects_a_token():
+    found = local_quota_of_process()
+    found.admit("o", 0.0)
+    none = (limit_messages.TokenGrant("o", 0, 3.0),)
+    found.receive(allocation(found, 0.0, share=0.0, token_grants=none), 0.0)
+    again = found.admit("o", 0.1)
+    assert again.decision is local_quota.Decision.REJECT
+    assert again.retry_after == pytest.approx(2.9)
+
+
 def test_refund_makes_token_available_again():
     found = local_quota_of_process()
     found.admit("o", 0.0)
