Number allocations across the tenures of an allocator

Cause: a process made a new allocator for each tenure, and its allocations began with sequence number 1 again under the same boot. All other processes had seen higher numbers and ignored them as late, up to thousands of answers. They did not turn to another allocator either: each ignored message counted as a sign of life.

Evidence: test_process_that_allocates_a_shard_again_is_obeyed (three processes, one takes over for 8 s, is killed, 12 s later 60 requests) fails before, none is refused now.

Change: all allocators of a run share one sequence. A process that turns to another allocator begins the exchange anew (echoes nothing), so that a share which went on to a successor meanwhile is not delegated by an old acknowledgement, and asks at once what the previous allocator had run out of. As allocations of a second tenure are now obeyed, the share of a process that never knew of the successor is not granted until the successor's claim to it has expired or was handed back (test_shares_that_were_handed_over_are_not_granted_again).

--- a/forklift/allocator.py
+++ b/forklift/allocator.py
@@ -10,9 +10,11 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 
 from forklift import limit_messages as messages
 from forklift import organisations
@@ -46,6 +48,20 @@
 FindOrganisation = Callable[[str], organisations.Organisation | None]
 
 
+@dataclasses.dataclass(frozen=True)
+class FormerShard:
+    """A shard that this process handed over to another allocator.
+
+    Attributes:
+        successor: The process that received it.
+        until: Time until which the successor may grant the shares that were
+            handed over, monotonic seconds.
+    """
+
+    successor: messages.ProcessRun
+    until: float
+
+
 @dataclasses.dataclass
 class _IssuedAllocation:
     """An allocation whose leases may be in use.
@@ -77,7 +93,6 @@
     only_earlier_own_runs: bool = False
     last_sequence: int = 0
     heard_at: float = -math.inf
-    issued_sequence: int = 0
     issued: collections.deque[_IssuedAllocation] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -154,6 +169,8 @@
         find_organisation: FindOrganisation,
         find_lease_holders: Callable[[float], Iterable[str]],
         now: float,
+        sequences: Iterator[int] | None = None,
+        former_shard: FormerShard | None = None,
     ):
         """Creates an allocator without delegations.
 
@@ -165,7 +182,12 @@
             find_lease_holders: Returns the names of the processes that may
                 delegate shares or hold leases at a time, monotonic seconds.
             now: Monotonic seconds.
+            sequences: Increasing sequence numbers, shared by all allocators of
+                this run of the process.
+            former_shard: The shard, if this process handed it over recently.
         """
+        self._sequences = sequences or itertools.count(1)
+        self._former_shard = former_shard
         self._own = own
         self._shard = shard
         self._bounds = bounds
@@ -254,6 +276,11 @@
         )
         wait = 0.0 if handed_over else delegation.exclusive_in
         delegator.grantable_from = now + wait
+        if self._successor_may_grant(delegation):
+            delegator.only_earlier_own_runs = False
+            delegator.grantable_from = max(
+                delegator.grantable_from, self._former_shard.until
+            )
         if delegation.echo_boot != self._own.boot:
             return
         echoed = delegator.acknowledge(delegation.echo)
@@ -263,6 +290,17 @@
                 delegator.expires_at, echoed.sent_at + delegation.valid_for
             )
 
+    def _successor_may_grant(self, delegation: messages.Delegation) -> bool:
+        """Whether a share was handed over without the delegator's knowledge."""
+        if self._former_shard is None:
+            return False
+        successor = self._former_shard.successor
+        return (
+            successor.boot not in self._superseded
+            and (successor.name, successor.boot)
+            not in delegation.previous_allocators
+        )
+
     def _update_demands(
         self, delegator: _Delegator, demands: Iterable[messages.Demand]
     ) -> None:
@@ -296,18 +334,16 @@
             share = self._share_to_lease(delegator, organisation, capacity, now)
             if share:
                 shares[organisation] = share
-        delegator.issued_sequence += 1
+        sequence = next(self._sequences)
         delegator.issued.append(
-            _IssuedAllocation(
-                delegator.issued_sequence, now, now + LEASE_SECONDS, shares
-            )
+            _IssuedAllocation(sequence, now, now + LEASE_SECONDS, shares)
         )
         for organisation in shares:
             self._user_names(organisation).add(delegator.process.name)
         return messages.Allocation(
             self._own,
             self._shard,
-            delegator.issued_sequence,
+            sequence,
             delegation.sequence,
             LEASE_SECONDS,
             tuple(
--- a/forklift/limiter.py
+++ b/forklift/limiter.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Callable
 
 from forklift import allocator as allocators
@@ -39,6 +40,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class _Redirect:
+    """The allocator of a shard, as its former allocator says.
+
+    Attributes:
+        allocator: The allocator.
+        until: Time until which the redirect is followed, monotonic seconds.
+    """
+
+    allocator: limit_messages.ProcessRun
+    until: float
+
+
 class Limiter:
     """Enforces the limits at one process and allocates shards of them.
 
@@ -80,6 +94,11 @@
             self._has_ended,
         )
         self._allocator_by_shard: dict[int, allocators.Allocator] = {}
+        self._allocation_sequences = itertools.count(1)
+        # Shards that this process handed over to another.
+        self._former_by_shard: dict[int, allocators.FormerShard] = {}
+        # Shards whose former allocator named its successor.
+        self._redirect_by_shard: dict[int, _Redirect] = {}
         # Allocators that did not answer in time and have sent no message since.
         self._unresponsive: set[str] = set()
         self._allocator_names: list[str] = [directory.own.name]
@@ -101,6 +120,7 @@
         self._next_assignment = now + ASSIGNMENT_PERIOD
         self._detect_unresponsive(now)
         self._allocator_names = self._allocator_candidates()
+        self._drop_expired(now)
         self.quota.tick(now)
         sends = []
         for shard in range(local_quota.SHARD_COUNT):
@@ -209,6 +229,16 @@
             and (info.name == own or info.name not in self._unresponsive)
         ]
 
+    def _drop_expired(self, now: float) -> None:
+        """Drops redirects and records of handovers that have expired."""
+        for shard, redirect in list(self._redirect_by_shard.items()):
+            failed = redirect.allocator.name in self._unresponsive
+            if failed or now >= redirect.until:
+                del self._redirect_by_shard[shard]
+        for shard, former in list(self._former_by_shard.items()):
+            if now >= former.until:
+                del self._former_by_shard[shard]
+
     def _allocator_of_shard(self, shard: int) -> str:
         """Name of the process selected as allocator of a shard."""
         names = self._allocator_names or [self._directory.own.name]
@@ -235,7 +265,15 @@
             return []
         del self._allocator_by_shard[shard]
         given = allocator.hand_over(member.info.boot, now)
-        return [Send(member.info.control, given)] if given else []
+        if given is None:
+            return []
+        successor = limit_messages.ProcessRun(
+            name, member.info.control, member.info.boot
+        )
+        self._former_by_shard[shard] = allocators.FormerShard(
+            successor, now + allocators.DELEGATION_SECONDS
+        )
+        return [Send(member.info.control, given)]
 
     def _start_allocator(self, shard: int, now: float) -> allocators.Allocator:
         allocator = allocators.Allocator(
@@ -245,6 +283,8 @@
             self._find_organisation,
             self._possible_lease_holders,
             now,
+            self._allocation_sequences,
+            self._former_by_shard.get(shard),
         )
         self._allocator_by_shard[shard] = allocator
         return allocator
--- a/forklift/local_quota.py
+++ b/forklift/local_quota.py
@@ -79,6 +79,8 @@
         boot: Run of the allocator that sent the last allocation.
         last_sent: Sequence number of the last delegation.
         last_received: Sequence number of the last allocation.
+        echo: Sequence number of the allocation that the next delegation echoes;
+            0 if none arrived since this process selected the allocator.
         echoed: Whether a delegation has echoed an allocation. Only then may the
             allocator grant the share of this process.
         sent_at: Times at which recent delegations were sent, by sequence
@@ -88,6 +90,7 @@
     boot: int = 0
     last_sent: int = 0
     last_received: int = 0
+    echo: int = 0
     echoed: bool = False
     sent_at: collections.OrderedDict[int, float] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -266,11 +269,12 @@
             now: Monotonic seconds.
         """
         state = self._shards[shard]
+        exchange = state.exchange_by_name.setdefault(name, _Exchange())
         if state.allocator != name or state.unanswered_since is None:
             state.unanswered_since = now
-        state.allocator = name
+        if state.allocator != name:
+            self._select(state, name, exchange)
         state.next_delegation = now + allocator.DELEGATION_PERIOD_SECONDS
-        exchange = state.exchange_by_name.setdefault(name, _Exchange())
         exchange.last_sent += 1
         exchange.sent_at[exchange.last_sent] = now
         while len(exchange.sent_at) > MAX_PENDING_DELEGATIONS:
@@ -283,7 +287,7 @@
             if until > now and key != current
         }
         share = self._own_share()
-        if exchange.last_received:
+        if exchange.echo:
             exchange.echoed = True
             state.delegated_until = dict(previous)
             if share:
@@ -297,7 +301,7 @@
             self._own(),
             shard,
             exchange.last_sent,
-            exchange.last_received,
+            exchange.echo,
             exchange.boot,
             allocator.DELEGATION_SECONDS,
             share,
@@ -306,6 +310,17 @@
             tuple(self._demands(state, now)),
         )
 
+    def _select(self, state: _Shard, name: str, exchange: _Exchange) -> None:
+        """Turns to another allocator of a shard.
+
+        What an earlier exchange with it acknowledged may have been handed over,
+        and what the previous allocator ran out of may be available.
+        """
+        state.allocator = name
+        exchange.echo, exchange.echoed = 0, False
+        for organisation in state.organisations:
+            self.usage_by_organisation[organisation].exhausted_until = -math.inf
+
     def _shorten_delegations(self, state: _Shard, now: float) -> None:
         """Shortens delegations to runs that have ended.
 
@@ -366,6 +381,7 @@
         for name in state.organisations:
             self._refill(name, self.usage_by_organisation[name], now)
         exchange.last_received, state.allocation_at = allocation.sequence, now
+        exchange.echo = allocation.sequence
         if allocation.sender.name == state.allocator:
             state.unanswered_since = None
         expires_at = exchange.sent_at[allocation.echo] + allocation.valid_for
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -14,6 +14,7 @@
 from forklift import local_quota
 from forklift import organisations
 from forklift import rate_limits
+from forklift import rendezvous
 from forklift_lab import limit_model
 
 PROCESSES = 12
@@ -344,6 +345,72 @@
         assert ask_in_sequence(found, f"p{number % 3}")
 
 
+def shard_change() -> tuple[limit_model.Model, str, str, str]:
+    """Starts a process that becomes the allocator of o0 in place of another.
+
+    Returns:
+        The fleet after the organisation has sent requests for some seconds, the
+        process that allocates then, the one that starts and a third one.
+    """
+    salt = f"limits-{local_quota.shard_of('o0')}"
+    third, former, new = sorted(
+        ("p0", "p1", "p2"), key=lambda name: rendezvous.score(salt, name)
+    )
+    found = limit_model.Model(1, 0, limits(1000))
+    for name in (former, third):
+        found.start(name)
+    found.run(3.0)
+    found.load("o0", 200.0, [former, third], found.now + 3.0)
+    found.run(4.0)
+    assert found.node_by_name[third].limiter.allocator_of("o0") == former
+    return found, former, new, third
+
+
+def test_process_that_allocates_a_shard_again_is_obeyed():
+    """Guards against ignoring the allocations of a second tenure as late."""
+    found, former, new, third = shard_change()
+    found.start(new)
+    found.run(8.0)
+    assert found.node_by_name[third].limiter.allocator_of("o0") == new
+    found.kill(new, 1000.0)
+    found.run(12.0)
+    assert found.node_by_name[third].limiter.allocator_of("o0") == former
+    for number in range(60):
+        found.run(0.05)
+        assert ask_in_sequence(found, (former, third)[number % 2])
+
+
+@pytest.mark.parametrize("returned", [False, True])
+def test_shares_that_were_handed_over_are_not_granted_again(returned):
+    """The delegator does not know that another process may grant its share."""
+    successor = limit_messages.ProcessRun("b", "b", 2)
+    former_shard = allocator.FormerShard(successor, 5.0)
+    found = allocator.Allocator(
+        OWN,
+        0,
+        BOUNDS,
+        {"o": LIMIT}.get,
+        lambda now: ("p",),
+        1.0,
+        former_shard=former_shard,
+    )
+    if returned:
+        second = allocator.Allocator(
+            successor, 0, BOUNDS, {"o": LIMIT}.get, lambda now: (), 1.0
+        )
+        given = second.receive_delegation(delegation(), 1.0)
+        tie = {"echo": given.sequence, "echo_boot": successor.boot}
+        second.receive_delegation(delegation(2, **tie), 1.0)
+        found.accept_handover(second.hand_over(OWN.boot, 1.0), 1.0)
+    for number in range(1, 7):
+        given = found.receive_delegation(delegation(2 * number), number)
+        found.receive_delegation(
+            delegation(2 * number + 1, echo=given.sequence), number
+        )
+        granted = found.capacity(number)
+        assert granted == (1.0 if returned or number >= 5 else 0.0)
+
+
 # A single allocator.
 
 OWN = limit_messages.ProcessRun("a", "a", 1)
@@ -646,6 +713,16 @@
     assert again.retry_after == pytest.approx(2.9)
 
 
+def test_process_asks_another_allocator_at_once():
+    """What one allocator ran out of may be available at its successor."""
+    found = local_quota_of_process()
+    found.admit("o", 0.0)
+    none = (limit_messages.TokenGrant("o", 0, 3.0),)
+    found.receive(allocation(found, 0.0, share=0.0, token_grants=none), 0.0)
+    found.delegate(local_quota.shard_of("o"), "b", 0.1)
+    assert found.admit("o", 0.1).decision is local_quota.Decision.ASK_ALLOCATOR
+
+
 def test_refund_makes_token_available_again():
     found = local_quota_of_process()
     found.admit("o", 0.0)
