Name the successor to processes that ask a former allocator

Callers saw: at each change of the allocator, as when a process starts, requests within the limit ended 429 at processes that had not heard of the change yet, for up to 2 s; organisations with low limits also elsewhere.

Cause: the former allocator had handed everything over and made a new, empty allocator for whoever still asked it. Its answers held nothing. The tokens that it had not granted were lost, and the successor's buckets began empty.

Evidence: the lines of a play of the known red test with delayed messages: 'handover to p2 from p1', then 'alloc p1 from p0 seq 8 cap 0.0 grant (0, 10.0)', p0 learns of p2 3 ms later. test_process_that_does_not_know_the_new_allocator_is_served and test_tokens_are_handed_over fail before.

Change: for 5 s a former allocator answers with the address of its successor (AllocatorMoved); the process turns to it for 2 s, with the requests that wait. One redirect a shard at a time, so that two former allocators that name each other cause no storm. A handover carries the tokens that were not granted yet.

--- a/forklift/allocator.py
+++ b/forklift/allocator.py
@@ -447,10 +447,7 @@
             )
         depth = self._bounds.depth(limit.rate, limit.burst)
         free = max(0.0, capacity - self._total_leased(demand.organisation, now))
-        pool = self._pool_by_organisation.get(demand.organisation)
-        if pool is None:
-            pool = _TokenPool(self._stable_since)
-            self._pool_by_organisation[demand.organisation] = pool
+        pool = self._pool(demand.organisation, self._stable_since)
         bucket = pool.refill(now, free, limit.rate, depth)
         rate = limit.rate * free
         soon = rate * MAX_TOKEN_WAIT_SECONDS
@@ -468,6 +465,18 @@
             round(bucket.wait(rate, 0.0), 3),
         )
 
+    def _pool(self, organisation: str, since: float) -> _TokenPool:
+        """Returns the pool of an organisation; a new one fills up from since.
+
+        Args:
+            organisation: Name of the organisation.
+            since: Monotonic seconds.
+        """
+        pool = self._pool_by_organisation.get(organisation)
+        if pool is None:
+            pool = self._pool_by_organisation[organisation] = _TokenPool(since)
+        return pool
+
     # Expiry and handover.
 
     def tick(self, now: float) -> None:
@@ -511,8 +520,12 @@
         if not delegations:
             return None
         supersedes = (*self._superseded, self._own.boot)
+        pools = tuple(
+            messages.PooledTokens(name, round(pool.bucket.tokens, 3))
+            for name, pool in self._pool_by_organisation.items()
+        )
         return messages.Handover(
-            self._own, to_boot, self._shard, supersedes, delegations
+            self._own, to_boot, self._shard, supersedes, delegations, pools
         )
 
     def _held_delegation(
@@ -538,6 +551,8 @@
         """Takes over the delegations of an allocator that stops allocating."""
         for boot in handover.supersedes:
             self._superseded[boot] = now + DELEGATION_SECONDS
+        for one in handover.pools:
+            self._pool(one.organisation, now).bucket.tokens += one.tokens
         for held in handover.delegations:
             delegator = self._delegator_by_name.get(held.delegator.name)
             if delegator is None:
--- a/forklift/limit_messages.py
+++ b/forklift/limit_messages.py
@@ -143,6 +143,18 @@
     leases_valid_for: float
 
 
+class PooledTokens(_Wire):
+    """Tokens of an organisation that an allocator has not granted yet.
+
+    Attributes:
+        organisation: Name of the organisation.
+        tokens: Number of tokens; negative if some were granted in advance.
+    """
+
+    organisation: str
+    tokens: float
+
+
 class Handover(_Wire, tag=62):
     """Transfers a shard to another allocator; the sender stops allocating.
 
@@ -153,6 +165,7 @@
         supersedes: Boots of allocators whose leases may still be in use,
             including the sender.
         delegations: All delegations that the sender holds.
+        pools: The tokens that the sender has not granted yet.
     """
 
     sender: ProcessRun
@@ -160,3 +173,18 @@
     shard: int
     supersedes: tuple[int, ...]
     delegations: tuple[HeldDelegation, ...]
+    pools: tuple[PooledTokens, ...] = ()
+
+
+class AllocatorMoved(_Wire, tag=63):
+    """Answers a delegation after the receiver has handed over the shard.
+
+    Attributes:
+        sender: The former allocator.
+        shard: Number of the shard.
+        successor: The process to which the sender handed over the shard.
+    """
+
+    sender: ProcessRun
+    shard: int
+    successor: ProcessRun
--- a/forklift/limiter.py
+++ b/forklift/limiter.py
@@ -21,6 +21,9 @@
 ALLOCATOR_TIMEOUT = 2.2 * allocators.DELEGATION_PERIOD_SECONDS
 # Seconds between two selections of allocators.
 ASSIGNMENT_PERIOD = 0.25
+# Seconds for which this process follows a former allocator's word on who
+# allocates a shard; long enough to hear of a new process by gossip.
+REDIRECT_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +40,7 @@
         limit_messages.Delegation
         | limit_messages.Allocation
         | limit_messages.Handover
+        | limit_messages.AllocatorMoved
     )
 
 
@@ -68,6 +72,7 @@
         any_limited: Callable[[], bool],
         fleet_size_known: Callable[[], bool],
         on_tokens: Callable[[limit_messages.TokenGrant], None],
+        on_redirect: Callable[[int], None] = lambda shard: None,
     ):
         """Creates a limiter without leases.
 
@@ -79,6 +84,8 @@
             fleet_size_known: Whether this process knows the number of
                 processes.
             on_tokens: Called with each answer to a request for tokens.
+            on_redirect: Called with a shard whose requests for tokens the
+                former allocator did not answer; they are to be sent again.
         """
         self._directory = directory
         self._bounds = bounds
@@ -86,6 +93,7 @@
         self._any_limited = any_limited
         self._fleet_size_known = fleet_size_known
         self._on_tokens = on_tokens
+        self._on_redirect = on_redirect
         self.quota = local_quota.LocalQuota(
             self._own_run,
             bounds,
@@ -155,6 +163,8 @@
             return self._receive_delegation(message, now)
         if isinstance(message, limit_messages.Allocation):
             return self._receive_allocation(message, now)
+        if isinstance(message, limit_messages.AllocatorMoved):
+            return self._receive_redirect(message, now)
         self._receive_handover(message, now)
         return []
 
@@ -190,8 +200,39 @@
         delegation = self.quota.delegate(shard, name, now)
         if name == self._directory.own.name:
             return self._receive_delegation(delegation, now)
+        address = self._control_address(shard, name)
+        return [Send(address, delegation)] if address else []
+
+    def _control_address(self, shard: int, name: str) -> str:
+        """Control address of an allocator; empty if it is not known."""
         member = self._directory.member_by_name.get(name)
-        return [Send(member.info.control, delegation)] if member else []
+        if member is not None:
+            return member.info.control
+        redirect = self._redirect_by_shard.get(shard)
+        if redirect is not None and redirect.allocator.name == name:
+            return redirect.allocator.control
+        return ""
+
+    def _receive_redirect(
+        self, moved: limit_messages.AllocatorMoved, now: float
+    ) -> list[Send]:
+        """Turns to the successor of an allocator that handed over a shard."""
+        if not 0 <= moved.shard < local_quota.SHARD_COUNT:
+            return []
+        name = moved.successor.name
+        if (
+            # Two former allocators may name each other.
+            moved.shard in self._redirect_by_shard
+            or name in self._unresponsive
+            or moved.sender.name != self._allocator_of_shard(moved.shard)
+        ):
+            return []
+        self._redirect_by_shard[moved.shard] = _Redirect(
+            moved.successor, now + REDIRECT_SECONDS
+        )
+        sends = self._delegate(moved.shard, name, now)
+        self._on_redirect(moved.shard)
+        return sends
 
     def _receive_allocation(
         self, given: limit_messages.Allocation, now: float
@@ -241,6 +282,9 @@
 
     def _allocator_of_shard(self, shard: int) -> str:
         """Name of the process selected as allocator of a shard."""
+        redirect = self._redirect_by_shard.get(shard)
+        if redirect is not None:
+            return redirect.allocator.name
         names = self._allocator_names or [self._directory.own.name]
         salt = f"limits-{shard}"
         return max(names, key=lambda name: (rendezvous.score(salt, name), name))
@@ -307,6 +351,9 @@
             return []
         allocator = self._allocator_by_shard.get(delegation.shard)
         if allocator is None:
+            redirect = self._redirect_to_successor(delegation)
+            if redirect:
+                return redirect
             # This is safe even if this process selects another allocator: an
             # allocator grants no more than the shares delegated to it.
             allocator = self._start_allocator(delegation.shard, now)
@@ -317,6 +364,21 @@
             return self._receive_allocation(given, now)
         return [Send(delegation.sender.control, given)]
 
+    def _redirect_to_successor(
+        self, delegation: limit_messages.Delegation
+    ) -> list[Send]:
+        """Names the successor if this process handed over the shard."""
+        shard, sender = delegation.shard, delegation.sender
+        former = self._former_by_shard.get(shard)
+        if former is None or sender.name == former.successor.name:
+            return []
+        if self._allocator_of_shard(shard) == self._directory.own.name:
+            return []
+        moved = limit_messages.AllocatorMoved(
+            self._own_run(), shard, former.successor
+        )
+        return [Send(sender.control, moved)]
+
     def _receive_handover(
         self, given: limit_messages.Handover, now: float
     ) -> None:
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -653,6 +653,7 @@
     | limit_messages.Delegation
     | limit_messages.Allocation
     | limit_messages.Handover
+    | limit_messages.AllocatorMoved
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/forklift/shell/rate_limiting.py
+++ b/forklift/shell/rate_limiting.py
@@ -37,6 +37,7 @@
     limit_messages.Delegation,
     limit_messages.Allocation,
     limit_messages.Handover,
+    limit_messages.AllocatorMoved,
 )
 
 
@@ -90,6 +91,7 @@
             lambda: active_catalog.catalog.has_rate_limits,
             fleet_size_known,
             self._on_tokens,
+            self._request_tokens_of_shard,
         )
         self._active_catalog = active_catalog
         self._send_to = send
@@ -191,6 +193,12 @@
         await asyncio.sleep(decision.seconds)
         return None
 
+    def _request_tokens_of_shard(self, shard: int) -> None:
+        """Asks for tokens for waiting requests after the allocator changed."""
+        for organisation in self._waiting_by_organisation:
+            if local_quota.shard_of(organisation) == shard:
+                self._request_tokens(organisation)
+
     def _request_tokens(self, organisation: str) -> None:
         waiting = self._waiting_by_organisation.get(organisation)
         if waiting:
--- a/forklift_lab/limit_model.py
+++ b/forklift_lab/limit_model.py
@@ -122,6 +122,16 @@
             organisation, now, found.decision is local_quota.Decision.ADMIT
         )
 
+    def request_tokens(self, shard: int) -> None:
+        """Asks again for tokens for the requests that wait."""
+        for organisation, asked in self.waiting.items():
+            if asked and local_quota.shard_of(organisation) == shard:
+                self.send(
+                    self.limiter.request_tokens(
+                        organisation, len(asked), self.model.now
+                    )
+                )
+
     def tokens(self, told) -> None:
         """Those that wait get what was granted, the others are refused."""
         waiting = self.waiting.pop(told.organisation, [])
@@ -161,6 +171,7 @@
         lambda: True,
         lambda: node.counted,
         node.tokens,
+        node.request_tokens,
     )
 
 
@@ -250,6 +261,8 @@
         self.node_by_name: dict[str, Node] = {}
         # Pairs of sender and receiver between which nothing gets through.
         self.cut: set[tuple[str, str]] = set()
+        # Pairs of sender and receiver between which heartbeats are lost.
+        self.unheard: set[tuple[str, str]] = set()
         self.loses = 0.0
         self.sent = 0
         # When a request came, and whether it was let in, by organisation.
@@ -318,7 +331,8 @@
         own = node.directory.own
         if self.now >= node.paused_until:
             for name in list(self.node_by_name):
-                if name != own.name and (own.name, name) not in self.cut:
+                lost = (own.name, name) in self.cut | self.unheard
+                if name != own.name and not lost:
                     self.at(WAY, lambda name=name: self._hear(name, own))
         self.at(HEARTBEAT, lambda: self._beat(node))
 
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -366,6 +366,21 @@
     return found, former, new, third
 
 
+def test_process_that_does_not_know_the_new_allocator_is_served():
+    """Guards against refusals while processes differ on the allocator.
+
+    The former allocator has handed everything over. It must not answer as one
+    that has run out of tokens.
+    """
+    found, former, new, third = shard_change()
+    found.unheard.add((new, third))
+    found.start(new)
+    while found.node_by_name[former].limiter.allocator_of("o0") != new:
+        assert ask_in_sequence(found, third)
+    for _ in range(100):
+        assert ask_in_sequence(found, third)
+
+
 def test_process_that_allocates_a_shard_again_is_obeyed():
     """Guards against ignoring the allocations of a second tenure as late."""
     found, former, new, third = shard_change()
@@ -411,6 +426,27 @@
         assert granted == (1.0 if returned or number >= 5 else 0.0)
 
 
+def test_two_former_allocators_that_name_each_other_cause_no_storm():
+    found, former, new, third = shard_change()
+    shard = local_quota.shard_of("o0")
+    own = {
+        name: node.limiter._own_run()
+        for name, node in found.node_by_name.items()
+    }
+    moved = limit_messages.AllocatorMoved(
+        own[former], shard, limit_messages.ProcessRun(new, new, 9)
+    )
+    back = limit_messages.AllocatorMoved(
+        limit_messages.ProcessRun(new, new, 9), shard, own[former]
+    )
+    limiter = found.node_by_name[third].limiter
+    assert limiter.receive(moved, found.now)
+    assert limiter.allocator_of("o0") == new
+    assert limiter.receive(back, found.now) == []
+    found.run(10.0)
+    assert limiter.allocator_of("o0") == former
+
+
 # A single allocator.
 
 OWN = limit_messages.ProcessRun("a", "a", 1)
@@ -565,6 +601,19 @@
     assert granted >= LIMIT.rate * now
 
 
+def test_tokens_are_handed_over():
+    """Otherwise an organisation with a low limit is refused at each change."""
+    first, second = single_allocator(), single_allocator()
+    given = first.receive_delegation(delegation(), 0.0)
+    first.receive_delegation(delegation(2, echo=given.sequence), 0.0)
+    asks = (limit_messages.Demand("o", 0.0, 1),)
+    first.receive_delegation(delegation(3, demands=asks), 0.5)
+    second.accept_handover(first.hand_over(2, 0.5), 0.6)
+    asks = (limit_messages.Demand("o", 0.0, 49),)
+    answer = second.receive_delegation(delegation(4, demands=asks), 0.6)
+    assert answer.token_grants == (limit_messages.TokenGrant("o", 49, 0.0),)
+
+
 def test_allocator_without_delegations_does_not_reject_requests():
     """Guards against a Retry-After of 10 s for a limit that is not used up."""
     found = single_allocator()
