Don't ask for a token for a request that has given up

Cause: after its last wait for the allocator a request asked once more, then was rejected. Nobody used the token, so an organisation with a low limit lost a part of it whenever an answer was late.

--- a/forklift/shell/rate_limiting.py
+++ b/forklift/shell/rate_limiting.py
@@ -177,16 +177,15 @@
                 self._request_tokens, organisation
             )
         try:
-            for seconds in (TOKEN_RETRY_SECONDS, TOKEN_TIMEOUT_SECONDS):
-                done, _ = await asyncio.wait([answer], timeout=seconds)
-                if done:
-                    break
+            await asyncio.wait([answer], timeout=TOKEN_RETRY_SECONDS)
+            if not answer.done():
                 self._request_tokens(organisation)
-            else:
-                return DEFAULT_RETRY_AFTER
+                await asyncio.wait([answer], timeout=TOKEN_TIMEOUT_SECONDS)
         finally:
             if answer in waiting:
                 waiting.remove(answer)
+        if not answer.done():
+            return DEFAULT_RETRY_AFTER
         decision = answer.result()
         if not decision.granted:
             return decision.seconds
