Send 100 Continue only after the previous response

Callers saw (possible, never reported): a caller that sends a request with `Expect: 100-continue` before it has the answer to the one before gets the interim response within that answer's body, which corrupts both.

Cause: the reader of bodies wrote to the connection at once, past the order of responses.

Evidence: test_continue_is_sent_only_after_the_previous_response reads '100' in place of the first response before.

Change: the interim response waits until the previous response is sent, as all responses do. It is left out where the caller has sent the body without waiting. The admin server has no pipelined responses: it reads one request after the other.

--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -364,7 +364,9 @@
         self._writers.append(writer)
         self._idle_since = None
         try:
-            body = await self._body_reader.read(protocol, event)
+            body = await self._body_reader.read(
+                protocol, event, previous_finished
+            )
             request, rejection = self._build_request(event, body)
         except BaseException:
             self._writers.remove(writer)
--- a/test/test_ingress.py
+++ b/test/test_ingress.py
@@ -127,6 +127,29 @@
     play(work)
 
 
+def test_continue_is_sent_only_after_the_previous_response():
+    """Otherwise it stands within the response that is being sent."""
+
+    async def work(rig):
+        rig.send("/a/1")
+        rig.send("/a/2", extra="expect: 100-continue\r\ncontent-length: 3\r\n")
+        await rig.wait_for_requests(1)
+        (session,) = rig.ingress._sessions
+        await helper.until(lambda: len(session._writers) == 2)
+        rig.respond("/a/1")
+        status, _, body = await rig.read_response()
+        assert (status, body) == (200, b"/a/1")
+        interim = await rig.reader.readuntil(b"\r\n\r\n")
+        assert interim.startswith(b"HTTP/1.1 100")
+        rig.writer.write(b"abc")
+        await rig.wait_for_requests(2)
+        assert rig.requests[1].body.prefix == b"abc"
+        rig.respond("/a/2")
+        assert (await rig.read_response())[0] == 200
+
+    play(work)
+
+
 def test_a_request_keeps_its_target_id_and_end_to_end_headers():
     async def work(rig):
         forged = "x-origin-service: forged\r\nx-expected-target: forged\r\n"
