Answer 413 to bodies over the limit that come in chunks

Callers saw: a request with a chunked body over the permitted size ended with a closed connection and no answer; where the body is larger than what is kept whole (and so is passed on while it arrives), the log said 'send it again'. The admin server closed the connection for any body over its limit.

Cause: a body over the limit was taken for one that broke off. Only a declared length was answered.

Change: exchange.BodyTooLarge, answered with 413 until a part of the body has been passed on. After that the outcome is unknown to this process, and the caller is told so, as before. The admin server answers, then discards input for a second, as a connection that is closed with unread input loses its answer.

--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -22,8 +22,15 @@
 class IncompleteBody(errors.ForkliftError):
     """A body ended before it was complete."""
 
-    def __init__(self, detail: str):
-        super().__init__(f"the body is incomplete ({detail}); send it again")
+    def __init__(self, detail: str, remedy: str = "send it again"):
+        super().__init__(f"the body is incomplete ({detail}); {remedy}")
+
+
+class BodyTooLarge(IncompleteBody):
+    """A body is longer than permitted; the rest of it is not read."""
+
+    def __init__(self):
+        super().__init__("it exceeds the size limit", "send a smaller one")
 
 
 class Body:
--- a/forklift/shell/request_body.py
+++ b/forklift/shell/request_body.py
@@ -43,23 +43,24 @@
                 none.
 
         Raises:
-            errors.BadRequest: The declared length exceeds the limit.
-            exchange.IncompleteBody: The body ended early or exceeds the limit.
+            errors.BadRequest: The body exceeds the limit.
+            exchange.IncompleteBody: The body ended early.
             TimeoutError: The caller sent nothing for
                 `response_writer.STALL_TIMEOUT` seconds.
         """
         length = http.content_length(http.fields(event))
         if length > self._limits().body_bytes:
-            raise errors.BadRequest(
-                "the body is too large", "send a smaller one", 413
-            )
+            raise _too_large_error()
         chunks = self._read_chunks(protocol, previous_finished)
         # The prefix must cover all bytes that the fingerprint includes.
         prefix = bytearray()
-        async for chunk in chunks:
-            prefix += chunk
-            if len(prefix) > exchange.MAX_INLINE_BYTES:
-                return exchange.Body(bytes(prefix), chunks)
+        try:
+            async for chunk in chunks:
+                prefix += chunk
+                if len(prefix) > exchange.MAX_INLINE_BYTES:
+                    return exchange.Body(bytes(prefix), chunks)
+        except exchange.BodyTooLarge as error:
+            raise _too_large_error() from error
         return exchange.Body(bytes(prefix))
 
     async def _read_chunks(
@@ -75,7 +76,7 @@
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self._limits().body_bytes:
-                    raise exchange.IncompleteBody("it exceeds the size limit")
+                    raise exchange.BodyTooLarge
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
@@ -104,3 +105,7 @@
             await asyncio.shield(previous_finished)
         interim = h11.InformationalResponse(status_code=100, headers=[])
         self._connection.write(protocol.send(interim))
+
+
+def _too_large_error() -> errors.BadRequest:
+    return errors.BadRequest("the body is too large", "send a smaller one", 413)
--- a/forklift/shell/server.py
+++ b/forklift/shell/server.py
@@ -10,11 +10,14 @@
 
 import h11
 
+from forklift.shell import exchange
 from forklift.shell import http
 from forklift.shell import tcp_stream
 
 # Seconds without input after which a connection is closed.
 IDLE_TIMEOUT = 60.0
+# Seconds for which a connection discards input after it was rejected.
+LINGER_TIMEOUT = 1.0
 # Default maximum size of a request body.
 MAX_BODY_BYTES = 4_500_000
 JSON_MEDIA_TYPE = b"application/json"
@@ -57,6 +60,10 @@
     truncate_at: int = -1
 
 
+_BODY_TOO_LARGE = Response(
+    413, b'{"error": "the body is too large; send a smaller one"}'
+)
+
 Handler = Callable[[Request], Awaitable[Response | None]]
 
 
@@ -127,7 +134,11 @@
         event = await _next_event(connection, protocol)
         if not isinstance(event, h11.Request):
             return False
-        body = await self._read_body(connection, protocol)
+        try:
+            body = await self._read_body(connection, protocol)
+        except exchange.BodyTooLarge:
+            await _reject(connection, protocol, _BODY_TOO_LARGE)
+            return False
         if body is None:
             return False
         headers = http.fields(event)
@@ -146,7 +157,11 @@
     async def _read_body(
         self, connection: tcp_stream.Connection, protocol: h11.Connection
     ) -> bytes | None:
-        """Returns the complete body; None if it is too large or incomplete."""
+        """Returns the complete body; None if it is incomplete.
+
+        Raises:
+            exchange.BodyTooLarge: The body exceeds the limit.
+        """
         body = bytearray()
         while True:
             event = await _next_event(connection, protocol)
@@ -156,7 +171,7 @@
                 return None
             body += event.data
             if len(body) > self._max_body_bytes:
-                return None
+                raise exchange.BodyTooLarge
 
     async def _handle(
         self, connection: tcp_stream.Connection, request: Request
@@ -195,6 +210,28 @@
             protocol.receive_data(await connection.read())
 
 
+async def _reject(
+    connection: tcp_stream.Connection,
+    protocol: h11.Connection,
+    response: Response,
+) -> None:
+    """Answers a request that was not read whole, and ends the connection."""
+    headers = [
+        (b"content-type", response.media_type),
+        (b"content-length", str(len(response.body)).encode()),
+        (b"connection", b"close"),
+    ]
+    head = h11.Response(status_code=response.status, headers=headers)
+    connection.write(protocol.send(head) + response.body)
+    # Unread input would reset the connection and discard the response.
+    connection.half_close()
+    try:
+        async with asyncio.timeout(LINGER_TIMEOUT):
+            await connection.wait_closed()
+    except TimeoutError:
+        pass
+
+
 async def _send_response(
     connection: tcp_stream.Connection,
     protocol: h11.Connection,
--- a/test/test_ingress.py
+++ b/test/test_ingress.py
@@ -234,6 +234,23 @@
     play(work)
 
 
+def test_a_chunked_body_over_the_limit_gets_413():
+    """Guards against closing the connection without a response."""
+
+    async def work(rig):
+        rig.send(
+            "/a/1",
+            extra="transfer-encoding: chunked\r\n",
+            body="65\r\n" + "x" * 101 + "\r\n0\r\n\r\n",
+        )
+        status, fields, body = await rig.read_response()
+        assert (status, fields["connection"]) == (413, "close")
+        assert b"send a smaller one" in body
+        assert rig.requests == []
+
+    play(work)
+
+
 def test_a_head_that_exceeds_its_timeout_gets_408():
     async def work(rig):
         rig.writer.write(b"GET /a/1 HTTP/1.1\r\n")
