Bound the expansion of a configuration that a peer offers

Operators and callers could have seen: a process that exceeds its memory, or an untyped error in its log, after one damaged message of a peer.

Cause: an offered configuration was expanded as a whole, whatever its size; only the message around it was bounded (256 KB, which zlib can expand a thousand times). Such an offer also counted as a newer version at the peer.

Change: one function expands messages and offers within a bound (compression.py); a rejected offer is counted and logged as invalid input and changes nothing else.

--- a/forklift/shell/control_channel.py
+++ b/forklift/shell/control_channel.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from forklift import compression
 from forklift import messages
 from forklift.shell import authentication
 from forklift.shell import datagrams
@@ -178,14 +179,4 @@
     """
     if data[:1] != bytes((_ZLIB_HEADER_BYTE,)):
         return data
-    stream = zlib.decompressobj()
-    limit = messages.MAX_CONTROL_BYTES
-    try:
-        decompressed = stream.decompress(data, limit)
-    except zlib.error as error:
-        raise messages.MalformedMessage(str(error)) from error
-    if not stream.eof:
-        raise messages.MalformedMessage(
-            f"message is truncated or expands to over {limit} bytes"
-        )
-    return decompressed
+    return compression.decompress(data, messages.MAX_CONTROL_BYTES)
--- a/forklift/shell/control_protocols.py
+++ b/forklift/shell/control_protocols.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Callable
 
 import structlog
 
 from forklift import admission
 from forklift import catalog
+from forklift import compression
 from forklift import dissemination
 from forklift import gossip
 from forklift import interfaces
@@ -33,6 +33,8 @@
 
 # Number of peers that a new process asks for the complete membership.
 JOIN_PEER_COUNT = 3
+# Maximum size in bytes of a configuration record that a peer offers.
+MAX_RECORD_BYTES = 1 << 25
 # Number of processes to which an idle target is announced at a time.
 IDLE_ANNOUNCEMENT_FANOUT = 2
 
@@ -297,8 +299,17 @@
             peer=offer.sender.name,
             age=offer.age,
         )
+        try:
+            record = compression.decompress(offer.compressed, MAX_RECORD_BYTES)
+        except messages.MalformedMessage as error:
+            invalid_input.record(
+                invalid_input.Source.CONFIGURATION,
+                str(error),
+                name=offer.sender.name,
+            )
+            return
         self.dissemination.record_offer(offer, now)
-        self._on_configuration(zlib.decompress(offer.compressed), "peer")
+        self._on_configuration(record, "peer")
         self._send(self.dissemination.tick(now))
 
     def _send(self, sends: list[gossip.Send]) -> None:
--- a/test/test_control_protocols.py
+++ b/test/test_control_protocols.py
@@ -4,9 +4,12 @@
 import types
 import zlib
 
+import pytest
+
 from forklift import catalog
 from forklift import dissemination
 from forklift import gossip
+from forklift import invalid_input
 from forklift import load_balancer
 from forklift import membership
 from forklift import messages
@@ -24,6 +27,7 @@
         self.clock = helper.FakeClock()
         self.active_catalog = catalog.ActiveCatalog()
         self.sent: list[messages.Control] = []
+        self.records: list[bytes] = []
         rng = random.Random(1)
         limits = load_balancer.RetryBudgetLimits()
         self.control_protocols = control_protocols.ControlProtocols(
@@ -36,7 +40,7 @@
             ),
             types.SimpleNamespace(by_name={}),
             lambda address, message, new_connection: self.sent.append(message),
-            lambda record, source: None,
+            lambda record, source: self.records.append(record),
             lambda name: None,
         )
 
@@ -135,3 +139,21 @@
     ]
     assert [(one.version, one.age) for one in versions if one.confirm]
     assert {(one.version, one.age) for one in versions} == {(2, 1.5)}
+
+
+@pytest.mark.parametrize(
+    "compressed",
+    [b"x", zlib.compress(b"2")[:-1], zlib.compress(bytes(1 << 26))],
+    ids=["damaged", "cut short", "too large"],
+)
+def test_offer_that_can_not_be_expanded_is_rejected(compressed):
+    """Guards against expanding the data of a peer without a bound."""
+    rig = Rig()
+    rejected = invalid_input.count_by_source.copy()
+    offer = messages.CatalogOffer(
+        messages.Sender("p1", "p1"), 2, compressed, 1.5
+    )
+    rig.control_protocols.receive(offer)
+    assert rig.records == []
+    source = invalid_input.Source.CONFIGURATION
+    assert invalid_input.count_by_source[source] == rejected[source] + 1
