--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -351,11 +351,12 @@
         """Applies changed settings, except those that need a restart.
 
         Raises:
-            errors.UserError: The policy file can't be read or is invalid.
+            errors.UserError: The policy file can't be read or is invalid;
+                nothing has changed then.
         """
+        self.policy = load_policy(changed)
         self.settings = changed
         self.target_registry.settings = changed
-        self.policy = load_policy(changed)
         self.balancer.set_retry_limits(_retry_budget_limits(self.settings))
         self.rate_limiter.limiter.set_bounds(_rate_limit_bounds(changed))
         self.balancer.cross_domain_cost_per_kilobyte = changed.limits.far_cost
--- a/test/test_reload.py
+++ b/test/test_reload.py
@@ -1,10 +1,13 @@
 """Reloading of settings while a process runs."""
 
+import dataclasses
+
 import pytest
 
 from forklift import errors
 from forklift import settings
 from forklift.shell import reload
+from test import processes
 from test import test_ui
 
 TEXT = test_ui.PROCESS
@@ -73,3 +76,44 @@
     watcher = reload.Watcher(str(path), current, fail)
     assert not watcher.check()
     assert watcher.rejected == 1
+
+
+def test_changed_policy_file_is_applied(tmp_path):
+    """Guards against a policy that waits for a change of the settings."""
+    policy_file = tmp_path / "policy.ini"
+    policy_file.write_text("[policy]\nname = a\n")
+    text = TEXT.replace("name = p", f"name = p\npolicy = {policy_file}")
+    path = tmp_path / "f.ini"
+    path.write_text(text)
+    applied = []
+    watcher = reload.Watcher(
+        str(path), settings.parse("f", text), applied.append
+    )
+    assert not watcher.check()
+    policy_file.write_text("[policy]\nname = b\n")
+    assert watcher.check()
+    assert not watcher.check()
+    assert len(applied) == 1
+
+
+def test_rejected_settings_are_not_used_in_part(tmp_path):
+    """Guards against new settings beside the policy of the old ones."""
+    policy_file = tmp_path / "policy.ini"
+    policy_file.write_text("[policy]\nname = a\n[service default]\nretry = (\n")
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        before = one.settings
+        changed = dataclasses.replace(
+            before,
+            process=dataclasses.replace(
+                before.process, policy=str(policy_file)
+            ),
+            limits=settings.Limits(far_cost=0.5),
+        )
+        with pytest.raises(errors.UserError):
+            one.reload(changed)
+        assert one.settings is before
+        assert one.target_registry.settings is before
+
+    processes.play(work, [[]])
