Find all renamed targets by their previous names

Callers saw (possible): with several targets beside one process, requests of entries that had not heard of a rename were refused as for an unknown target, then tried again elsewhere.

Cause: only the last rename was remembered.

Change: previous names of all targets are kept for as long as the target is there.

--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -132,7 +132,12 @@
         local_target = self.by_name.pop(previous)
         local_target.controller.name = name
         self.by_name[name] = local_target
-        self._name_by_previous = {previous: name}
+        renamed = self._name_by_previous | {previous: name}
+        self._name_by_previous = {
+            earlier: name if current == previous else current
+            for earlier, current in renamed.items()
+            if current in self.by_name or current == previous
+        }
 
     def drain(self, name: str) -> None:
         """Stops sending new requests to a target."""
