Discard whole log lines only, and count each one

Operators saw: after a slow reader, a line of the log that was glued to the rest of another one and could not be parsed; a closed pipe counted one dropped line however many were waiting.

Cause: a buffer that was discarded may begin in the middle of a line that the pipe has taken in part.

Evidence: test_discarded_buffer_leaves_no_part_of_a_line and test_each_line_without_a_reader_is_counted fail before.

Change: the rest of a line that has begun stays in the buffer; dropped lines are counted in both cases.

--- a/forklift/shell/logs.py
+++ b/forklift/shell/logs.py
@@ -17,6 +17,7 @@
 MAX_WARNINGS_PER_SECOND = 50
 # Maximum size of the output that is buffered while the pipe is full.
 MAX_BUFFERED_BYTES = 262_144
+_NEWLINE = ord("\n")
 _WARNING_METHODS = ("warning", "error", "critical")
 
 # Number of dropped lines by event name.
@@ -61,6 +62,8 @@
     def __init__(self, fd: int):
         self._fd = fd
         self._buffer = bytearray()
+        # Whether the buffer begins with the rest of a line.
+        self._line_started = False
         os.set_blocking(fd, False)
 
     def msg(self, line: str) -> None:
@@ -68,9 +71,7 @@
         self._buffer += line.encode("utf-8", "replace") + b"\n"
         self.flush()
         if len(self._buffer) > MAX_BUFFERED_BYTES:
-            dropped = self._buffer.count(b"\n")
-            dropped_by_event["(reader too slow)"] += dropped
-            self._buffer.clear()
+            self._discard_lines("(reader too slow)")
 
     log = debug = info = warning = warn = msg
     error = exception = critical = fatal = msg
@@ -80,14 +81,23 @@
         try:
             while self._buffer:
                 written = os.write(self._fd, self._buffer)
+                self._line_started = self._buffer[written - 1] != _NEWLINE
                 del self._buffer[:written]
         except BlockingIOError:
             # The rest is written with the next line.
             return
         except OSError:
             # The pipe is closed; there is no other place to report errors.
-            dropped_by_event["(no reader)"] += 1
-            self._buffer.clear()
+            self._line_started = False
+            self._discard_lines("(no reader)")
+
+    def _discard_lines(self, reason: str) -> None:
+        """Discards the buffer, but for the rest of a line that has begun."""
+        rest = 0
+        if self._line_started:
+            rest = self._buffer.index(_NEWLINE) + 1
+        dropped_by_event[reason] += self._buffer.count(_NEWLINE, rest)
+        del self._buffer[rest:]
 
 
 class _RateLimitProcessor:
