Keep the port of a stand-in target while it is down

Seen: 'address already in use' once each in three runs of the tests beside other runs, in tests of targets that come back after a crash.

Cause: the stand-in gave its port up when it crashed and bound it again when it came back; the other run of the tests had taken it meanwhile.

Change: a second socket holds the port without listening, so connections are refused while the target is down, and nobody else can bind it. The checks of the tests that failed are unchanged.

--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -278,12 +278,16 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> "ScriptedTarget":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = tcp_stream.bound_address(self._server)
+        # Holds the port while the target is down.
+        self._reservation = _bind_free_port()
+        host, port = self._reservation.getsockname()
+        self.address = f"{host}:{port}"
+        self._server = await self._listen()
         return self
 
     async def __aexit__(self, *_: object) -> None:
         self._server.close()
+        self._reservation.close()
         for task in list(self._tasks):
             task.cancel()
 
@@ -315,8 +319,13 @@
     async def revive(self) -> None:
         """Starts again at its address after a crash: it knows nothing."""
         self.born += RESTART_MS
+        self._server = await self._listen()
+
+    async def _listen(self) -> asyncio.Server:
         host, port = tcp_stream.split_address(self.address)
-        self._server = await asyncio.start_server(self._serve, host, port)
+        return await asyncio.start_server(
+            self._serve, host, port, reuse_port=True
+        )
 
     def _fault(self, received: Received) -> str:
         """Name of the way in which a request is answered."""
@@ -393,3 +402,14 @@
             self._connections.discard(connection)
             self.hung_up += 1
             writer.close()
+
+
+def _bind_free_port() -> socket.socket:
+    """Returns a socket that holds a port without listening on it.
+
+    Only sockets of this user with SO_REUSEPORT can bind the same port.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    reservation.bind(("127.0.0.1", 0))
+    return reservation
