Reject a proof that arrives before the hello as malformed

Operators saw (possible): an untyped error in the log of a process for one frame of a writer that is no peer, in place of 'peer_frame_malformed'.

Cause: the client's side of the handshake took the peer's hello for granted; the other side checks it.

Evidence: test_proof_before_the_hello_is_malformed fails before with AttributeError.

--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -302,6 +302,8 @@
         self._frames.send(messages.Proof(digest))
 
     def _handle_proof(self, proof: messages.Proof) -> None:
+        if self.peer_hello is None:
+            raise messages.MalformedMessage("proof received before the hello")
         expected = framing.compute_proof(
             self._key, self.peer_hello.nonce, self._own_hello.nonce
         )
--- a/test/test_peer_client.py
+++ b/test/test_peer_client.py
@@ -42,3 +42,16 @@
         assert frames.compress == (requested and accepted)
 
     helper.run(work())
+
+
+def test_proof_before_the_hello_is_malformed():
+    """Guards against an untyped error for a message of another writer."""
+
+    async def work():
+        frames = framing.FrameConnection()
+        frames.connection_made(Transport())
+        peer_client.ClientConnection(frames, hello(False), b"key")
+        with pytest.raises(messages.MalformedMessage):
+            frames.on_frame(messages.Proof(b"x"))
+
+    helper.run(work())
