Let a target be named 'drain' at the admin address

Operators saw: an announcement of a target named 'drain' (POST /targets/drain) was answered 404, as a drain of a target without a name.

Cause: the registered path of a call, which leaves out the name in it, was also taken literally.

Evidence: the doctest of admin._match_path fails before. Only calls without a name in their path match literally now.

--- a/forklift/shell/admin.py
+++ b/forklift/shell/admin.py
@@ -135,9 +135,13 @@
 
     >>> _match_path("POST", "/targets/releves-1")
     ('targets/', 'releves-1')
+    >>> _match_path("POST", "/targets/drain")
+    ('targets/', 'drain')
+    >>> _match_path("POST", "/targets/releves-1/drain")
+    ('targets/drain', 'releves-1')
     """
     stripped = path.strip("/")
-    if (method, stripped) in handler_by_route:
+    if "/" not in stripped and (method, stripped) in handler_by_route:
         return stripped, ""
     for registered_method, registered in handler_by_route:
         head, slash, tail = registered.partition("/")
