Name the version that won a publish, and print traces as JSON

Cause: the version was read before the write only; the trace of logs was printed before the option was looked at.

Evidence: test_lost_publish_names_the_version_that_won (named 1 instead of 2) and test_trace_of_a_request_as_json fail before.

--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -23,7 +23,11 @@
     owns TARGET reports its state and its recent ejections.
     """
     if logs:
-        _print_trace(name, logs)
+        trace = _trace(name, logs)
+        if as_json:
+            admin_client.print_json(trace)
+        else:
+            click.echo("\n".join(trace))
         return
     owner_admin = admin_client.find_target_admin(admin, name)
     path = f"/explain/{name}"
@@ -36,7 +40,7 @@
         _print_explanation(explanation)
 
 
-def _print_trace(name: str, logs: tuple) -> None:
+def _trace(name: str, logs: tuple) -> list[str]:
     lines = log_trace.parse(line for log in logs for line in log)
     output = log_trace.trace_request(lines, name) or log_trace.trace_target(
         lines, name
@@ -46,8 +50,7 @@
             f"no log line mentions {name}; pass the logs of all processes "
             "from that time"
         )
-    for line in output:
-        click.echo(line)
+    return output
 
 
 def _print_explanation(explanation: report.TargetExplanation) -> None:
--- a/forklift/ui/publish.py
+++ b/forklift/ui/publish.py
@@ -36,16 +36,17 @@
     store_client = store.Store(address)
     try:
         current = await store_client.configuration()
-        current_version = 0
-        if current.record is not None:
-            current_version = store.decode_configuration(current.record).version
+        current_version = _version(store.decode_configuration, current.record)
         if configuration.version <= current_version:
             raise errors.PublishConflict(current_version)
         change = f"version {current_version} -> {configuration.version}"
         if dry_run:
             return f"{change}: not written"
         if not await store_client.publish(data, current.position):
-            raise errors.PublishConflict(current_version)
+            winner = await store_client.configuration()
+            raise errors.PublishConflict(
+                _version(store.decode_configuration, winner.record)
+            )
         return f"{change}: in force within seconds"
     except errors.RegistryUnavailable as error:
         raise errors.UserError(str(error)) from error
@@ -53,6 +54,11 @@
         store_client.close()
 
 
+def _version(decode, record: bytes | None) -> int:
+    """Returns the version of a record in the store; 0 if there is none."""
+    return 0 if record is None else decode(record).version
+
+
 def _decode(decode, data: bytes):
     try:
         return decode(data)
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -12,7 +12,10 @@
 from forklift import policy
 from forklift import settings
 from forklift import ui
+from forklift.platform import store as platform_store
 from forklift.shell import admin
+from forklift.shell import server
+from forklift_lab import store as lab_store
 from test import helper
 from test import processes
 
@@ -233,3 +236,44 @@
             server.close()
 
     helper.run(work())
+
+
+def test_lost_publish_names_the_version_that_won(tmp_path, monkeypatch):
+    """Guards against a merge with the version that was there before."""
+    path = tmp_path / "record.json"
+    path.write_text(json.dumps(processes.record(3)))
+
+    async def lose(self, data, position):
+        stand_in.configure(processes.record(2))
+        return False
+
+    stand_in = lab_store.Store()
+    stand_in.configure(processes.record(1))
+    monkeypatch.setattr(platform_store.Store, "publish", lose)
+
+    async def work():
+        listener = server.Server(stand_in.handle)
+        await listener.open("127.0.0.1:0")
+        found = await asyncio.to_thread(
+            run, "publish", str(path), "--store", listener.address
+        )
+        assert found.exit_code == 3
+        assert "version 2 is in force" in found.output
+        listener.abort()
+
+    helper.run(work())
+
+
+def test_trace_of_a_request_as_json(tmp_path):
+    """Guards against --json that is ignored for logs."""
+    line = {
+        "event": "request",
+        "request": "r1",
+        "process": "p",
+        "timestamp": "2026-01-02T03:04:05Z",
+    }
+    path = tmp_path / "p.log"
+    path.write_text(json.dumps(line) + "\n")
+    plain = run("explain", "r1", str(path)).output
+    found = json.loads(run("explain", "r1", str(path), "--json").output)
+    assert found == plain.splitlines()
