Remove fields and functions that nothing reads

LoadBalancer.has_targets and selection_count, Gossip.unreachable_peers, ini.addresses, the counters Ingress.rejected, AdminServer.rejected and Server.cancelled_requests, FrameConnection.on_batch: searched for by name over the whole tree, no use but their own. The field ProcessInfo.unreachable_peers stays, as it stands in the middle of a message that earlier versions read by position; its documentation says so.

--- a/forklift/gossip.py
+++ b/forklift/gossip.py
@@ -107,16 +107,6 @@
         """Whether the next round of gossip has rumors to send."""
         return self._has_rumors
 
-    def unreachable_peers(self) -> tuple[str, ...]:
-        """Names of peers that missed several pings in a row, sorted."""
-        return tuple(
-            sorted(
-                n
-                for n, m in self._misses_by_name.items()
-                if m >= MISSES_BEFORE_SUSPECT
-            )
-        )
-
     def tick(self, now: float) -> list[Send]:
         """Returns the messages that are due.
 
--- a/forklift/ini.py
+++ b/forklift/ini.py
@@ -130,12 +130,6 @@
     return found
 
 
-def addresses(value: str) -> tuple[str, ...]:
-    """Parses a comma-separated list of addresses, which may be empty."""
-    parts = [part.strip() for part in value.split(",")]
-    return tuple(address(part) for part in parts if part)
-
-
 class Reader:
     """Parses one INI file and collects its problems."""
 
--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -146,7 +146,6 @@
             domains, as a fraction of the value of a request.
         process_count: Number of known processes including this one; 0 until
             the first contact.
-        selection_count: Number of selections.
     """
 
     def __init__(
@@ -171,7 +170,6 @@
         self._state_by_service: dict[str, _ServiceState] = {}
         self._targets_by_process: dict[str, dict[str, str]] = {}
         self.process_count = 0
-        self.selection_count = 0
 
     def set_retry_limits(self, limits: RetryBudgetLimits) -> None:
         """Changes the limits of all retry budgets and keeps their counts."""
@@ -205,11 +203,6 @@
             self._remove_target(service, name, process)
         self.reachability.remove(process)
 
-    def has_targets(self, service: str) -> bool:
-        """Returns whether any target of a service is known."""
-        service_state = self._state_by_service.get(service)
-        return service_state is not None and bool(service_state.view_by_target)
-
     def services(self) -> list[str]:
         """Returns the sorted names of services with known targets."""
         items = self._state_by_service.items()
@@ -322,7 +315,6 @@
             view.next_trial_at = now + TRIAL_INTERVAL_SECONDS
         view.in_flight += 1
         view.pick_count += 1
-        self.selection_count += 1
         return Selection(view.name, view.process, required_health)
 
     def finish_attempt(
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -393,7 +393,7 @@
             with the same name, the later one wins.
         targets: Targets of the process.
         config: Version of the active configuration.
-        unreachable_peers: Names of peers that the process can't reach.
+        unreachable_peers: Always empty; earlier versions expect the field.
         store_epoch: Latest known epoch of the store; increases whenever the
             store loses records.
     """
--- a/forklift/shell/admin.py
+++ b/forklift/shell/admin.py
@@ -65,7 +65,6 @@
     Attributes:
         proxy: The proxy process that the server reports on and controls.
         on_stop_requested: Called when an operator requests a shutdown.
-        rejected: Number of requests rejected for a missing or wrong key.
         telemetry: Metrics of the process; None before the first scrape.
     """
 
@@ -74,7 +73,6 @@
         self.on_stop_requested: Callable[[], None] = lambda: None
         self._server = server.Server(self._handle)
         self._key = proxy.settings.process.key.encode()
-        self.rejected = 0
         self.telemetry = None
 
     async def open(self) -> None:
@@ -110,7 +108,6 @@
                 404, "unknown method or path; see docs/OPERATIONS.md"
             )
         if path not in _PUBLIC_PATHS and not self._is_authorized(request):
-            self.rejected += 1
             _log.warning("admin_request_rejected", call=path)
             return error_response(
                 401, "the key is missing or wrong; pass the [process] key"
--- a/forklift/shell/framing.py
+++ b/forklift/shell/framing.py
@@ -87,7 +87,6 @@
 
     Attributes:
         on_frame: Called with each frame received.
-        on_batch: Called when data arrives, before its frames are decoded.
         on_lost: Called when the connection closes.
         peer_address: Address of the peer, "ip:port".
         compress: Whether frames sent from now on are compressed. Body chunks
@@ -103,7 +102,6 @@
         self._can_write.set()
         self.transport: asyncio.Transport | None = None
         self.on_frame: Callable[[messages.Frame], None] = lambda frame: None
-        self.on_batch: Callable[[], None] = lambda: None
         self.on_lost: Callable[[], None] = lambda: None
         self._lost = False
         self.peer_address = ""
@@ -122,7 +120,6 @@
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
         self._buffer += data
-        self.on_batch()
         try:
             self._process_buffer()
         except messages.MalformedMessage as error:
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -104,7 +104,6 @@
             closes after the responses to the requests that were read.
         closed: Whether new connections are closed without a response.
         running: Number of requests in progress.
-        rejected: Number of rejected connections and malformed requests.
     """
 
     def __init__(self, hooks: Hooks, max_connections: int, clock):
@@ -117,7 +116,6 @@
         self.stopping = False
         self.closed = False
         self.running = 0
-        self.rejected = 0
 
     @property
     def connections(self) -> int:
@@ -131,7 +129,6 @@
             connection.close()
             return
         if len(self._sessions) >= self._max_connections:
-            self.rejected += 1
             connection.write(_TOO_MANY_CONNECTIONS)
             connection.close()
             return
@@ -575,7 +572,6 @@
         """Responds to a malformed request with a problem document."""
         if not self._keep_alive:
             return
-        self._ingress.rejected += 1
         _log.info(
             "request_rejected", peer=self.connection.peer_ip, detail=str(error)
         )
--- a/forklift/shell/server.py
+++ b/forklift/shell/server.py
@@ -74,8 +74,6 @@
 
     Attributes:
         address: The bound address, "ip:port"; empty before `open`.
-        cancelled_requests: Number of requests that were cancelled because the
-            caller disconnected.
     """
 
     def __init__(self, handler: Handler, max_body_bytes: int = MAX_BODY_BYTES):
@@ -84,7 +82,6 @@
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
         self.address = ""
-        self.cancelled_requests = 0
 
     async def open(self, address: str) -> None:
         """Starts to listen.
@@ -187,7 +184,6 @@
             return await task
         except asyncio.CancelledError:
             if connection.closed:
-                self.cancelled_requests += 1
                 raise tcp_stream.ConnectionLost(
                     "the caller disconnected"
                 ) from None
