Wait longer for a token from an allocator that answers

Callers saw: 429 with Retry-After 0.5 to 1 s for a request within its limit where the answer of the allocator took over 80 ms, as when processes or links are slow, or where two messages overtook each other.

Cause: requests waited 30 and 50 ms for the answers to two requests for tokens, whatever was known of the allocator. A delegation that overtakes the one that asks for a token makes it void, and so does an allocation the one that grants it.

--- a/forklift/shell/rate_limiting.py
+++ b/forklift/shell/rate_limiting.py
@@ -23,11 +23,12 @@
 
 _log = structlog.get_logger(__name__)
 
-# Seconds after which an unanswered request for tokens is sent again.
-TOKEN_RETRY_SECONDS = 0.03
-# Seconds after the second request for tokens until the waiting requests are
-# rejected.
-TOKEN_TIMEOUT_SECONDS = 0.05
+# Seconds for which an answer to each request for tokens is awaited. After the
+# last one the waiting requests are rejected.
+TOKEN_WAITS_SECONDS = (0.03, 0.08, 0.14)
+# The same for an allocator that has not answered for SILENCE_SECONDS.
+SILENT_ALLOCATOR_WAITS_SECONDS = (0.03, 0.05)
+SILENCE_SECONDS = 0.25
 # Retry-After if the allocator did not answer, seconds.
 DEFAULT_RETRY_AFTER = 0.5
 # Minimum of Retry-After before jitter is added, seconds.
@@ -177,10 +178,13 @@
                 self._request_tokens, organisation
             )
         try:
-            await asyncio.wait([answer], timeout=TOKEN_RETRY_SECONDS)
-            if not answer.done():
+            first_wait, *later_waits = self._token_waits(organisation)
+            await asyncio.wait([answer], timeout=first_wait)
+            for seconds in later_waits:
+                if answer.done():
+                    break
                 self._request_tokens(organisation)
-                await asyncio.wait([answer], timeout=TOKEN_TIMEOUT_SECONDS)
+                await asyncio.wait([answer], timeout=seconds)
         finally:
             if answer in waiting:
                 waiting.remove(answer)
@@ -192,6 +196,18 @@
         await asyncio.sleep(decision.seconds)
         return None
 
+    def _token_waits(self, organisation: str) -> tuple[float, ...]:
+        """Seconds to wait for an answer to each request for tokens.
+
+        A slow answer of a live allocator serves the caller sooner than a retry.
+        """
+        silent_for = self.limiter.quota.seconds_unanswered(
+            local_quota.shard_of(organisation), self._clock.monotonic()
+        )
+        if silent_for > SILENCE_SECONDS:
+            return SILENT_ALLOCATOR_WAITS_SECONDS
+        return TOKEN_WAITS_SECONDS
+
     def _request_tokens_of_shard(self, shard: int) -> None:
         """Asks for tokens for waiting requests after the allocator changed."""
         for organisation in self._waiting_by_organisation:
