Don't reject requests while delegations wait to be renewed

Evidence: test_allocator_that_was_paused_does_not_reject_requests fails before.

Change: only a share that may be granted from a known time on makes a rejection; the next message of its process renews a lapsed one.

--- a/forklift/allocator.py
+++ b/forklift/allocator.py
@@ -373,18 +373,20 @@
         )
 
     def _seconds_until_capacity(self, now: float) -> float:
-        """Seconds until a delegated share may be granted; infinite if none."""
-        return max(
-            0.0,
-            min(
-                (
-                    one.grantable_from - now
-                    for one in self._delegator_by_name.values()
-                    if one.share
-                ),
-                default=math.inf,
+        """Seconds until a delegated share may be granted; infinite if unknown.
+
+        Delegations that were not renewed, as during a pause of this process,
+        may be renewed by the next message.
+        """
+        wait = min(
+            (
+                one.grantable_from - now
+                for one in self._delegator_by_name.values()
+                if one.share
             ),
+            default=0.0,
         )
+        return wait if wait > 0 else math.inf
 
     def _share_to_lease(
         self,
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -622,6 +622,23 @@
     assert answer.token_grants == ()
 
 
+def test_allocator_that_was_paused_does_not_reject_requests():
+    """Guards against rejections until its delegations are renewed."""
+    found = single_allocator()
+    given = found.receive_delegation(delegation(), 0.0)
+    given = found.receive_delegation(delegation(2, echo=given.sequence), 0.0)
+    now = DELEGATION_SECONDS
+    asks = (limit_messages.Demand("o", 0.0, 1),)
+    given = found.receive_delegation(
+        delegation(3, echo=given.sequence, demands=asks), now
+    )
+    assert given.token_grants == ()
+    answer = found.receive_delegation(
+        delegation(4, echo=given.sequence, demands=asks), now
+    )
+    assert answer.token_grants[0].count == 1
+
+
 def test_rejection_tells_when_the_capacity_can_be_granted():
     """Guards against a Retry-After of 10 s where the wait is known."""
     found = single_allocator(expected=("p", "q"))
