Admit waiting requests if this process is the new allocator

Cause: a redirect to this process itself grants tokens at once, while the requests that wait are gone through; the handler of the message ended with an error.

Evidence: test_requests_are_admitted_if_this_process_is_the_new_allocator fails before with RuntimeError.

--- a/forklift/shell/rate_limiting.py
+++ b/forklift/shell/rate_limiting.py
@@ -210,7 +210,7 @@
 
     def _request_tokens_of_shard(self, shard: int) -> None:
         """Asks for tokens for waiting requests after the allocator changed."""
-        for organisation in self._waiting_by_organisation:
+        for organisation in list(self._waiting_by_organisation):
             if local_quota.shard_of(organisation) == shard:
                 self._request_tokens(organisation)
 
--- a/test/test_rate_limiting.py
+++ b/test/test_rate_limiting.py
@@ -148,3 +148,25 @@
         )
         peer.answer(limit_messages.TokenGrant("fund", 1, 0.0))
         assert peer.limiter._token_waits("fund") == patient
+
+
+def test_requests_are_admitted_if_this_process_is_the_new_allocator(
+    monkeypatch,
+):
+    """Guards against an error when tokens are granted during the redirect."""
+    monkeypatch.setattr(rate_limiting, "TOKEN_WAITS_SECONDS", (NEVER,))
+
+    async def work():
+        peer = Peer()
+        admitted = asyncio.ensure_future(peer.limiter.admit("fund"))
+        await helper.until(lambda: peer.requests())
+        peer.limiter.receive(
+            limit_messages.AllocatorMoved(
+                limit_messages.ProcessRun("peer", "peer", 1),
+                local_quota.shard_of("fund"),
+                limit_messages.ProcessRun("own", "own", 1),
+            )
+        )
+        assert await admitted is None
+
+    helper.run(work())
