Log and report the limits that targets name, and that they leave

Cause: in the incident neither lines nor metrics tell that a target has named a limit, which one, or how much it was sent, so hypotheses can't be told apart by them.

Change: responses are searched for two fields, a rate limit and a word that the target leaves. A line tells each change of the limit; `forklift explain`, the state dump and two metrics tell the limit and the number of starts. An invalid field is counted as unreadable and changes nothing. A looser limit in a response to a request that was sent before the present limit became known is taken for late. Nothing is decided by either field yet.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -17,6 +17,7 @@
 from forklift import invariants
 from forklift import latency
 from forklift import messages
+from forklift import target_rate_limit
 
 Reason = messages.Reason
 State = messages.TargetState
@@ -146,6 +147,10 @@
         # End of the slow start that the target announced, monotonic seconds.
         self.cold_until = 0.0
         self.refusals_by_reason: dict[Reason, int] = {}
+        self.rate_limit = target_rate_limit.TargetRateLimit()
+        self.starts = 0
+        # Whether a response of the target said that it is leaving.
+        self.leave_noticed = False
         self._last_start = float("-inf")
         self._running_by_id: dict[tuple[int, int], _Running] = {}
         # Sorted by priority, then by soft deadline. A request that another
@@ -365,6 +370,7 @@
         distribution = self._distribution(ticket, now)
         self._running_by_id[ticket.id] = _Running(ticket, now, distribution)
         self._last_start = now
+        self.starts += 1
         self.health.record_start(ticket.id, distribution, now)
         return Started(ticket)
 
--- a/forklift/header_fields.py
+++ b/forklift/header_fields.py
@@ -22,6 +22,9 @@
         target: Name of the target, in responses to health checks.
         load: Running requests, waiting requests and slots of a target, joined
             by commas.
+        rate_limit: Requests per second that a target takes from all processes
+            together, in its responses for as long as the limit lasts.
+        leaving: "1" in all responses of a target that is leaving.
         key: Key of the calling organisation; removed before a request is
             forwarded.
         organisation: Name of the organisation, as passed to the target.
@@ -36,6 +39,8 @@
     signature: bytes
     target: bytes
     load: bytes
+    rate_limit: bytes
+    leaving: bytes
     key: bytes
     organisation: bytes
     credentials: tuple[bytes, ...] = (
@@ -67,6 +72,8 @@
     signature=b"x-answer-signature",
     target=b"x-target",
     load=b"x-target-load",
+    rate_limit=b"x-target-limit",
+    leaving=b"x-target-leaving",
     key=b"x-organisation-key",
     organisation=b"x-organisation",
 )
--- a/forklift/invalid_input.py
+++ b/forklift/invalid_input.py
@@ -16,6 +16,7 @@
 
     HEARTBEAT = "heartbeat"
     HEALTH = "health"
+    RESPONSE = "response"
     CONFIGURATION = "configuration"
     MEMBER = "member"
     STORE = "store"
--- a/forklift/platform/platform_headers.py
+++ b/forklift/platform/platform_headers.py
@@ -11,6 +11,8 @@
     signature=b"forklift-response-signature",
     target=b"forklift-instance-id",
     load=b"forklift-server-load",
+    rate_limit=b"server-limit",
+    leaving=b"server-leaving",
     key=b"api-key",
     organisation=b"forklift-tenant-id",
 )
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -46,6 +46,9 @@
         latency_by_route: Median latency of each route, in seconds.
         refusals: Number of rejected requests, by reason.
         changes: Ejections and reinstatements, oldest first.
+        rate_limit: Requests per second that the target takes from all
+            processes together; None if it has named no limit.
+        starts: Number of requests that were started on the target.
     """
 
     target: str
@@ -61,6 +64,8 @@
     latency_by_route: dict[str, float]
     refusals: dict[str, int]
     changes: tuple[EjectionChange, ...]
+    rate_limit: float | None = None
+    starts: int = 0
 
 
 class Target(_Report):
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -15,6 +15,7 @@
 from forklift import messages
 from forklift import policy
 from forklift import quarantine as quarantines
+from forklift import target_notices
 from forklift.shell import connection_pool
 from forklift.shell import exchange
 from forklift.shell import upstream
@@ -288,6 +289,9 @@
             local_target.controller.name,
             self._header_names,
             self._clock.monotonic,
+            lambda notice, sent_at: self._handle_notice(
+                local_target, notice, sent_at
+            ),
         )
         signal: Signal | None = None
         candidates = local_target.candidates
@@ -347,6 +351,36 @@
             result, load=self._current_load(local_target, request.route)
         )
 
+    def _handle_notice(
+        self,
+        local_target: LocalTarget,
+        notice: target_notices.TargetNotice,
+        sent_at: float,
+    ) -> None:
+        """Handles the notices in a response of a target.
+
+        Args:
+            local_target: The target.
+            notice: The notices.
+            sent_at: Monotonic seconds at which the request was sent.
+        """
+        controller = local_target.controller
+        before = controller.rate_limit.finite_rate
+        if notice.rate_limit is not None and controller.rate_limit.record(
+            notice.rate_limit, sent_at, self._clock.monotonic()
+        ):
+            _log.warning(
+                "target_rate_limit",
+                target=controller.name,
+                rate=controller.rate_limit.finite_rate,
+                before=before,
+                running=controller.running,
+                waiting=controller.waiting,
+            )
+        if notice.leaving and not controller.leave_noticed:
+            controller.leave_noticed = True
+            _log.info("target_leaving", target=controller.name)
+
     async def _has_crashed(
         self, local_target: LocalTarget, ticket: admission.Ticket
     ) -> bool:
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -111,6 +111,8 @@
             for reason, count in controller.refusals_by_reason.items()
         },
         _ejection_changes(proxy, local_target),
+        controller.rate_limit.finite_rate,
+        controller.starts,
     )
 
 
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -128,6 +128,23 @@
                 )
             ],
         )
+        self.add_gauge(
+            "forklift.targets.limit",
+            "Requests per second that targets beside say they take",
+            lambda: [
+                (target.controller.rate_limit.rate, {"target": name})
+                for name, target in local_targets.items()
+                if target.controller.rate_limit.finite_rate is not None
+            ],
+        )
+        self.add_counter(
+            "forklift.targets.starts",
+            "Requests that were started on targets beside",
+            lambda: [
+                (target.controller.starts, {"target": name})
+                for name, target in local_targets.items()
+            ],
+        )
         self.add_counter(
             "forklift.connections",
             "Connections to targets beside",
--- a/forklift/shell/upstream.py
+++ b/forklift/shell/upstream.py
@@ -8,16 +8,20 @@
 
 import asyncio
 import dataclasses
+import math
 import re
 from collections.abc import Callable
+from typing import TypeVar
 
 import h11
 import structlog
 
 from forklift import errors
 from forklift import header_fields
+from forklift import invalid_input
 from forklift import invariants
 from forklift import messages
+from forklift import target_notices
 from forklift.shell import connection_pool
 from forklift.shell import exchange
 from forklift.shell import http
@@ -25,6 +29,7 @@
 
 _log = structlog.get_logger(__name__)
 Reason = messages.Reason
+_Value = TypeVar("_Value")
 
 # Maximum idle time of a connection if the target sends no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_SECONDS = 0.8
@@ -37,6 +42,8 @@
 # Maximum number of responses to other requests that are skipped before the
 # request fails and its connection is closed.
 MAX_STRAY_RESPONSES = 3
+# Status with which a target rejects a request that is meant for another one.
+MISDIRECTED_STATUS = 421
 _BODILESS_STATUSES = (204, 304)
 # Values of more than nine digits are invalid.
 _KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(
@@ -85,6 +92,9 @@
         incarnation: str,
         header_names: header_fields.HeaderNames,
         now: Callable[[], float],
+        on_notice: Callable[
+            [target_notices.TargetNotice, float], None
+        ] = lambda notice, sent_at: None,
     ):
         """Initializes a request that has not started.
 
@@ -97,6 +107,8 @@
                 logs.
             header_names: Names of header fields.
             now: Returns monotonic seconds.
+            on_notice: Called with the notices in the response, and the
+                monotonic time at which the request was sent.
         """
         self._pool = pool
         self._request = request
@@ -104,6 +116,8 @@
         self._incarnation = incarnation
         self._header_names = header_names
         self._now = now
+        self._on_notice = on_notice
+        self._sent_at = math.inf
         self._stray_count = 0
         self._reusable = True
         self.head: ResponseHead | None = None
@@ -157,6 +171,7 @@
         protocol = self._new_protocol()
         head = protocol.send(self._request_head())
         body = self._request.body
+        self._sent_at = self._now()
         if body.complete:
             self._write(connection, head + self._encode_body(protocol))
             await self._receive_response(connection, protocol, load, sink)
@@ -257,6 +272,7 @@
             own_id, own_id if request_id is None else request_id.decode()
         )
         self.head = self._parse_head(response)
+        self._report_notice(response)
         self._raise_not_run(response)
         response_forwarder = _ResponseForwarder(
             sink, self.head, self._incarnation, load
@@ -360,10 +376,43 @@
         )
         return request_id is None or request_id == self._request.id.encode()
 
+    def _report_notice(self, response: h11.Response) -> None:
+        if response.status_code == MISDIRECTED_STATUS:
+            # The response is that of another target.
+            return
+        names, headers = self._header_names, http.fields(response)
+        notice = target_notices.TargetNotice(
+            self._parse_notice_field(
+                target_notices.parse_rate_limit,
+                http.value(headers, names.rate_limit),
+            ),
+            bool(
+                self._parse_notice_field(
+                    target_notices.parse_leaving,
+                    http.value(headers, names.leaving),
+                )
+            ),
+        )
+        self._on_notice(notice, self._sent_at)
+
+    def _parse_notice_field(
+        self, parse: Callable[[bytes | None], _Value], value: bytes | None
+    ) -> _Value | None:
+        """Parses a field of a notice; returns None if it is invalid."""
+        try:
+            return parse(value)
+        except target_notices.InvalidNotice as error:
+            invalid_input.record(
+                invalid_input.Source.RESPONSE,
+                str(error),
+                target=self._incarnation,
+            )
+            return None
+
     def _raise_not_run(self, response: h11.Response) -> None:
         """Raises an error if the target rejected the request as not run."""
         status = response.status_code
-        if status == 421:
+        if status == MISDIRECTED_STATUS:
             raise connection_pool.NotRun(
                 Reason.MISDIRECTED, "another target uses the address"
             )
--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -64,6 +64,11 @@
         f"unhealthy with probability {explanation.risk:g}"
     )
     click.echo(f"  last request started {explanation.idle:g} s ago")
+    if explanation.rate_limit is not None:
+        click.echo(
+            f"  the target has named a limit of {explanation.rate_limit:g} "
+            "requests per second"
+        )
     for route, seconds in explanation.latency_by_route.items():
         click.echo(f"  {route} has a median latency of {seconds * 1000:.0f} ms")
     for reason, count in explanation.refusals.items():
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -61,6 +61,7 @@
         names: header_fields.HeaderNames,
         release: asyncio.Event,
         crash: Callable[[], None],
+        notices: Callable[[], tuple[bytes, ...]] = tuple,
     ):
         self.release = release
         # Ends the target with all its connections.
@@ -69,6 +70,8 @@
         self.reader = reader
         self.writer = writer
         self.names = names
+        # Fields that all answers hold.
+        self.notices = notices
 
     async def read(self) -> Received | None:
         """The next request; None at the end of the connection."""
@@ -96,6 +99,7 @@
             b"HTTP/1.1 %d X" % status,
             self.names.request_id + b": " + (request_id or own),
             self.names.signature + b": signed",
+            *self.notices(),
             *fields,
         ]
         if framed:
@@ -246,6 +250,10 @@
         self.strict = strict
         self.slots = slots
         self.leaving = False
+        # What its answers say: requests a second that it takes, or nothing,
+        # and that it leaves.
+        self.rate_limit: float | None = None
+        self.says_leaving = False
         self.script = list(script)
         self.names = names
         self.received: list[Received] = []
@@ -300,6 +308,8 @@
         """Crashes, and starts again under its name: it knows nothing."""
         self.born += RESTART_MS
         self.leaving = False
+        self.rate_limit = None
+        self.says_leaving = False
         self.script.clear()
         for connection in self._connections:
             connection.reset()
@@ -319,6 +329,8 @@
     async def revive(self) -> None:
         """Starts again at its address after a crash: it knows nothing."""
         self.born += RESTART_MS
+        self.rate_limit = None
+        self.says_leaving = False
         self._server = await self._listen()
 
     async def _listen(self) -> asyncio.Server:
@@ -353,6 +365,16 @@
             said["born"] = self.born
         return json.dumps(said).encode()
 
+    def _notices(self) -> tuple[bytes, ...]:
+        """The fields that all its answers hold at present."""
+        notices = []
+        if self.rate_limit is not None:
+            rate = f"{self.rate_limit:.1f}".encode()
+            notices.append(self.names.rate_limit + b": " + rate)
+        if self.says_leaving:
+            notices.append(self.names.leaving + b": 1")
+        return tuple(notices)
+
     def _health(self, connection: Connection) -> bytes:
         lines = (
             b"HTTP/1.1 %d X" % (503 if self.leaving else 200),
@@ -374,6 +396,7 @@
             self.names,
             self.release,
             self.crash,
+            self._notices,
         )
         self._connections.add(connection)
         try:
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -74,6 +74,8 @@
     "forklift-caller-service",
     "forklift-expected-instance",
     "forklift-not-executed",
+    "server-limit",
+    "server-leaving",
     "path-prefix",
     "weighted-clusters",
     "retry-attempts",
--- a/test/test_layout.py
+++ b/test/test_layout.py
@@ -12,7 +12,7 @@
 # by standard ones.
 PLATFORM_NAMES = re.compile(
     r"forklift-(attempt|deadline|expected|caller-service|response|not-exec"
-    r"|instance|server-load)|instances\.(heartbeat|deregister)|log-(append"
+    r"|instance|server-load)|server-(limit|leaving)|instances\.(heartbeat|deregister)|log-(append"
     r"|read|newest|trim|join|commit)|keyed\.|app-addr|path-prefix"
     r"|(?<!x-)api-keys?|forklift-tenant|rate-per-s|store-era"
     r"|target-latency-ms|retry-attempts|weighted-clusters"
