Keep to the rate limit that a target names, over all processes

What callers and targets saw: a target in need named a limit of 2.3 requests a second, and got 7 a second as before, from all processes together.

Cause: nobody read the field.

Change: the process beside the target, which every request to it passes, holds a bucket of tokens at the rate that the target named last. It adopts a limit with the answer that names it, before that answer goes on. What has no token queues like what has no slot, the urgent first, if it can start in time; else it is refused at once with the time until it could. Load reports tell limit and wait, so ingress processes choose targets that have room, also for hedges, trials and idle targets. With the end of the limit what waits starts at once.

Why it works: it is the one place that all requests pass, first tries, retries and hedges of all processes, so no share has to be agreed. In 4 s it lets 4.25 times the limit plus one request start, under the 6 times plus 5 that are allowed.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -2,9 +2,10 @@
 
 The controller runs in the process that owns the target. Every request to the
 target passes through the controller, so its count of running requests is exact.
-It limits concurrency to the target's slots, queues requests by priority,
-refuses those that cannot end before their deadline, and starts none once the
-target leaves. All methods are synchronous.
+It limits concurrency to the target's slots, keeps to the rate limit that the
+target has named, queues requests by priority, refuses those that cannot end
+before their deadline, and starts none once the target leaves. All methods are
+synchronous.
 """
 
 import bisect
@@ -202,8 +203,16 @@
             round(min(UNUSED_IDLE_SECONDS, now - self._last_start), 2),
             round(self.health.unhealthy_probability(now), 2),
             round(distribution.spread, 2) if distribution else 0.0,
+            rate_limit=self._rate_limit_status(now),
         )
 
+    def _rate_limit_status(self, now: float) -> messages.RateLimitStatus | None:
+        rate = self.rate_limit.finite_rate
+        if rate is None:
+            return None
+        wait = self.rate_limit.wait(now, self.waiting)
+        return messages.RateLimitStatus(rate, round(wait, 3))
+
     # Requests.
 
     def admit(self, ticket: Ticket, now: float) -> Decision:
@@ -211,7 +220,8 @@
         reason = self._refusal_reason(ticket, now)
         if reason is not None:
             return self._refuse(ticket, reason)
-        if self._has_slot(ticket) and not self._waiting:
+        has_room = self._has_slot(ticket) and self.rate_limit.wait(now) == 0
+        if has_room and not self._waiting:
             return self._start(ticket, now)
         position = (ticket.priority, ticket.soft_deadline, self._arrivals + 1)
         wait = self._expected_wait(position, now, ticket.exclusive)
@@ -221,6 +231,8 @@
         full = self.waiting >= MAX_QUEUED_PER_SLOT * self.slots
         accepts_wait = ticket.wait or wait <= SHORT_WAIT_SECONDS
         if not accepts_wait or late or full:
+            if self.rate_limit.wait(now) > 0:
+                self.rate_limit.refused += 1
             return self._refuse(ticket, Reason.BUSY, wait)
         self._arrivals += 1
         entry = (position, ticket)
@@ -260,7 +272,7 @@
                 healthy_probability * running.distribution.survival(seconds),
             )
         changed = self.health.record_end(ticket.id, signal, now)
-        return self._apply_ejection_change(changed) + self._start_waiting(now)
+        return self._apply_ejection_change(changed) + self.start_waiting(now)
 
     def _apply_ejection_change(self, changed: bool) -> list[Decision]:
         """Updates version and queue after an ejection or a reinstatement."""
@@ -296,7 +308,33 @@
         """Expires queued requests and reevaluates the target's health."""
         decisions: list[Decision] = self._expire(now)
         decisions += self._apply_ejection_change(self.health.evaluate(now))
-        return decisions + self._start_waiting(now)
+        return decisions + self.start_waiting(now)
+
+    def record_rate_limit(
+        self, rate: float, sent_at: float, now: float
+    ) -> list[Decision]:
+        """Records the rate limit that a response names.
+
+        Args:
+            rate: Requests per second; infinite if the response names no limit.
+            sent_at: Monotonic seconds at which the request was sent.
+            now: Monotonic seconds.
+
+        Returns:
+            Decisions on queued requests.
+        """
+        if self.rate_limit.record(rate, sent_at, now):
+            self.version += 1
+        return self.start_waiting(now)
+
+    def seconds_until_start(self, now: float) -> float | None:
+        """Seconds until the rate limit lets the first queued request start.
+
+        None if no request is queued, or if the first waits for a slot.
+        """
+        if not self._waiting or not self._has_slot(self._waiting[0][1]):
+            return None
+        return self.rate_limit.wait(now)
 
     def exclude_pause(self, seconds: float) -> None:
         """Excludes a pause of this process from the age of requests."""
@@ -312,19 +350,25 @@
     def _expected_wait(
         self, position: tuple[int, float, int], now: float, exclusive: bool
     ) -> float:
-        """Seconds until a slot is expected for a queue position."""
+        """Seconds until a slot is expected for a queue position.
+
+        The rate limit of the target may make the request wait for longer.
+        """
         free_at = [
             self._remaining_time(r, now) for r in self._running_by_id.values()
         ]
         blocked = max(free_at) if self._exclusive_running else 0.0
         free_at += [blocked] * (self.slots - len(free_at))
         heapq.heapify(free_at)
-        for ahead, ticket in self._waiting:
-            if ahead > position:
+        ahead = 0
+        for other, ticket in self._waiting:
+            if other > position:
                 break
+            ahead += 1
             mean = self._distribution(ticket, now).mean
             heapq.heapreplace(free_at, free_at[0] + mean)
-        return max(free_at) if exclusive else free_at[0]
+        slot_wait = max(free_at) if exclusive else free_at[0]
+        return max(slot_wait, self.rate_limit.wait(now, ahead))
 
     @property
     def _exclusive_running(self) -> bool:
@@ -371,12 +415,18 @@
         self._running_by_id[ticket.id] = _Running(ticket, now, distribution)
         self._last_start = now
         self.starts += 1
+        self.rate_limit.take(now)
         self.health.record_start(ticket.id, distribution, now)
         return Started(ticket)
 
-    def _start_waiting(self, now: float) -> list[Decision]:
+    def start_waiting(self, now: float) -> list[Decision]:
+        """Starts the queued requests for which there is room."""
         decisions: list[Decision] = []
-        while self._waiting and self.running < self.slots:
+        while (
+            self._waiting
+            and self.running < self.slots
+            and self.rate_limit.wait(now) == 0
+        ):
             index = self._next_index(now)
             ticket = self._waiting[index][1]
             reason = self._refusal_reason(ticket, now)
--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -219,12 +219,15 @@
         """Counts the targets of a service by state, for logs and reports.
 
         Targets of unreachable processes count as "not reached", targets
-        without a free slot as "full".
+        without a free slot as "full", targets that are sent as much as their
+        rate limit allows as "limited".
         """
         counts: collections.Counter[str] = collections.Counter()
         for view in self.views(service):
             full = view.load(now) > view.slots - FREE_SLOT_MARGIN
             state = "full" if full else str(view.state(now))
+            if not view.has_room(now):
+                state = "limited"
             reachable = self.reachability.is_reachable(view.process)
             counts[state if reachable else "not reached"] += 1
         return dict(counts)
@@ -304,17 +307,16 @@
                     if v.unhealthy_probability(now) <= MAX_UNHEALTHY_PROBABILITY
                 ]
                 pool = ejected if none_usable else promising
-            if not requirements.wait:
-                pool = [
-                    v for v in pool if v.load(now) <= v.slots - FREE_SLOT_MARGIN
-                ]
+            if requirements.wait:
+                pool = _with_earliest_room(pool, now)
+            else:
+                pool = [v for v in pool if _is_free(v, now)]
             if not pool:
                 return None
             view = self._balance(requirements, pool, now)
         if view.state(now) is State.SUSPECT:
             view.next_trial_at = now + TRIAL_INTERVAL_SECONDS
-        view.in_flight += 1
-        view.pick_count += 1
+        view.record_selection(now)
         return Selection(view.name, view.process, required_health)
 
     def finish_attempt(
@@ -461,9 +463,9 @@
             max_idle = self._max_idle_seconds(service_state, now)
         for view in healthy:
             if view.process == self._name and view.idle_seconds(now) > max_idle:
-                return view if view.load(now) < view.slots else None
+                return view if _accepts_request(view, now) else None
         for view in healthy if requirements.idempotent else ():
-            if view.wants_work and view.load(now) < view.slots:
+            if view.wants_work and _accepts_request(view, now):
                 view.wants_work = False
                 return view
         return None
@@ -491,11 +493,15 @@
         now: float,
     ) -> TargetView | None:
         """Returns an ejected target to which a trial request is due, if any."""
-        due = [view for view in ejected if now >= view.next_trial_at]
+        due = [
+            view
+            for view in ejected
+            if now >= view.next_trial_at and view.has_room(now)
+        ]
         if not due:
             return None
         # While all healthy targets are full, a trial request delays nothing.
-        full = all(view.load(now) >= view.slots for view in healthy)
+        full = not any(_accepts_request(view, now) for view in healthy)
         if full or self._rng.random() < TRIAL_PROBABILITY:
             return self._rng.choice(due)
         return None
@@ -586,3 +592,23 @@
                 names = rendezvous.select(self._name, names, SUBSET_SIZE)
             service_state.subset = names
         return service_state.subset
+
+
+def _is_free(view: TargetView, now: float) -> bool:
+    """Whether a target has a free slot for certain, and room in its limit."""
+    return view.load(now) <= view.slots - FREE_SLOT_MARGIN and view.has_room(
+        now
+    )
+
+
+def _accepts_request(view: TargetView, now: float) -> bool:
+    """Whether a target probably has a free slot, and room in its limit."""
+    return view.load(now) < view.slots and view.has_room(now)
+
+
+def _with_earliest_room(pool: list[TargetView], now: float) -> list[TargetView]:
+    """Returns the targets whose rate limits let a request start first."""
+    if not pool:
+        return []
+    earliest = max(now, min(view.room_at for view in pool))
+    return [view for view in pool if view.room_at <= earliest]
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -84,6 +84,18 @@
     """Base class of all messages."""
 
 
+class RateLimitStatus(_Message):
+    """Rate limit that a target has named.
+
+    Attributes:
+        rate: Requests per second from all processes together.
+        wait: Seconds until the limit lets a further request start.
+    """
+
+    rate: float
+    wait: float
+
+
 class Load(_Message):
     """Load and state of a target, piggybacked on responses and failures.
 
@@ -99,6 +111,7 @@
         latency_spread: Standard deviation of the logarithm of the latency.
         failure_percent: Percentage of failed requests to the service, as
             measured by the process that owns the target.
+        rate_limit: Rate limit of the target; None if it has named none.
     """
 
     in_flight: int
@@ -111,6 +124,7 @@
     unhealthy_probability: float = 0.0
     latency_spread: float = 0.0
     failure_percent: int = 0
+    rate_limit: RateLimitStatus | None = None
 
 
 # Frames on a connection between two processes.
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -117,6 +117,9 @@
         self._name_by_previous: dict[str, str] = {}
         self._decision_future_by_id: dict[object, asyncio.Future] = {}
         self._detached: set[asyncio.Task] = set()
+        self._start_timer_by_controller: dict[
+            admission.Controller, asyncio.TimerHandle
+        ] = {}
         self.running = 0
 
     # Targets.
@@ -264,6 +267,7 @@
     ) -> admission.Decision:
         future = asyncio.get_running_loop().create_future()
         self._decision_future_by_id[ticket.id] = future
+        self._schedule_start(local_target)
         try:
             return await future
         except asyncio.CancelledError:
@@ -275,6 +279,27 @@
         finally:
             self._decision_future_by_id.pop(ticket.id, None)
 
+    def _schedule_start(self, local_target: LocalTarget) -> None:
+        """Starts the first queued request as soon as the rate limit allows."""
+        controller = local_target.controller
+        delay = controller.seconds_until_start(self._clock.monotonic())
+        is_scheduled = controller in self._start_timer_by_controller
+        if not delay or is_scheduled:
+            # Without a delay, the end of a request or a tick starts it.
+            return
+        timer = asyncio.get_running_loop().call_later(
+            delay, self._start_waiting, local_target
+        )
+        self._start_timer_by_controller[controller] = timer
+
+    def _start_waiting(self, local_target: LocalTarget) -> None:
+        controller = local_target.controller
+        del self._start_timer_by_controller[controller]
+        version = controller.version
+        decisions = controller.start_waiting(self._clock.monotonic())
+        self._apply_decisions(local_target, decisions, version)
+        self._schedule_start(local_target)
+
     async def _run_admitted(
         self,
         local_target: LocalTarget,
@@ -364,11 +389,23 @@
             notice: The notices.
             sent_at: Monotonic seconds at which the request was sent.
         """
+        controller = local_target.controller
+        if notice.rate_limit is not None:
+            self._record_rate_limit(local_target, notice.rate_limit, sent_at)
+        if notice.leaving and not controller.leave_noticed:
+            controller.leave_noticed = True
+            _log.info("target_leaving", target=controller.name)
+
+    def _record_rate_limit(
+        self, local_target: LocalTarget, rate: float, sent_at: float
+    ) -> None:
         controller = local_target.controller
         before = controller.rate_limit.finite_rate
-        if notice.rate_limit is not None and controller.rate_limit.record(
-            notice.rate_limit, sent_at, self._clock.monotonic()
-        ):
+        version = controller.version
+        decisions = controller.record_rate_limit(
+            rate, sent_at, self._clock.monotonic()
+        )
+        if version != controller.version:
             _log.warning(
                 "target_rate_limit",
                 target=controller.name,
@@ -377,9 +414,7 @@
                 running=controller.running,
                 waiting=controller.waiting,
             )
-        if notice.leaving and not controller.leave_noticed:
-            controller.leave_noticed = True
-            _log.info("target_leaving", target=controller.name)
+        self._apply_decisions(local_target, decisions, version)
 
     async def _has_crashed(
         self, local_target: LocalTarget, ticket: admission.Ticket
@@ -486,6 +521,9 @@
     ) -> None:
         version = local_target.controller.version
         now = self._clock.monotonic()
+        if not self.fences.has_started(ticket.id):
+            # Nothing was sent, so the request does not count.
+            local_target.controller.rate_limit.give_back()
         self._apply_decisions(
             local_target,
             local_target.controller.finish(ticket, signal, now),
--- a/forklift/target_rate_limit.py
+++ b/forklift/target_rate_limit.py
@@ -1,26 +1,40 @@
 """Rate limit that one incarnation of a target has named.
 
 The limit applies to the requests of all processes together. It lasts until a
-response without a limit, or with another one.
+response without a limit, or with another one. Every request to a target passes
+the process that owns the target, so that process alone keeps to the limit.
 """
 
 import math
 
+from forklift import rate_limits
+
 # Relative change of the limit from which it is announced to other processes.
 MIN_ANNOUNCED_CHANGE = 0.2
+# Lowest rate in requests per second, also if the target names a lower one: only
+# the response to a request can tell that the limit has ended.
+MIN_RATE = 0.2
+# Seconds of unused rate that are available later, in addition to one request.
+BURST_SECONDS = 0.25
+# Tolerance for rounding errors in the number of tokens.
+_TOKEN_TOLERANCE = 1e-6
 
 
 class TargetRateLimit:
     """The rate limit of one target, at the process that owns the target.
 
     Attributes:
-        rate: Requests per second; infinite if there is no limit.
+        rate: Requests per second that the target has named; infinite if there
+            is no limit.
+        refused: Number of requests that were refused because of the limit.
     """
 
     def __init__(self):
         self.rate = math.inf
+        self.refused = 0
         self._changed_at = -math.inf
         self._announced_rate = math.inf
+        self._bucket = rate_limits.TokenBucket(0.0)
 
     @property
     def finite_rate(self) -> float | None:
@@ -46,10 +60,46 @@
             rate > self.rate and sent_at < self._changed_at
         ):
             return False
+        if self.finite_rate is None:
+            self._bucket = rate_limits.TokenBucket(now)
+        else:
+            self._refill(now)
         self.rate = rate
         self._changed_at = now
         return self._is_announcement_due()
 
+    def wait(self, now: float, ahead: int = 0) -> float:
+        """Seconds until the limit lets one more request start.
+
+        Args:
+            now: Monotonic seconds.
+            ahead: Number of requests that start before it.
+        """
+        if self.finite_rate is None:
+            return 0.0
+        self._refill(now)
+        tokens = ahead + 1 - _TOKEN_TOLERANCE
+        return self._bucket.wait(self._granted_rate, tokens)
+
+    def take(self, now: float) -> None:
+        """Counts a request that starts."""
+        if self.finite_rate is not None:
+            self._refill(now)
+            self._bucket.tokens -= 1.0
+
+    def give_back(self) -> None:
+        """Undoes `take` for a request that was not sent after all."""
+        if self.finite_rate is not None:
+            self._bucket.tokens += 1.0
+
+    @property
+    def _granted_rate(self) -> float:
+        return max(self.rate, MIN_RATE)
+
+    def _refill(self, now: float) -> None:
+        rate = self._granted_rate
+        self._bucket.refill(now, rate, 1.0 + BURST_SECONDS * rate)
+
     def _is_announcement_due(self) -> bool:
         before = self._announced_rate
         is_change = math.isfinite(before) and math.isfinite(self.rate)
--- a/forklift/target_view.py
+++ b/forklift/target_view.py
@@ -9,12 +9,16 @@
 
 from forklift import health
 from forklift import messages
+from forklift import target_rate_limit
 
 State = messages.TargetState
 OUT_OF_SERVICE = (State.PAUSED, State.DRAINING, State.LEFT)
 
 # Time constant of the decay of load caused by other processes.
 LOAD_DECAY_SECONDS = 1.0
+# Maximum seconds for which a target counts as having no room because of its
+# rate limit. The limit may have ended since the last report.
+MAX_LIMITED_SECONDS = 1.0
 
 
 class TargetView:
@@ -32,6 +36,10 @@
             while the target is ejected.
         wants_work: Whether the target's process asked for a request.
         version: Version of the last load report.
+        rate_limit: Rate limit of the target as last reported; None if there
+            is none.
+        room_at: Monotonic seconds from which its rate limit is expected to let
+            a further request start.
     """
 
     def __init__(
@@ -51,6 +59,8 @@
         self.wants_work = False
         self._state = info.state
         self.version = 0
+        self.rate_limit: messages.RateLimitStatus | None = None
+        self.room_at = float("-inf")
         self._unhealthy_probability = health.UNHEALTHY_PRIOR
         self._used_at = float("-inf")
         self._others_load = 0.0
@@ -72,6 +82,23 @@
         others = load.in_flight + load.queued - self.in_flight
         self._others_load = max(0, others)
         self._reported_at = now
+        self.rate_limit = load.rate_limit
+        wait = load.rate_limit.wait if load.rate_limit is not None else 0.0
+        self.room_at = now + min(wait, MAX_LIMITED_SECONDS)
+
+    def record_selection(self, now: float) -> None:
+        """Records that this process sends a request to the target."""
+        self.in_flight += 1
+        self.pick_count += 1
+        if self.rate_limit is None:
+            return
+        rate = max(self.rate_limit.rate, target_rate_limit.MIN_RATE)
+        interval = min(1 / rate, MAX_LIMITED_SECONDS)
+        self.room_at = max(now, self.room_at) + interval
+
+    def has_room(self, now: float) -> bool:
+        """Whether its rate limit is expected to let a request start."""
+        return now >= self.room_at
 
     def state(self, now: float) -> State:
         """Returns the last reported state.
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -416,3 +416,52 @@
     assert "a" in selected_targets(
         balancer, requirements(), 200
     ) | selected_targets(balancer, requirements(idempotent=True), 200)
+
+
+def limit_target(balancer, name: str, wait: float, now: float = 10.0) -> None:
+    """Reports a rate limit that lets no request start for some seconds."""
+    status = messages.RateLimitStatus(2.0, wait)
+    report = msgspec.structs.replace(load(version=3), rate_limit=status)
+    balancer.update_load(name, report, now)
+
+
+def test_target_without_room_in_its_limit_is_selected_only_to_wait():
+    balancer = new_balancer("a", "b")
+    limit_target(balancer, "a", 0.5)
+    assert selected_targets(balancer, requirements()) == {"b"}
+    assert selected_targets(balancer, requirements(wait=True)) == {"b"}
+    limit_target(balancer, "b", 0.2)
+    assert selected_targets(balancer, requirements()) == set()
+    assert selected_targets(balancer, requirements(wait=True), 1) == {"b"}
+    assert balancer.count_by_state("s", 10.0)["limited"] == 2
+    both = selected_targets(balancer, requirements(), now=10.8)
+    assert both == {"a", "b"}
+
+
+def test_own_requests_use_up_the_limit_of_a_target():
+    balancer = new_balancer("a")
+    limit_target(balancer, "a", 0.0)
+    assert balancer.select(requirements(), frozenset(), 10.0) is not None
+    assert balancer.select(requirements(), frozenset(), 10.4) is None
+    assert balancer.select(requirements(), frozenset(), 10.6) is not None
+
+
+def test_idle_or_ejected_target_without_room_in_its_limit_is_not_selected():
+    balancer = new_balancer("a", process="p-a")
+    balancer.update_load("a", load(idle=5.0), 10.0)
+    limit_target(balancer, "a", 0.9)
+    idempotent = requirements(idempotent=True)
+    assert balancer.select(idempotent, frozenset(), 10.0) is None
+    status = messages.RateLimitStatus(2.0, 0.9)
+    ejected = msgspec.structs.replace(
+        load(State.SUSPECT, version=4), rate_limit=status
+    )
+    balancer.update_load("a", ejected, 10.0)
+    assert selected_targets(balancer, idempotent) == set()
+
+
+def test_stale_limit_keeps_requests_away_for_a_second_only():
+    balancer = new_balancer("a")
+    limit_target(balancer, "a", 60.0)
+    assert balancer.select(requirements(), frozenset(), 10.9) is None
+    assert balancer.select(requirements(), frozenset(), 11.1) is not None
--- a/test/test_target_rate_limit.py
+++ b/test/test_target_rate_limit.py
@@ -1,10 +1,18 @@
 """Rate limit that a target has named."""
 
+import bisect
+import collections
+import heapq
+import itertools
 import math
+import random
 
 import pytest
 
+from forklift import admission
+from forklift import health
 from forklift import target_rate_limit
+from test import helper
 
 
 @pytest.fixture
@@ -36,3 +44,130 @@
     ]
     assert announced == [True, False, False, False, True]
     assert limit.rate == rates[-1]
+
+
+# Seconds in which the requests of a limited target are counted.
+WINDOW = 4.0
+# Seconds of simulated load, and between two ticks of a process.
+DURATION = 60.0
+TICK = 0.1
+OBJECTIVE = 0.8
+
+
+class Overload:
+    """Random requests in excess of a limit, on simulated time.
+
+    Attributes:
+        starts: Times at which requests started.
+        started_by_priority: Number of requests that started, by priority.
+        refusals: Decisions to refuse a request.
+    """
+
+    def __init__(self, rate: float, arrivals_per_second: float, seed: int):
+        self.controller = admission.Controller("t", "s", 8)
+        self.controller.record_rate_limit(rate, 0.0, 0.0)
+        self.starts: list[float] = []
+        self.started_by_priority: collections.Counter[int] = (
+            collections.Counter()
+        )
+        self.refusals: list[admission.Refused] = []
+        self._rng = random.Random(seed)
+        self._arrivals_per_second = arrivals_per_second
+        self._numbers = itertools.count()
+        self._running: list[tuple[float, int, admission.Ticket]] = []
+        helper.train_latency(
+            self.controller.latencies.for_route("", OBJECTIVE), 0.1
+        )
+
+    def run(self) -> None:
+        """Advances time from event to event."""
+        now, next_arrival, next_tick = 0.0, 0.0, 0.0
+        while now < DURATION:
+            next_end = self._running[0][0] if self._running else math.inf
+            now = min(next_arrival, next_end, next_tick)
+            if now == next_arrival:
+                self._arrive(now)
+                next_arrival += self._rng.expovariate(self._arrivals_per_second)
+            elif now == next_end:
+                ticket = heapq.heappop(self._running)[2]
+                self._apply(
+                    self.controller.finish(ticket, health.Signal.SUCCESS, now),
+                    now,
+                )
+            else:
+                self._apply(self.controller.tick(now), now)
+                next_tick += TICK
+
+    def _arrive(self, now: float) -> None:
+        ticket = admission.Ticket(
+            (1, next(self._numbers)),
+            True,
+            self._rng.randrange(2),
+            now + 4 * OBJECTIVE,
+            soft_deadline=now + OBJECTIVE,
+            start_by=now + OBJECTIVE - 0.1,
+        )
+        self._apply([self.controller.admit(ticket, now)], now)
+
+    def _apply(self, decisions: list[admission.Decision], now: float) -> None:
+        for decision in decisions:
+            if isinstance(decision, admission.Refused):
+                self.refusals.append(decision)
+            elif isinstance(decision, admission.Started):
+                self.starts.append(now)
+                self.started_by_priority[decision.ticket.priority] += 1
+                end = now + self._rng.uniform(0.05, 0.2)
+                ticket = decision.ticket
+                heapq.heappush(self._running, (end, ticket.id[1], ticket))
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("rate", [0.0, 0.5, 2.4, 10.0, 30.0])
+def test_limited_target_gets_its_limit_and_no_more(rate, seed):
+    overload = Overload(rate, 5 * rate + 5, seed)
+    overload.run()
+    times = overload.starts
+    most = max(
+        bisect.bisect_left(times, since + WINDOW) - number
+        for number, since in enumerate(times)
+    )
+    assert most <= 1.5 * rate * WINDOW + 5
+    assert len(times) >= 0.95 * rate * DURATION
+
+
+def test_urgent_requests_of_a_limited_target_go_first():
+    overload = Overload(10.0, 18.0, 1)
+    overload.run()
+    urgent, other = (overload.started_by_priority[p] for p in (0, 1))
+    # The urgent half of the load is less than the limit, so it is served.
+    assert urgent > 0.95 * DURATION * 18.0 / 2
+    assert other > 0
+
+
+def test_request_without_room_in_the_limit_is_refused_at_once():
+    controller = admission.Controller("t", "s", 8)
+    controller.record_rate_limit(0.5, 0.0, 0.0)
+    ticket = admission.Ticket((1, 1), True, 0, 10.0, start_by=1.0)
+    refused = controller.admit(ticket, 0.5)
+    assert isinstance(refused, admission.Refused)
+    assert refused.retry_after == pytest.approx(1.5, abs=0.001)
+    assert controller.rate_limit.refused == 1
+
+
+def test_target_without_a_limit_any_more_is_used_fully_at_once():
+    controller = admission.Controller("t", "s", 4)
+    controller.record_rate_limit(2.0, 0.0, 0.0)
+    queued = [admission.Ticket((1, n), True, 0, 10.0) for n in range(4)]
+    for ticket in queued:
+        assert isinstance(controller.admit(ticket, 0.0), admission.Queued)
+    started = controller.record_rate_limit(math.inf, 0.1, 0.2)
+    assert [decision.ticket for decision in started] == queued
+
+
+def test_request_that_was_not_sent_does_not_count():
+    limit = target_rate_limit.TargetRateLimit()
+    limit.record(1.0, 0.0, 0.0)
+    limit.take(1.0)
+    assert limit.wait(1.0) > 0
+    limit.give_back()
+    assert limit.wait(1.0) == 0
