Send nothing to a target that says in its answers that it leaves

What callers and targets saw: a target that says that it leaves in its answers, while its heartbeats don't, went on getting requests (9, where 1 was allowed).

Cause: nobody read the field.

Change: the process beside the target drains it as soon as it reads the word, before the answer goes on, so what waits there goes elsewhere. The ingress process reads the word as well and sends nothing to that incarnation from then on, whatever the target's process says: it may have started anew and know nothing. It reminds that process. Where one of two start times is unknown, the word applies to what may have said it; a later incarnation is free.

Why it works: the promise binds the process that passed the word on, and that process alone keeps it, in touch or not. The tests fail if either half is taken out: without the memory of the ingress process a request reached the target after the restart of its process, without the drain two requests ran where one was allowed.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -150,8 +150,6 @@
         self.refusals_by_reason: dict[Reason, int] = {}
         self.rate_limit = target_rate_limit.TargetRateLimit()
         self.starts = 0
-        # Whether a response of the target said that it is leaving.
-        self.leave_noticed = False
         self._last_start = float("-inf")
         self._running_by_id: dict[tuple[int, int], _Running] = {}
         # Sorted by priority, then by soft deadline. A request that another
--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -16,6 +16,7 @@
 from forklift import health
 from forklift import latency
 from forklift import messages
+from forklift import notice_memory
 from forklift import policy
 from forklift import rates
 from forklift import reachability
@@ -156,12 +157,14 @@
         find_policy: Callable[[str], policy.ServicePolicy],
         limits: RetryBudgetLimits,
         cross_domain_cost_per_kilobyte: float = 0.04,
+        notices: notice_memory.NoticeMemory | None = None,
     ):
         self.reachability = reachability.Reachability()
         self.latencies = latency.RouteLatencies()
         self.response_sizes = response_sizes.ResponseSizes()
         self.shortest_objective_by_service: dict[str, float] = {}
         self.cross_domain_cost_per_kilobyte = cross_domain_cost_per_kilobyte
+        self._notices = notices or notice_memory.NoticeMemory(lambda: 0.0)
         self._name = name
         self._domain = domain
         self._rng = rng
@@ -239,6 +242,17 @@
             if view is not None:
                 view.update_load(load, now)
 
+    def record_leaving(self, service: str, target: str) -> None:
+        """Records that a response of a target said that it is leaving.
+
+        From then on this process sends nothing to that incarnation, whatever
+        its own process says.
+        """
+        self._notices.record_leaving(target)
+        view = self._service_state(service).view_by_target.get(target)
+        if view is not None:
+            view.mark_draining()
+
     def record_work_request(
         self, target: str, load: messages.Load, now: float
     ) -> None:
@@ -572,9 +586,10 @@
         # After a restart of the process, the old state of its target is
         # discarded, as the target may have been paused only for the restart.
         same_domain = target.domain == self._domain
-        service_state.view_by_target[target.name] = TargetView(
-            target, info, same_domain
-        )
+        view = TargetView(target, info, same_domain)
+        if self._notices.is_leaving(target.name):
+            view.mark_draining()
+        service_state.view_by_target[target.name] = view
         service_state.subset = None
 
     def _remove_target(self, service: str, name: str, process: str) -> None:
--- a/forklift/shell/control_protocols.py
+++ b/forklift/shell/control_protocols.py
@@ -20,6 +20,7 @@
 from forklift import load_balancer
 from forklift import membership
 from forklift import messages
+from forklift import notice_memory
 from forklift import quarantine as quarantines
 from forklift import quarantine_sync
 from forklift import store_readers
@@ -70,6 +71,7 @@
         on_stored_evidence: Callable[[str, bytes], None] = lambda name, data: (
             None
         ),
+        notices: notice_memory.NoticeMemory | None = None,
     ):
         """Creates the protocols of a process that knows no peers.
 
@@ -89,6 +91,7 @@
             quarantine: Quarantine of this process.
             on_stored_evidence: Called with the name and the data of each
                 stored record of evidence.
+            notices: What targets have announced in responses.
         """
         self.directory = membership.Directory(
             own, membership.FULL_MEMBERSHIP_LIMIT
@@ -117,6 +120,7 @@
         self._on_configuration = on_configuration
         self._on_target_leaving = on_target_leaving
         self._on_stored_evidence = on_stored_evidence
+        self._notices = notices or notice_memory.NoticeMemory(clock.wall)
         # Targets that were leaving when their process restarted.
         self._leaving_targets_by_process: dict[str, tuple[str, ...]] = {}
 
@@ -284,11 +288,26 @@
         announced = {target.name for target in peer.targets}
         if known is None or known.info.boot == peer.boot:
             names = tuple(name for name in names if name in announced)
+        names += self._leaving_by_own_notice(peer)
         if names:
             sender = messages.sender_of(self.directory.own)
             reminder = messages.LeavingTargets(sender, names)
             self._send([gossip.Send(peer.control, reminder)])
 
+    def _leaving_by_own_notice(
+        self, peer: messages.ProcessInfo
+    ) -> tuple[str, ...]:
+        """Returns targets that have announced here that they are leaving.
+
+        A process that has restarted may have missed the announcement.
+        """
+        return tuple(
+            self._notices.leaving_incarnation(target.name)
+            for target in peer.targets
+            if target.state is State.IN_SERVICE
+            and self._notices.is_leaving(target.name)
+        )
+
     def _accept_offer(self, offer: messages.CatalogOffer, now: float) -> None:
         """Accepts a newer configuration from a peer and announces it."""
         if offer.version <= self._active_catalog.catalog.version:
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -14,6 +14,7 @@
 import structlog
 
 from forklift import admission
+from forklift import header_fields
 from forklift import invariants
 from forklift import latency
 from forklift import load_balancer
@@ -21,9 +22,11 @@
 from forklift import policy
 from forklift import quarantine as quarantines
 from forklift import retries
+from forklift import target_notices
 from forklift.shell import dispatch
 from forklift.shell import exchange
 from forklift.shell import hedging
+from forklift.shell import http
 from forklift.shell import local_targets
 from forklift.shell import peer_connections
 from forklift.shell import response_buffer
@@ -63,8 +66,10 @@
         clock,
         rng: random.Random,
         quarantine: quarantines.Quarantine | None = None,
+        header_names: header_fields.HeaderNames = header_fields.DEFAULT,
     ):
         self.name = name
+        self.header_names = header_names
         self.quarantine = quarantine or quarantines.Quarantine()
         self.boot = boot
         self.balancer = balancer
@@ -419,13 +424,28 @@
         if self._request.idempotent and self._request.body.replayable:
             is_failure = self._policy.is_failure
         buffered = response_buffer.BufferedResponse(
-            self._sink, is_failure, self._claim
+            self._sink, is_failure, self._claim, self._record_notice
         )
         task = asyncio.create_task(
             self._run_attempt(selection, buffered, is_hedge)
         )
         return hedging.Attempt(selection, buffered, task)
 
+    def _record_notice(self, head: exchange.ResponseHead) -> None:
+        """Records that a target says in its response that it is leaving.
+
+        This does not rely on the process that owns the target, which may
+        forget it in a restart.
+        """
+        value = http.value(head.headers, self._forwarder.header_names.leaving)
+        try:
+            leaving = target_notices.parse_leaving(value)
+        except target_notices.InvalidNotice:
+            # The process that owns the target has logged it.
+            return
+        if leaving and head.target:
+            self._balancer.record_leaving(self._request.service, head.target)
+
     def _hedge_delay(self) -> float | None:
         """Returns the seconds until the hedged request; None for no hedge."""
         request = self._request
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -13,6 +13,7 @@
 from forklift import header_fields
 from forklift import health
 from forklift import messages
+from forklift import notice_memory
 from forklift import policy
 from forklift import quarantine as quarantines
 from forklift import target_notices
@@ -102,6 +103,7 @@
         failure_percent=lambda service, now: 0,
         quarantine: quarantines.Quarantine | None = None,
         on_evidence=lambda: None,
+        notices: notice_memory.NoticeMemory | None = None,
     ):
         self._header_names = header_names
         self._find_policy = find_policy
@@ -110,6 +112,7 @@
         self._failure_percent = failure_percent
         self._quarantine = quarantine or quarantines.Quarantine()
         self._on_evidence = on_evidence
+        self._notices = notices or notice_memory.NoticeMemory(clock.wall)
         self.by_name: dict[str, LocalTarget] = {}
         self.fences = fences.Fences()
         # Current names of targets, by the names that were used before their
@@ -392,9 +395,10 @@
         controller = local_target.controller
         if notice.rate_limit is not None:
             self._record_rate_limit(local_target, notice.rate_limit, sent_at)
-        if notice.leaving and not controller.leave_noticed:
-            controller.leave_noticed = True
+        if notice.leaving and not controller.target_leaving:
             _log.info("target_leaving", target=controller.name)
+            self._notices.record_leaving(controller.name)
+            self._apply_decisions(local_target, controller.mark_draining())
 
     def _record_rate_limit(
         self, local_target: LocalTarget, rate: float, sent_at: float
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -18,6 +18,7 @@
 from forklift import invariants
 from forklift import load_balancer
 from forklift import messages
+from forklift import notice_memory
 from forklift import policy
 from forklift import quarantine
 from forklift import rate_limits
@@ -84,6 +85,7 @@
         stop_deadlines: Deadlines of the shutdown; None until it is requested.
         counters: Counters for metrics.
         active_catalog: The catalog that this process uses.
+        notices: What targets have announced in responses.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
             self._apply_activated_catalog,
         )
         self.quarantine = quarantine.Quarantine()
+        self.notices = notice_memory.NoticeMemory(self.clock.wall)
         self._create_components()
 
     # Construction.
@@ -153,6 +156,7 @@
             self.service_policy,
             _retry_budget_limits(self.settings),
             self.settings.limits.far_cost,
+            self.notices,
         )
         self.local_targets = local_targets.LocalTargets(
             self._header_names,
@@ -162,6 +166,7 @@
             self.balancer.failure_percent,
             self.quarantine,
             self._distribute_evidence,
+            self.notices,
         )
         self.target_registry = target_registry.TargetRegistry(
             self.settings,
@@ -170,6 +175,7 @@
             self.local_targets,
             self.clock,
             lambda: self.control_protocols.publish_targets(),
+            self.notices,
         )
         self.quarantine_store = quarantine_store.QuarantineStore(
             own.name,
@@ -192,6 +198,7 @@
             self.target_registry.end_incarnation,
             self.quarantine,
             self.quarantine_store.load,
+            self.notices,
         )
         self.directory = self.control_protocols.directory
         self.rate_limiter = rate_limiting.AsyncLimiter(
@@ -228,6 +235,7 @@
             self.clock,
             self._rng,
             self.quarantine,
+            self._header_names,
         )
         self.ingress = ingress.Ingress(
             ingress.Hooks(
--- a/forklift/shell/response_buffer.py
+++ b/forklift/shell/response_buffer.py
@@ -1,5 +1,7 @@
 """Buffers small responses until they are complete."""
 
+from collections.abc import Callable
+
 from forklift.shell import exchange
 
 # Maximum size of a response body that is buffered until it is complete, bytes.
@@ -40,7 +42,13 @@
     attempts only one responds; the responses of the others are dropped.
     """
 
-    def __init__(self, sink: exchange.Sink, is_failure, claim: ResponseClaim):
+    def __init__(
+        self,
+        sink: exchange.Sink,
+        is_failure,
+        claim: ResponseClaim,
+        on_head: Callable[[exchange.ResponseHead], None] = lambda head: None,
+    ):
         """Creates an empty buffer.
 
         Args:
@@ -48,10 +56,12 @@
             is_failure: Returns whether a response with the given status is
                 withheld; None if none is.
             claim: The claim that the attempts of the request share.
+            on_head: Called with the head of the response.
         """
         self._sink = sink
         self._claim = claim
         self._is_failure = is_failure
+        self._on_head = on_head
         self._head: exchange.ResponseHead | None = None
         self._body = bytearray()
         self._is_complete = False
@@ -77,6 +87,7 @@
 
     async def start(self, head: exchange.ResponseHead) -> None:
         """See `exchange.Sink`."""
+        self._on_head(head)
         if 0 <= head.length <= MAX_BUFFERED_BYTES:
             self._head = head
         elif self._claim.try_acquire(self):
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -10,6 +10,7 @@
 from forklift import header_fields
 from forklift import heartbeats
 from forklift import invalid_input
+from forklift import notice_memory
 from forklift import settings
 from forklift.shell import clock as clocks
 from forklift.shell import connection_pool
@@ -50,6 +51,7 @@
         targets: local_targets.LocalTargets,
         clock: clocks.SystemClock,
         on_change: Callable[[], None],
+        notices: notice_memory.NoticeMemory | None = None,
     ):
         """Creates a registry without targets.
 
@@ -60,6 +62,7 @@
             targets: The local targets, which this registry adds and removes.
             clock: Source of time.
             on_change: Called when a target was added, removed or renamed.
+            notices: What targets have announced in responses.
         """
         self.settings = initial
         self._header_names = header_names
@@ -67,6 +70,7 @@
         self._local_targets = targets
         self._clock = clock
         self._on_change = on_change
+        self._notices = notices or notice_memory.NoticeMemory(clock.wall)
         self._last_seen_by_target: dict[str, float] = {}
         self._incarnations = heartbeats.IncarnationTracker(
             self._heartbeat_interval + HEARTBEAT_TOLERANCE
@@ -101,7 +105,7 @@
         self._last_seen_by_target[name] = now
         local_target = self._local_targets.by_name.get(name)
         if local_target is None:
-            if heartbeat.leaving:
+            if heartbeat.leaving or self._notices.is_leaving(name):
                 # The target was never added, so there is nothing to drain.
                 self._incarnations.record_leave(heartbeat.incarnation, now)
                 return
@@ -260,9 +264,9 @@
     def _add_discovered(self, result: health_probe.ProbeResult) -> None:
         current = self.settings
         now = self._clock.monotonic()
-        if self.stopping or not self._incarnations.record_health_check(
-            result.target, now
-        ):
+        if self.stopping or self._notices.is_leaving(result.target):
+            return
+        if not self._incarnations.record_health_check(result.target, now):
             return
         self._last_seen_by_target[result.target] = now
         self._add(
--- a/forklift/target_view.py
+++ b/forklift/target_view.py
@@ -71,6 +71,11 @@
         if info.state in OUT_OF_SERVICE:
             self._state = info.state
 
+    def mark_draining(self) -> None:
+        """Records that the target itself said that it is leaving."""
+        if self._state is not State.LEFT:
+            self._state = State.DRAINING
+
     def update_load(self, load: messages.Load, now: float) -> None:
         """Applies the load report of a response or load update."""
         if load.version < self.version or self._state in OUT_OF_SERVICE:
--- a/test/test_control_protocols.py
+++ b/test/test_control_protocols.py
@@ -13,6 +13,7 @@
 from forklift import load_balancer
 from forklift import membership
 from forklift import messages
+from forklift import notice_memory
 from forklift import policy
 from forklift import routing
 from forklift.shell import control_protocols
@@ -28,6 +29,7 @@
         self.active_catalog = catalog.ActiveCatalog()
         self.sent: list[messages.Control] = []
         self.records: list[bytes] = []
+        self.notices = notice_memory.NoticeMemory(self.clock.wall)
         rng = random.Random(1)
         limits = load_balancer.RetryBudgetLimits()
         self.control_protocols = control_protocols.ControlProtocols(
@@ -42,6 +44,7 @@
             lambda address, message, new_connection: self.sent.append(message),
             lambda record, source: self.records.append(record),
             lambda name: None,
+            notices=self.notices,
         )
 
     def publish(self, version: int) -> None:
@@ -157,3 +160,19 @@
     assert rig.records == []
     source = invalid_input.Source.CONFIGURATION
     assert invalid_input.count_by_source[source] == rejected[source] + 1
+
+
+# A process that restarts before peers hear of it from gossip must still learn
+# that its target had announced that it is leaving.
+def test_process_is_reminded_of_a_target_that_announced_here_that_it_leaves():
+    rig = Rig()
+    rig.notices.record_leaving("t@1")
+    for name, reminders in (("t@1", [("t@1",)]), ("t", [("t@1",)]), ("u", [])):
+        rig.sent.clear()
+        peer = helper.info("peer", name, boot=7)
+        rig.control_protocols.receive(messages.Ping(peer, 1, 0.0, 0, ()))
+        assert [
+            message.names
+            for message in rig.sent
+            if isinstance(message, messages.LeavingTargets)
+        ] == reminders
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -465,3 +465,17 @@
     limit_target(balancer, "a", 60.0)
     assert balancer.select(requirements(), frozenset(), 10.9) is None
     assert balancer.select(requirements(), frozenset(), 11.1) is not None
+
+
+# The process beside a leaving target restarts and takes the target for one in
+# service; this process has passed on that the target is leaving.
+def test_leaving_target_is_not_selected_after_a_restart_of_its_process():
+    balancer = new_balancer("a", "b")
+    balancer.record_leaving("s", "a")
+    assert selected_targets(balancer, requirements()) == {"b"}
+    balancer.remove_process("p-a")
+    balancer.update_process(helper.info("p-a", "a", boot=99))
+    balancer.update_load("a", load(), 10.0)
+    assert selected_targets(balancer, requirements()) == {"b"}
+    balancer.update_process(helper.info("p-a", "a@5000", boot=99))
+    assert selected_targets(balancer, requirements()) == {"a@5000", "b"}
--- a/test/test_target_limits.py
+++ b/test/test_target_limits.py
@@ -6,8 +6,10 @@
 import structlog
 
 from forklift import invalid_input
+from forklift.shell import proxy
 from forklift.shell import reports
 from forklift_lab import scripted
+from test import helper
 from test import processes
 
 
@@ -84,6 +86,8 @@
             for number in range(len(fleet.proxies)):
                 assert (await fleet.ask(number)).status == 200
         received = len(leaving.received)
+        controller = fleet.proxies[0].local_targets.by_name["t0"].controller
+        assert controller.target_leaving
         fleet.announce(fleet.proxies[0], 0, sequence=5)
         for number in range(len(fleet.proxies)):
             for _ in range(10):
@@ -144,3 +148,85 @@
         assert controller.rate_limit.rate == 50.0
 
     processes.play(work, [[]])
+
+
+async def _restart(fleet, number: int) -> proxy.Proxy:
+    """Replaces a process by a new run that knows nothing of the last one."""
+    old = fleet.proxies[number]
+    await old.close()
+    new = await fleet.start(number)
+    fleet.proxies.remove(new)
+    fleet.proxies[number] = new
+    return new
+
+
+# The process beside a leaving target forgets in a restart what it was told.
+# A process that has passed on the word must still send nothing.
+def test_leaving_target_gets_nothing_after_a_restart_of_its_process():
+    async def work(fleet):
+        leaving, other = fleet.targets[0], fleet.proxies[1]
+        leaving.says_leaving = True
+        while not leaving.received:
+            assert (await fleet.ask(1)).status == 200
+        received = len(leaving.received)
+        leaving.says_leaving = False
+        # Only what the ingress process itself remembers counts here.
+        other.control_protocols._send_leaving_reminder = lambda peer: None
+        new = await _restart(fleet, 0)
+        await helper.until(
+            lambda: any(
+                view.process == "p0" and view.boot == new.boot
+                for view in other.balancer.views("s")
+            )
+        )
+        assert not new.local_targets.by_name["t0"].controller.target_leaving
+        # No other target is left, so the request ends at the leaving one or
+        # is rejected.
+        other.local_targets.pause("t1")
+        for _ in range(3):
+            assert (await fleet.ask(1)).status == 503
+        assert len(leaving.received) == received
+
+    processes.play(work, [[], []], first=IMPATIENT)
+
+
+def test_queued_request_goes_elsewhere_when_its_target_leaves():
+    async def work(fleet):
+        controllers = [
+            process.local_targets.by_name[f"t{number}"].controller
+            for number, process in enumerate(fleet.proxies)
+        ]
+        for controller, target in zip(controllers, fleet.targets, strict=True):
+            controller.slots = 1
+            target.script.append("hold")
+        pending = [asyncio.create_task(fleet.ask(0)) for _ in range(3)]
+        await helper.until(lambda: sum(c.waiting for c in controllers) == 1)
+        number = next(n for n, c in enumerate(controllers) if c.waiting)
+        leaving, other = fleet.targets[number], fleet.targets[1 - number]
+        leaving.says_leaving = True
+        leaving.release.set()
+        await helper.until(lambda: controllers[number].waiting == 0)
+        other.release.set()
+        for one in pending:
+            assert (await one).status == 200
+        assert (len(leaving.received), len(other.received)) == (1, 2)
+
+    first = processes.record(
+        1, r=processes.route("non_idempotent", **{"timeout-ms": 60000})
+    )
+    processes.play(work, [[], []], first=first)
+
+
+# The heartbeats of a leaving target stop for longer than its lease, and come
+# back without a word that it leaves.
+def test_leaving_target_is_not_added_again_by_a_heartbeat():
+    async def work(fleet):
+        process = fleet.proxies[0]
+        fleet.targets[0].says_leaving = True
+        await fleet.ask()
+        process.target_registry.expire(process.clock.monotonic() + 60.0)
+        assert process.local_targets.by_name == {}
+        fleet.announce(process, 0, sequence=9)
+        assert process.local_targets.by_name == {}
+
+    processes.play(work, [[]])
