Pass the limit of a target on to its process, which may have forgotten it

Processes that passed the limit on before stay bound by it.

Change: a request tells the limit that its sender knows of the target; a process that has no answer of the target yet adopts it, with room for one request, whose answer tells the truth. An older process ignores the field.

Tests: failed before (the restarted process knew no limit while the request ran), pass now.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -325,6 +325,16 @@
             self.version += 1
         return self.start_waiting(now)
 
+    def adopt_rate_limit(self, rate: float, now: float) -> None:
+        """Adopts a rate limit that another process remembers.
+
+        Args:
+            rate: Requests per second.
+            now: Monotonic seconds.
+        """
+        if self.rate_limit.adopt(rate, now):
+            self.version += 1
+
     def seconds_until_start(self, now: float) -> float | None:
         """Seconds until the rate limit lets the first queued request start.
 
--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -97,11 +97,14 @@
         target: Name of the target.
         process: Name of the process that owns the target.
         required_health: Required health to pass to the admission controller.
+        rate_limit: Rate limit of the target, as far as known, in requests per
+            second; None if there is none.
     """
 
     target: str
     process: str
     required_health: admission.RequiredHealth = admission.RequiredHealth.PROVEN
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -240,7 +243,17 @@
         for service_state in self._state_by_service.values():
             view = service_state.view_by_target.get(target)
             if view is not None:
-                view.update_load(load, now)
+                self._update_load(view, load, now)
+
+    def _update_load(
+        self, view: TargetView, load: messages.Load, now: float
+    ) -> None:
+        limit_before = view.rate_limit
+        view.update_load(load, now)
+        if limit_before is None and view.rate_limit is None:
+            return
+        rate = view.rate_limit.rate if view.rate_limit is not None else None
+        self._notices.record_rate_limit(view.name, rate, now)
 
     def record_leaving(self, service: str, target: str) -> None:
         """Records that a response of a target said that it is leaving.
@@ -331,7 +344,12 @@
         if view.state(now) is State.SUSPECT:
             view.next_trial_at = now + TRIAL_INTERVAL_SECONDS
         view.record_selection(now)
-        return Selection(view.name, view.process, required_health)
+        return Selection(
+            view.name,
+            view.process,
+            required_health,
+            self._notices.rate_limit(view.name, now),
+        )
 
     def finish_attempt(
         self,
@@ -361,7 +379,7 @@
             return
         view.in_flight = max(0, view.in_flight - 1)
         if load is not None:
-            view.update_load(load, now)
+            self._update_load(view, load, now)
             service_state.failure_rate.record_remote(
                 load.failure_percent / 100, now
             )
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -189,6 +189,9 @@
         exclusive: Whether the request must not run concurrently with others,
             as a target crashed while running it.
         organisation: Name of the calling organisation, or empty.
+        rate_limit: Rate limit that the target had named, as far as the sender
+            knows, in requests per second; None if there is none. The receiver
+            may have forgotten it in a restart.
     """
 
     id: int
@@ -215,6 +218,7 @@
     fingerprint: bytes = b""
     exclusive: bool = False
     organisation: str = ""
+    rate_limit: float | None = None
 
 
 class BodyChunk(_Message, tag=4):
--- a/forklift/notice_memory.py
+++ b/forklift/notice_memory.py
@@ -134,6 +134,8 @@
             name: Name of the incarnation.
             now: Monotonic seconds.
         """
+        if not self._limit_by_target:
+            return None
         incarnation = heartbeats.parse_incarnation(name)
         limit = self._limit_by_target.get(incarnation.target)
         if limit is None or not _may_be_same(limit.incarnation, incarnation):
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -130,6 +130,7 @@
             wait=wait,
             start_within=start_by - now,
             exclusive=exclusive,
+            rate_limit=selection.rate_limit,
         )
         to_boot = connection.peer_hello.boot
         try:
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -410,16 +410,27 @@
             rate, sent_at, self._clock.monotonic()
         )
         if version != controller.version:
-            _log.warning(
-                "target_rate_limit",
-                target=controller.name,
-                rate=controller.rate_limit.finite_rate,
-                before=before,
-                running=controller.running,
-                waiting=controller.waiting,
-            )
+            _log_rate_limit(controller, before, "response")
         self._apply_decisions(local_target, decisions, version)
 
+    def adopt_rate_limit(self, target: str, rate: float) -> None:
+        """Adopts the rate limit of a target that a peer remembers.
+
+        Args:
+            target: Name of the target.
+            rate: Requests per second.
+        """
+        name = self._name_by_previous.get(target, target)
+        local_target = self.by_name.get(name)
+        if local_target is None or not rate >= 0:
+            return
+        controller = local_target.controller
+        version = controller.version
+        controller.adopt_rate_limit(rate, self._clock.monotonic())
+        if version != controller.version:
+            _log_rate_limit(controller, None, "peer")
+            self._on_change(controller)
+
     async def _has_crashed(
         self, local_target: LocalTarget, ticket: admission.Ticket
     ) -> bool:
@@ -557,3 +568,25 @@
                 self._finish(local_target, decision.ticket, None)
         if version != local_target.controller.version:
             self._on_change(local_target.controller)
+
+
+def _log_rate_limit(
+    controller: admission.Controller, before: float | None, source: str
+) -> None:
+    """Logs a changed rate limit of a target.
+
+    Args:
+        controller: Admission controller of the target.
+        before: The limit before, in requests per second; None if there was
+            none.
+        source: Whether a response of the target or a peer names the limit.
+    """
+    _log.warning(
+        "target_rate_limit",
+        target=controller.name,
+        rate=controller.rate_limit.finite_rate,
+        before=before,
+        source=source,
+        running=controller.running,
+        waiting=controller.waiting,
+    )
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -548,6 +548,8 @@
             now + start.start_within,
             start.exclusive,
         )
+        if start.rate_limit is not None:
+            self.local_targets.adopt_rate_limit(start.target, start.rate_limit)
         return await self.local_targets.run(start.target, ticket, request, sink)
 
     def _handle_fence(self, fence: messages.FenceRequest) -> bool:
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -304,6 +304,10 @@
             ),
         )
         self._local_targets.add(name, local_target)
+        rate_limit = self._notices.rate_limit(name, self._clock.monotonic())
+        if rate_limit is not None:
+            # The target was removed as its heartbeats stopped for a while.
+            self._local_targets.adopt_rate_limit(name, rate_limit)
         _log.info(
             "target_joined",
             target=name,
--- a/forklift/target_rate_limit.py
+++ b/forklift/target_rate_limit.py
@@ -32,6 +32,7 @@
     def __init__(self):
         self.rate = math.inf
         self.refused = 0
+        self._is_known = False
         self._changed_at = -math.inf
         self._announced_rate = math.inf
         self._bucket = rate_limits.TokenBucket(0.0)
@@ -56,16 +57,27 @@
         Returns:
             Whether the limit has changed so much that it should be announced.
         """
-        if rate == self.rate or (
-            rate > self.rate and sent_at < self._changed_at
-        ):
+        self._is_known = True
+        is_late = rate > self.rate and sent_at < self._changed_at
+        if rate == self.rate or is_late:
             return False
-        if self.finite_rate is None:
-            self._bucket = rate_limits.TokenBucket(now)
-        else:
-            self._refill(now)
-        self.rate = rate
-        self._changed_at = now
+        self._change(rate, now)
+        return self._is_announcement_due()
+
+    def adopt(self, rate: float, now: float) -> bool:
+        """Adopts a limit that another process remembers.
+
+        The process that owns the target forgets the limit when it restarts.
+        The limit applies until the first response of the target.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        if self._is_known or rate >= self.rate:
+            return False
+        self._change(rate, now)
+        # The response to the first request tells the present limit.
+        self._bucket.tokens = 1.0
         return self._is_announcement_due()
 
     def wait(self, now: float, ahead: int = 0) -> float:
@@ -92,6 +104,14 @@
         if self.finite_rate is not None:
             self._bucket.tokens += 1.0
 
+    def _change(self, rate: float, now: float) -> None:
+        if self.finite_rate is None:
+            self._bucket = rate_limits.TokenBucket(now)
+        else:
+            self._refill(now)
+        self.rate = rate
+        self._changed_at = now
+
     @property
     def _granted_rate(self) -> float:
         return max(self.rate, MIN_RATE)
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -479,3 +479,15 @@
     assert selected_targets(balancer, requirements()) == {"b"}
     balancer.update_process(helper.info("p-a", "a@5000", boot=99))
     assert selected_targets(balancer, requirements()) == {"a@5000", "b"}
+
+
+def test_limit_of_a_target_is_passed_on_after_a_restart_of_its_process():
+    balancer = new_balancer("a@5")
+    limit_target(balancer, "a@5", 0.0)
+    balancer.remove_process("p-a@5")
+    balancer.update_process(helper.info("p-a@5", "a@5", boot=99))
+    selection = balancer.select(requirements(), frozenset(), 11.0)
+    assert selection.rate_limit == 2.0
+    balancer.update_process(helper.info("p-a@5", "a@6", boot=99))
+    selection = balancer.select(requirements(), frozenset(), 12.0)
+    assert (selection.target, selection.rate_limit) == ("a@6", None)
--- a/test/test_target_limits.py
+++ b/test/test_target_limits.py
@@ -230,3 +230,29 @@
         assert process.local_targets.by_name == {}
 
     processes.play(work, [[]])
+
+
+# The process beside a limited target forgets the limit in a restart. All
+# processes would send to the target until one of its responses names it again.
+def test_restarted_process_learns_the_limit_from_the_first_request():
+    async def work(fleet):
+        limited, other = fleet.targets[0], fleet.proxies[1]
+        limited.rate_limit = 5.0
+        other.local_targets.pause("t1")
+        assert (await fleet.ask(1)).status == 200
+        new = await _restart(fleet, 0)
+        await helper.until(
+            lambda: any(
+                view.boot == new.boot for view in other.balancer.views("s")
+            )
+        )
+        limited.script.append("hold")
+        arrivals = len(limited.received)
+        pending = asyncio.create_task(fleet.ask(1))
+        await helper.until(lambda: len(limited.received) > arrivals)
+        controller = new.local_targets.by_name["t0"].controller
+        assert controller.rate_limit.rate == limited.rate_limit
+        limited.release.set()
+        assert (await pending).status == 200
+
+    processes.play(work, [[], []])
--- a/test/test_target_rate_limit.py
+++ b/test/test_target_rate_limit.py
@@ -171,3 +171,15 @@
     assert limit.wait(1.0) > 0
     limit.give_back()
     assert limit.wait(1.0) == 0
+
+
+def test_remembered_limit_applies_until_the_target_responds():
+    limit = target_rate_limit.TargetRateLimit()
+    assert limit.adopt(2.0, 10.0)
+    assert limit.wait(10.0) == 0
+    limit.take(10.0)
+    assert limit.wait(10.0) == pytest.approx(0.5, abs=0.001)
+    assert not limit.adopt(3.0, 10.0)
+    limit.record(math.inf, 10.0, 10.2)
+    assert not limit.adopt(2.0, 10.3)
+    assert limit.finite_rate is None
