Take the word of a restarted target for that of its later incarnation

Cause: found by thinking on: a target may start again under its name, and say that it leaves, before its process has a heartbeat of the new run. The word was remembered for the run that had ended, and the later one got requests.

Change: a word counts for a later incarnation that had started before the request was sent, by more than clocks may differ; what started after that, the word can't be of.

--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -255,13 +255,20 @@
         rate = view.rate_limit.rate if view.rate_limit is not None else None
         self._notices.record_rate_limit(view.name, rate, now)
 
-    def record_leaving(self, service: str, target: str) -> None:
+    def record_leaving(
+        self, service: str, target: str, asked_seconds_ago: float
+    ) -> None:
         """Records that a response of a target said that it is leaving.
 
         From then on this process sends nothing to that incarnation, whatever
         its own process says.
+
+        Args:
+            service: Name of the service.
+            target: Name of the target.
+            asked_seconds_ago: Seconds since the request was sent.
         """
-        self._notices.record_leaving(target)
+        self._notices.record_leaving(target, asked_seconds_ago)
         view = self._service_state(service).view_by_target.get(target)
         if view is not None:
             view.mark_draining()
--- a/forklift/notice_memory.py
+++ b/forklift/notice_memory.py
@@ -25,11 +25,27 @@
 
     Attributes:
         incarnation: The incarnation; its start time may be unknown.
-        heard_ms: Unix milliseconds at which the announcement was received.
+        asked_ms: Unix milliseconds at which the request was sent whose response
+            held the announcement.
     """
 
     incarnation: heartbeats.TargetIncarnation
-    heard_ms: float
+    asked_ms: float
+
+    def is_of(self, incarnation: heartbeats.TargetIncarnation) -> bool:
+        """Whether an incarnation may have made the announcement.
+
+        A target may have restarted without the knowledge of its process. The
+        announcement is then that of an incarnation which started before the
+        request was sent.
+        """
+        if _may_be_same(self.incarnation, incarnation):
+            asked_ms = self.asked_ms + CLOCK_TOLERANCE_MS
+            is_exact = self.incarnation.started_ms or not incarnation.started_ms
+            return bool(is_exact) or incarnation.started_ms <= asked_ms
+        is_later = _is_earlier(self.incarnation, incarnation)
+        asked_ms = self.asked_ms - CLOCK_TOLERANCE_MS
+        return is_later and incarnation.started_ms <= asked_ms
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,7 +61,7 @@
     """The last notices of the targets that this process has heard of.
 
     >>> memory = NoticeMemory(lambda: 90.0)
-    >>> memory.record_leaving("i-7@80000")
+    >>> memory.record_leaving("i-7@80000", 0.1)
     >>> memory.is_leaving("i-7@80000"), memory.is_leaving("i-7@95000")
     (True, False)
     """
@@ -64,11 +80,13 @@
             collections.OrderedDict()
         )
 
-    def record_leaving(self, name: str) -> None:
+    def record_leaving(self, name: str, asked_seconds_ago: float) -> None:
         """Records that an incarnation announced that it is leaving.
 
         Args:
             name: Name of the incarnation.
+            asked_seconds_ago: Seconds since the request was sent whose response
+                held the announcement.
         """
         incarnation = heartbeats.parse_incarnation(name)
         known = self._leave_by_target.get(incarnation.target)
@@ -77,7 +95,7 @@
         _remember(
             self._leave_by_target,
             incarnation.target,
-            _Leave(incarnation, self._wall() * 1000),
+            _Leave(incarnation, (self._wall() - asked_seconds_ago) * 1000),
         )
 
     def is_leaving(self, name: str) -> bool:
@@ -91,11 +109,7 @@
         """
         incarnation = heartbeats.parse_incarnation(name)
         leave = self._leave_by_target.get(incarnation.target)
-        if leave is None:
-            return False
-        if leave.incarnation.started_ms or not incarnation.started_ms:
-            return _may_be_same(leave.incarnation, incarnation)
-        return incarnation.started_ms <= leave.heard_ms + CLOCK_TOLERANCE_MS
+        return leave is not None and leave.is_of(incarnation)
 
     def leaving_incarnation(self, name: str) -> str:
         """Returns the most exact known name of an incarnation that leaves.
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -423,19 +423,29 @@
         is_failure = None
         if self._request.idempotent and self._request.body.replayable:
             is_failure = self._policy.is_failure
+        sent_at = self._now()
         buffered = response_buffer.BufferedResponse(
-            self._sink, is_failure, self._claim, self._record_notice
+            self._sink,
+            is_failure,
+            self._claim,
+            lambda head: self._record_notice(head, sent_at),
         )
         task = asyncio.create_task(
             self._run_attempt(selection, buffered, is_hedge)
         )
         return hedging.Attempt(selection, buffered, task)
 
-    def _record_notice(self, head: exchange.ResponseHead) -> None:
+    def _record_notice(
+        self, head: exchange.ResponseHead, sent_at: float
+    ) -> None:
         """Records that a target says in its response that it is leaving.
 
         This does not rely on the process that owns the target, which may
         forget it in a restart.
+
+        Args:
+            head: Head of the response.
+            sent_at: Monotonic seconds at which the request was sent.
         """
         value = http.value(head.headers, self._forwarder.header_names.leaving)
         try:
@@ -444,7 +454,9 @@
             # The process that owns the target has logged it.
             return
         if leaving and head.target:
-            self._balancer.record_leaving(self._request.service, head.target)
+            self._balancer.record_leaving(
+                self._request.service, head.target, self._now() - sent_at
+            )
 
     def _hedge_delay(self) -> float | None:
         """Returns the seconds until the hedged request; None for no hedge."""
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -397,7 +397,9 @@
             self._record_rate_limit(local_target, notice.rate_limit, sent_at)
         if notice.leaving and not controller.target_leaving:
             _log.info("target_leaving", target=controller.name)
-            self._notices.record_leaving(controller.name)
+            self._notices.record_leaving(
+                controller.name, self._clock.monotonic() - sent_at
+            )
             self._apply_decisions(local_target, controller.mark_draining())
 
     def _record_rate_limit(
