Refuse queued requests at once that a new limit does not let start

Cause: found by thinking on: requests that wait already when a limit begins, falls, or when more urgent ones come, waited until their latest start and were refused then.

Change: with each change of the limit, and each tick, what can't start in time by the limit is refused with the time until it could. A target without room in its limit asks nobody for work. A metric counts refusals by limits.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -230,7 +230,7 @@
         accepts_wait = ticket.wait or wait <= SHORT_WAIT_SECONDS
         if not accepts_wait or late or full:
             if self.rate_limit.wait(now) > 0:
-                self.rate_limit.refused += 1
+                return self._refuse_for_rate_limit(ticket, wait)
             return self._refuse(ticket, Reason.BUSY, wait)
         self._arrivals += 1
         entry = (position, ticket)
@@ -305,6 +305,7 @@
     def tick(self, now: float) -> list[Decision]:
         """Expires queued requests and reevaluates the target's health."""
         decisions: list[Decision] = self._expire(now)
+        decisions += self._refuse_hopeless(now)
         decisions += self._apply_ejection_change(self.health.evaluate(now))
         return decisions + self.start_waiting(now)
 
@@ -323,7 +324,7 @@
         """
         if self.rate_limit.record(rate, sent_at, now):
             self.version += 1
-        return self.start_waiting(now)
+        return self._refuse_hopeless(now) + self.start_waiting(now)
 
     def adopt_rate_limit(self, rate: float, now: float) -> None:
         """Adopts a rate limit that another process remembers.
@@ -481,6 +482,25 @@
         """Seconds after which an expired request may find a slot."""
         return self._distribution(ticket, now).median
 
+    def _refuse_hopeless(self, now: float) -> list[Decision]:
+        """Refuses queued requests that the rate limit does not let start.
+
+        The limit may have become known after a request was queued, and more
+        urgent requests may have been queued before it.
+        """
+        if self.rate_limit.finite_rate is None:
+            return []
+        decisions: list[Decision] = []
+        kept: list[tuple[tuple[int, float, int], Ticket]] = []
+        for entry in self._waiting:
+            wait = self.rate_limit.wait(now, len(kept))
+            if now + wait > entry[1].latest_start:
+                decisions.append(self._refuse_for_rate_limit(entry[1], wait))
+            else:
+                kept.append(entry)
+        self._waiting = kept
+        return decisions
+
     def _refuse_after_ejection(self) -> list[Decision]:
         """Refuses queued requests that may not run on an ejected target."""
         entries = self._waiting
@@ -488,6 +508,10 @@
         refused = [e[1] for e in entries if not _accepts_ejected(e[1])]
         return [self._refuse(ticket, Reason.EJECTED) for ticket in refused]
 
+    def _refuse_for_rate_limit(self, ticket: Ticket, wait: float) -> Refused:
+        self.rate_limit.refused += 1
+        return self._refuse(ticket, Reason.BUSY, wait)
+
     def _refuse_all(self, reason: Reason) -> list[Decision]:
         tickets = [entry[1] for entry in self._waiting]
         self._waiting = []
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -692,7 +692,8 @@
         """
         for local_target in self.local_targets.by_name.values():
             load = local_target.controller.load(now)
-            usable = load.state in _IDLE_STATES
+            has_room = load.rate_limit is None or load.rate_limit.wait == 0
+            usable = load.state in _IDLE_STATES and has_room
             if (
                 usable
                 and load.idle > IDLE_TARGET_SECONDS
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -137,6 +137,14 @@
                 if target.controller.rate_limit.finite_rate is not None
             ],
         )
+        self.add_counter(
+            "forklift.targets.limited",
+            "Requests refused as targets beside have named limits",
+            lambda: [
+                (target.controller.rate_limit.refused, {"target": name})
+                for name, target in local_targets.items()
+            ],
+        )
         self.add_counter(
             "forklift.targets.starts",
             "Requests that were started on targets beside",
--- a/test/test_target_rate_limit.py
+++ b/test/test_target_rate_limit.py
@@ -183,3 +183,32 @@
     limit.record(math.inf, 10.0, 10.2)
     assert not limit.adopt(2.0, 10.3)
     assert limit.finite_rate is None
+
+
+def test_queued_request_is_refused_once_a_new_limit_does_not_let_it_start():
+    controller = admission.Controller("t", "s", 1)
+    usual = controller.latencies.for_route("", OBJECTIVE)
+    helper.train_latency(usual, 0.1)
+    running, first, second = (
+        admission.Ticket(
+            (1, n), True, 0, 10.0, soft_deadline=OBJECTIVE, start_by=2.5
+        )
+        for n in range(3)
+    )
+    for ticket in (running, first, second):
+        controller.admit(ticket, 0.0)
+    assert controller.waiting == 2
+    decisions = controller.record_rate_limit(0.5, 0.0, 0.2)
+    assert [decision.ticket for decision in decisions] == [second]
+    assert isinstance(decisions[0], admission.Refused)
+    assert decisions[0].retry_after == pytest.approx(4.0, abs=0.001)
+
+
+def test_less_urgent_request_is_refused_once_urgent_ones_use_up_the_limit():
+    controller = admission.Controller("t", "s", 4)
+    controller.record_rate_limit(1.0, 0.0, 0.0)
+    late = admission.Ticket((1, 1), True, 1, 10.0, start_by=1.5)
+    urgent = admission.Ticket((1, 2), True, 0, 10.0)
+    for ticket in (late, urgent):
+        assert isinstance(controller.admit(ticket, 0.1), admission.Queued)
+    assert [decision.ticket for decision in controller.tick(0.2)] == [late]
