Heed limits and leaves in the answers to health checks of a new process

Cause: found by thinking on: a process that starts asks the health of its target before any request passes; a target says both in all its answers, so that answer may tell them too.

Change: a target that says there that it leaves is not added; a limit is adopted until the first response. The parser of both fields moved to one place that both kinds of answers use.

Test: test_health_check_of_a_restarted_process_heeds_notices, both cases.

--- a/forklift/shell/health_probe.py
+++ b/forklift/shell/health_probe.py
@@ -9,6 +9,7 @@
 
 from forklift import header_fields
 from forklift import invalid_input
+from forklift import target_notices
 from forklift.shell import http
 from forklift.shell import tcp_stream
 
@@ -30,11 +31,13 @@
         target: Name that the target reports; empty if there is no valid one.
         slots: Number of requests that the target can run concurrently; 0 if
             not reported.
+        notice: What the target announces about itself.
     """
 
     healthy: bool
     target: str
     slots: int = 0
+    notice: target_notices.TargetNotice = target_notices.TargetNotice()
 
 
 async def check(
@@ -95,4 +98,11 @@
         name = b""
     load = _LOAD_FIELD.fullmatch(http.value(headers, header_names.load) or b"")
     slots = int(load[1]) if load else 0
-    return ProbeResult(response.status_code < 400, name.decode("ascii"), slots)
+    target = name.decode("ascii")
+    notice = target_notices.parse(
+        http.value(headers, header_names.rate_limit),
+        http.value(headers, header_names.leaving),
+        invalid_input.Source.HEALTH,
+        target,
+    )
+    return ProbeResult(response.status_code < 400, target, slots, notice)
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -416,7 +416,9 @@
         self._apply_decisions(local_target, decisions, version)
 
     def adopt_rate_limit(self, target: str, rate: float) -> None:
-        """Adopts the rate limit of a target that a peer remembers.
+        """Adopts a rate limit until the target names one in a response.
+
+        A peer remembers it, or the health endpoint of the target names it.
 
         Args:
             target: Name of the target.
@@ -430,7 +432,7 @@
         version = controller.version
         controller.adopt_rate_limit(rate, self._clock.monotonic())
         if version != controller.version:
-            _log_rate_limit(controller, None, "peer")
+            _log_rate_limit(controller, None, "hint")
             self._on_change(controller)
 
     async def _has_crashed(
@@ -581,7 +583,7 @@
         controller: Admission controller of the target.
         before: The limit before, in requests per second; None if there was
             none.
-        source: Whether a response of the target or a peer names the limit.
+        source: Whether a response names the limit, or only a hint.
     """
     _log.warning(
         "target_rate_limit",
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -1,6 +1,7 @@
 """Registers local targets on their heartbeats and removes them."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import structlog
@@ -264,7 +265,10 @@
     def _add_discovered(self, result: health_probe.ProbeResult) -> None:
         current = self.settings
         now = self._clock.monotonic()
-        if self.stopping or self._notices.is_leaving(result.target):
+        is_leaving = result.notice.leaving or self._notices.is_leaving(
+            result.target
+        )
+        if self.stopping or is_leaving:
             return
         if not self._incarnations.record_health_check(result.target, now):
             return
@@ -280,6 +284,9 @@
                 sequence=-1,
             )
         )
+        rate_limit = result.notice.rate_limit
+        if rate_limit is not None and math.isfinite(rate_limit):
+            self._local_targets.adopt_rate_limit(result.target, rate_limit)
 
     def _add(
         self, heartbeat: heartbeats.Heartbeat
--- a/forklift/shell/upstream.py
+++ b/forklift/shell/upstream.py
@@ -11,7 +11,6 @@
 import math
 import re
 from collections.abc import Callable
-from typing import TypeVar
 
 import h11
 import structlog
@@ -29,7 +28,6 @@
 
 _log = structlog.get_logger(__name__)
 Reason = messages.Reason
-_Value = TypeVar("_Value")
 
 # Maximum idle time of a connection if the target sends no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_SECONDS = 0.8
@@ -381,34 +379,14 @@
             # The response is that of another target.
             return
         names, headers = self._header_names, http.fields(response)
-        notice = target_notices.TargetNotice(
-            self._parse_notice_field(
-                target_notices.parse_rate_limit,
-                http.value(headers, names.rate_limit),
-            ),
-            bool(
-                self._parse_notice_field(
-                    target_notices.parse_leaving,
-                    http.value(headers, names.leaving),
-                )
-            ),
+        notice = target_notices.parse(
+            http.value(headers, names.rate_limit),
+            http.value(headers, names.leaving),
+            invalid_input.Source.RESPONSE,
+            self._incarnation,
         )
         self._on_notice(notice, self._sent_at)
 
-    def _parse_notice_field(
-        self, parse: Callable[[bytes | None], _Value], value: bytes | None
-    ) -> _Value | None:
-        """Parses a field of a notice; returns None if it is invalid."""
-        try:
-            return parse(value)
-        except target_notices.InvalidNotice as error:
-            invalid_input.record(
-                invalid_input.Source.RESPONSE,
-                str(error),
-                target=self._incarnation,
-            )
-            return None
-
     def _raise_not_run(self, response: h11.Response) -> None:
         """Raises an error if the target rejected the request as not run."""
         status = response.status_code
--- a/forklift/target_notices.py
+++ b/forklift/target_notices.py
@@ -7,8 +7,13 @@
 import dataclasses
 import math
 import re
+from collections.abc import Callable
+from typing import TypeVar
 
 from forklift import errors
+from forklift import invalid_input
+
+_Value = TypeVar("_Value")
 
 # A decimal number without sign or exponent; longer ones are invalid.
 _DECIMAL_NUMBER = re.compile(rb"(?=\.?\d)\d{0,9}(\.\d{0,9})?")
@@ -74,3 +79,38 @@
     if stripped in _NOT_LEAVING:
         return False
     raise InvalidNotice("the leaving field is neither 0 nor 1")
+
+
+def parse(
+    rate_limit: bytes | None,
+    leaving: bytes | None,
+    source: invalid_input.Source,
+    target: str,
+) -> TargetNotice:
+    """Parses the notices in a response; records invalid ones.
+
+    Args:
+        rate_limit: Value of the field that names a rate limit, if present.
+        leaving: Value of the field that announces a leave, if present.
+        source: What kind of response it is, for the record of invalid input.
+        target: Name of the target, for the same record.
+    """
+    leaves = _parse_field(parse_leaving, leaving, source, target)
+    return TargetNotice(
+        _parse_field(parse_rate_limit, rate_limit, source, target),
+        leaves is True,
+    )
+
+
+def _parse_field(
+    parse_value: Callable[[bytes | None], _Value],
+    value: bytes | None,
+    source: invalid_input.Source,
+    target: str,
+) -> _Value | None:
+    """Parses one field; returns None and records it if it is invalid."""
+    try:
+        return parse_value(value)
+    except InvalidNotice as error:
+        invalid_input.record(source, str(error), target=target)
+        return None
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -380,6 +380,7 @@
             b"HTTP/1.1 %d X" % (503 if self.leaving else 200),
             self.names.target + b": " + self.name.encode(),
             self.names.load + b": 0,0,%d" % self.slots,
+            *self._notices(),
             b"content-length: 0",
         )
         return b"\r\n".join(lines) + _END
--- a/test/test_target_limits.py
+++ b/test/test_target_limits.py
@@ -3,9 +3,13 @@
 import asyncio
 import math
 
+import pytest
 import structlog
 
+from forklift import header_fields
+from forklift import heartbeats
 from forklift import invalid_input
+from forklift.shell import health_probe
 from forklift.shell import proxy
 from forklift.shell import reports
 from forklift_lab import scripted
@@ -256,3 +260,25 @@
         assert (await pending).status == 200
 
     processes.play(work, [[], []])
+
+
+@pytest.mark.parametrize("leaving", [False, True])
+def test_health_check_of_a_restarted_process_heeds_notices(leaving):
+    async def work(fleet):
+        fleet.targets[0].rate_limit = 3.0
+        fleet.targets[0].says_leaving = leaving
+        process = fleet.proxies[0]
+        registry = process.target_registry
+        registry._remove("t0")
+        result = await health_probe.check(
+            fleet.targets[0].address, "/health", header_fields.DEFAULT
+        )
+        registry._incarnations = heartbeats.IncarnationTracker(1.0)
+        registry._add_discovered(result)
+        rates = {
+            name: local_target.controller.rate_limit.rate
+            for name, local_target in process.local_targets.by_name.items()
+        }
+        assert rates == ({} if leaving else {"t0": 3.0})
+
+    processes.play(work, [[]])
