Soak: targets that name limits, and that say in answers that they leave

Change: stand-in targets hold both fields. Seeds from 40000 on also draw targets that name a limit, all targets at once, a kill of the process beside a limited target, and targets that say that they leave while their heartbeats don't, with and without such a kill. Two promises: no more than 1.5 times the limit and 5 requests in 4 s from the processes that passed it on, unless they were killed, paused or cut off; nothing from a process later than 2 s after it passed the word on, cut off or not.

Two tests of old seeds leave out seeds that are new by definition; what they check of old ones is unchanged.

--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 
 from forklift import heartbeats
 from forklift.platform import platform_headers
@@ -101,6 +102,92 @@
     return late
 
 
+@soaks.promise("a target that says that it leaves gets no more work")
+def _left_by_word(soak: soaks.Soak) -> list[str]:
+    """From no process that passed its word on, in touch or not."""
+    return [
+        f"{incarnation.name} from {later.place}, asked "
+        f"{later.began - at:.1f} s after"
+        for target in soak.running.target_by_name.values()
+        for (incarnation, place, run), at in _bound_since(
+            soak, target, "leaving"
+        ).items()
+        for later, received, received_by in _traced(soak, target)
+        if received_by == incarnation
+        and (later.place, later.incarnation) == (place, run)
+        and later.began > at + soaks.DRAIN_WITHIN
+        and not _overlap(soak.harms_by_place[place], at, received.at)
+    ]
+
+
+@soaks.promise("a target gets no more than the limit that it names")
+def _within_named_limit(soak: soaks.Soak) -> list[str]:
+    """Summed over the processes that passed its answers on."""
+    return [
+        f"{limit.incarnation.name} named {limit.rate:g}, got {most}"
+        for limit in soak.limits
+        for most in [_most_arrivals(soak, limit)]
+        if most
+        > soaks.NAMED_FACTOR * limit.rate * soaks.NAMED_COUNTED
+        + soaks.NAMED_SLACK
+    ]
+
+
+def _most_arrivals(soak: soaks.Soak, limit: soaks.NamedLimit) -> int:
+    """The most requests within the window, from processes that are bound."""
+    target = soak.running.target_by_name[limit.place]
+    bound = _bound_since(soak, target, "limited", limit.began)
+    times = []
+    for seen, received, incarnation in _traced(soak, target):
+        key = (incarnation, seen.place, seen.incarnation)
+        since = bound.get(key, math.inf) + soaks.NAMED_BINDS_AFTER
+        excuses = (
+            *soak.harms_by_place[seen.place],
+            *soak.cuts_by_place[seen.place],
+        )
+        is_counted = (
+            incarnation == limit.incarnation
+            and since <= received.at <= limit.ended
+            and not _overlap(excuses, since, received.at)
+        )
+        if is_counted:
+            times.append(received.at)
+    return max(
+        (
+            sum(since <= at < since + soaks.NAMED_COUNTED for at in times)
+            for since in times
+        ),
+        default=0,
+    )
+
+
+def _traced(soak: soaks.Soak, target):
+    """Requests of a target: as callers saw them, as it did, and its run."""
+    seen_by_id = {seen.id: seen for seen in soak.seen}
+    name = platform_headers.PLATFORM.request_id
+    arrivals = zip(target.received, target.incarnations_received, strict=True)
+    for received, incarnation in arrivals:
+        seen = seen_by_id.get(received.field(name).decode())
+        if seen is not None:
+            yield seen, received, incarnation
+
+
+def _bound_since(
+    soak: soaks.Soak, target, notice: str, since: float = -math.inf
+) -> dict[tuple, float]:
+    """When runs of processes passed on a notice of a run of a target."""
+    bound: dict[tuple, float] = {}
+    for seen, _, incarnation in _traced(soak, target):
+        key = (incarnation, seen.place, seen.incarnation)
+        if getattr(seen, notice) and seen.ended >= since:
+            bound[key] = min(bound.get(key, math.inf), seen.ended)
+    return bound
+
+
+def _overlap(spans, a: float, b: float) -> bool:
+    return any(began <= b and a <= ended for began, ended in spans)
+
+
 @soaks.promise("a target that returned gets work")
 def _returned(soak: soaks.Soak) -> list[str]:
     """Its process takes it for what it is, though its name is an old one.
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -80,6 +80,16 @@
 # Seeds from this one on also let the store go back in time, and an organisation
 # send more than it may.
 LIMITED_FROM = 30_000
+# Seeds from this one on also let targets name limits, and say in their answers
+# that they leave.
+NOTICES_FROM = 40_000
+# Seconds in which the requests of a limited target are counted, and what it may
+# get in these: a multiple of its limit, and a number. Answers bind a process
+# from so many seconds on.
+NAMED_COUNTED = 4.0
+NAMED_FACTOR = 1.5
+NAMED_SLACK = 5
+NAMED_BINDS_AFTER = 0.5
 # It, its key, its limit, and what may be run of it beyond that: in how many
 # seconds, which part and number.
 ORGANISATION = "few"
@@ -131,6 +141,8 @@
             connection; 0 where there was none.
         told: Whether an answer before on its connection had said that this
             closes.
+        limited: Whether the answer named a limit of its target.
+        leaving: Whether the answer said that its target leaves.
     """
 
     id: str
@@ -145,6 +157,27 @@
     since: int = 0
     ended_after: float = 0.0
     told: bool = False
+    limited: bool = False
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class NamedLimit:
+    """A limit that a target named for a while.
+
+    Attributes:
+        place: Process beside the target.
+        incarnation: The run of the target.
+        rate: Requests a second.
+        began: Loop seconds when it was named first.
+        ended: Loop seconds when it was named no more.
+    """
+
+    place: str
+    incarnation: heartbeats.TargetIncarnation
+    rate: float
+    began: float
+    ended: float
 
 
 class Soak:
@@ -199,6 +232,10 @@
         self._limited = seed >= LIMITED_FROM
         if self._limited:
             self._troubles += names_by_theme[GOES_BACK] * GOES_BACK_SHARE
+        # Limits that targets named, once they are over.
+        self.limits: list[NamedLimit] = []
+        if seed >= NOTICES_FROM:
+            self._troubles += names_by_theme[NOTICES] * NOTICES_SHARE
         self._number = 0
 
     def now(self) -> float:
@@ -313,12 +350,16 @@
         incarnation = self.runs_by_place[place.name]
         began = self.now()
         status, own = 0, True
+        limited = leaving = False
         try:
             answer = await asker.request(
                 method, path, b"", fields, HANGS_AFTER, host="h"
             )
             status = answer.status
             own = status != 200 or _is_own(answer, request_id)
+            names = {name.lower() for name, _ in answer.headers}
+            limited = platform_headers.PLATFORM.rate_limit in names
+            leaving = platform_headers.PLATFORM.leaving in names
         except client.RequestFailed:
             # No answer: what that means is for the promises to say.
             status = 0
@@ -336,6 +377,8 @@
                 incarnation,
                 version,
                 since,
+                limited=limited,
+                leaving=leaving,
             )
         )
         return bool(status)
@@ -507,6 +550,26 @@
             await target.revive()
             self.tell(f"{target.incarnation.name} is back after a crash")
 
+    async def name_limit(
+        self, place: programs.Place, rate: float, seconds: float
+    ) -> None:
+        """The target beside a process names a limit for a while.
+
+        It ends early if the target starts again or names another one.
+        """
+        target = self.target(place)
+        began, incarnation = self.now(), target.incarnation
+        target.rate_limit = rate
+        while self.now() < began + seconds:
+            await asyncio.sleep(TICK)
+            if target.rate_limit != rate or target.incarnation != incarnation:
+                break
+        else:
+            target.rate_limit = None
+        self.limits.append(
+            NamedLimit(place.name, incarnation, rate, began, self.now())
+        )
+
     def relays(self, place: programs.Place) -> programs.Relays:
         """The relays around a process."""
         return self.running.relays_by_name[place.name]
@@ -566,6 +629,9 @@
 # The store loses what it acknowledged, and how often that is drawn.
 GOES_BACK = "goes back"
 GOES_BACK_SHARE = 6
+# Targets name limits and say that they leave, and how often that is drawn.
+NOTICES = "notices"
+NOTICES_SHARE = 8
 names_by_theme: dict[str, list[str]] = collections.defaultdict(list)
 
 
@@ -576,7 +642,7 @@
         trouble_by_name[name] = function
         for theme in themes:
             names_by_theme[theme].append(name)
-        if not {RETURNS, CRASHES, GOES_BACK} & set(themes):
+        if not {RETURNS, CRASHES, GOES_BACK, NOTICES} & set(themes):
             names_by_theme[ALL].append(name)
         return function
 
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -36,6 +36,8 @@
 # Seconds over which the restarts of all processes begin.
 OVERLAP = 4.0
 BOTH = frozenset(relay.Way)
+# Limits that targets name, requests a second.
+LIMITS = (0.5, 1.0, 2.4, 5.0)
 
 
 @contextlib.contextmanager
@@ -204,6 +206,57 @@
     target.leaving = False
 
 
+@soaks.trouble("target-names-a-limit", soaks.NOTICES)
+async def _name_limit(soak: soaks.Soak, place: programs.Place) -> None:
+    """A target names a limit, then another one, then none."""
+    for _ in range(soak.rng.randint(1, 2)):
+        rate = soak.rng.choice(LIMITS)
+        await soak.name_limit(place, rate, soak.rng.uniform(4.0, 9.0))
+
+
+@soaks.trouble("all-targets-name-limits", soaks.NOTICES)
+async def _all_name_limits(soak: soaks.Soak, place: programs.Place) -> None:
+    rate = soak.rng.choice(LIMITS)
+    seconds = soak.rng.uniform(4.0, 8.0)
+    await asyncio.gather(
+        *(soak.name_limit(one, rate, seconds) for one in soak.running.places)
+    )
+
+
+@soaks.trouble("limit-and-restart", soaks.NOTICES)
+async def _limit_and_restart(soak: soaks.Soak, place: programs.Place) -> None:
+    """The process beside a limited target is killed meanwhile."""
+    limit = soak.name_limit(place, soak.rng.choice(LIMITS), 9.0)
+    await asyncio.gather(limit, _kill_within(soak, place, 6.0))
+
+
+@soaks.trouble("target-says-that-it-leaves", soaks.NOTICES)
+async def _says_leaving(soak: soaks.Soak, place: programs.Place) -> None:
+    """Only its answers say it; its process may be killed meanwhile."""
+    target = soak.target(place)
+    if target.leaving or target.says_leaving:
+        return
+    incarnation = target.incarnation
+    target.says_leaving = True
+    lasts = soaks.DRAIN_WITHIN + 0.8
+    if soak.rng.random() < 0.5:
+        await asyncio.gather(
+            asyncio.sleep(lasts), _kill_within(soak, place, lasts / 2)
+        )
+    else:
+        await asyncio.sleep(lasts)
+    if target.incarnation == incarnation:
+        soak.rename(place)
+        target.says_leaving = False
+
+
+async def _kill_within(
+    soak: soaks.Soak, place: programs.Place, seconds: float
+) -> None:
+    await asyncio.sleep(soak.rng.uniform(0.5, seconds))
+    await _kill(soak, place)
+
+
 @soaks.trouble("target-returns", soaks.RETURNS)
 async def _target_returns(soak: soaks.Soak, place: programs.Place) -> None:
     """A target crashes and starts again under its name, some times in a row."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -25,7 +25,12 @@
 #   20003: a request that crashes targets was not quarantined.
 #   20005, 20020: a returned target got no work, as few requests reached its own
 #      process.
-SEEDS = (2, 4001, 4009, 4013, 4016, 10_000, 20_003, 20_005, 20_020)
+# Seeds that show what fails without it:
+#   40000: targets name limits; 40001: targets say in answers that they leave.
+SEEDS = (
+    *(2, 4001, 4009, 4013, 4016, 10_000, 20_003, 20_005, 20_020),
+    *(40_000, 40_001),
+)
 
 
 # Times, in seconds, at which the store acknowledged version 2 and by which
@@ -52,6 +57,20 @@
 LATER_CRASHES = [
     (CRASHING_ID, CRASHES_KNOWN_AT + 1.0 + n) for n in range(soak.SPARE + 1)
 ]
+# A target that said at 2 s that it leaves, and a request that came too late.
+LEAVING_TARGET = {
+    "arrivals": [("s-1", 1.5), ("s-2", 5.05)],
+    "responses": [
+        soak.Seen("s-1", "p", 1.0, 2.0, 200, leaving=True),
+        soak.Seen("s-2", "p", 5.0, 5.1, 200),
+    ],
+}
+# A target that names a limit of one request a second, and as many requests as
+# it may get in a window, and one too many.
+NAMED_LIMIT = soak.NamedLimit("p", INCARNATION, 1.0, 0.0, 20.0)
+NAMED_ALLOWED = round(
+    soak.NAMED_FACTOR * NAMED_LIMIT.rate * soak.NAMED_COUNTED + soak.NAMED_SLACK
+)
 FAULT_SPANS = [(ACKNOWLEDGED_AT + 1.0, DUE_AT)]
 
 
@@ -103,6 +122,19 @@
     return soak.Seen(request_id, "p", 1.0, 2.0, status, **changes)
 
 
+def limited_target(count: int, place: str = "p") -> dict:
+    """Returns observations of so many requests after the limit was named."""
+    first = soak.Seen("s-0", "p", 1.0, 2.0, 200, limited=True)
+    later = [
+        soak.Seen(f"s-{n}", place, 3.0, 3.5, 200) for n in range(1, count + 1)
+    ]
+    return {
+        "limits": [NAMED_LIMIT],
+        "responses": [first, *later],
+        "arrivals": [("s-0", 1.5), *((seen.id, 3.2) for seen in later)],
+    }
+
+
 def make_response_at(began: float, status: int, **changes) -> soak.Seen:
     """Returns a response of process p to a request sent at a given time."""
     return soak.Seen("s-1", "p", began, began + 0.1, status, **changes)
@@ -134,6 +166,7 @@
     found.died_at_by_place.update(changes.get("died", {}))
     found.unserved_by_place.update(changes.get("unserved", {}))
     found.returns = changes.get("returns", [])
+    found.limits = changes.get("limits", [])
     found.ended_at_by_incarnation = changes.get("ended", {})
     found.over_at = changes.get("over", NEXT_ACKNOWLEDGED_AT)
     return soak.check(found)
@@ -221,6 +254,15 @@
             "a leaving target gets no work",
             {"arrivals": [("u-1", 9.0)], "left": {INCARNATION: 1.0}},
         ),
+        ("a target that says that it leaves gets no more work", LEAVING_TARGET),
+        (
+            "a target that says that it leaves gets no more work",
+            {**LEAVING_TARGET, "cuts": {"p": [(1.0, 9.0)]}},
+        ),
+        (
+            "a target gets no more than the limit that it names",
+            limited_target(NAMED_ALLOWED + 1),
+        ),
         ("a target that returned gets work", RETURNED_TARGET),
         (
             "a target that returned gets work",
@@ -260,6 +302,38 @@
     assert find_violations(**{**RETURNED_TARGET, **case}) == []
 
 
+@pytest.mark.parametrize(
+    "case",
+    [
+        {"arrivals": [("s-1", 1.5)]},
+        {"harms": [(2.5, 2.6)]},
+        {
+            "responses": [
+                LEAVING_TARGET["responses"][0],
+                soak.Seen("s-2", "p", 5.0, 5.1, 200, incarnation=1),
+            ]
+        },
+    ],
+    ids=["it got no more", "its process was paused", "its process is new"],
+)
+def test_excused_request_to_a_leaving_target_is_no_violation(case):
+    assert find_violations(**{**LEAVING_TARGET, **case}) == []
+
+
+def test_requests_within_a_named_limit_are_no_violation():
+    assert find_violations(**limited_target(NAMED_ALLOWED)) == []
+    # A process that passed no such answer on is not bound.
+    assert find_violations(**limited_target(NAMED_ALLOWED + 1, "q")) == []
+
+
+def test_old_seeds_draw_no_notices_of_targets():
+    notices = set(soak.names_by_theme[soak.NOTICES])
+    assert notices <= set(soak.Soak(soak.NOTICES_FROM, None)._troubles)
+    for seed in SEEDS:
+        if seed < soak.NOTICES_FROM:
+            assert not notices & set(soak.Soak(seed, None)._troubles)
+
+
 def test_old_seeds_draw_no_returning_targets():
     for seed in SEEDS:
         if seed >= soak.RETURNS_FROM:
@@ -305,6 +379,8 @@
     assert goes_back <= set(later._troubles)
     assert "tenants" in later.configuration()
     for seed in SEEDS:
+        if seed >= soak.LIMITED_FROM:
+            continue
         before = soak.Soak(seed, None)
         assert not goes_back & set(before._troubles)
         assert "tenants" not in before.configuration()
