Say plainly which incarnation may have announced that it leaves

Read once more as a newcomer: the rule by which a word counts for an incarnation is one comparison a line; a function is named by what it refuses. No behaviour changes.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -305,7 +305,7 @@
     def tick(self, now: float) -> list[Decision]:
         """Expires queued requests and reevaluates the target's health."""
         decisions: list[Decision] = self._expire(now)
-        decisions += self._refuse_hopeless(now)
+        decisions += self._refuse_too_late(now)
         decisions += self._apply_ejection_change(self.health.evaluate(now))
         return decisions + self.start_waiting(now)
 
@@ -324,7 +324,7 @@
         """
         if self.rate_limit.record(rate, sent_at, now):
             self.version += 1
-        return self._refuse_hopeless(now) + self.start_waiting(now)
+        return self._refuse_too_late(now) + self.start_waiting(now)
 
     def adopt_rate_limit(self, rate: float, now: float) -> None:
         """Adopts a rate limit that another process remembers.
@@ -482,7 +482,7 @@
         """Seconds after which an expired request may find a slot."""
         return self._distribution(ticket, now).median
 
-    def _refuse_hopeless(self, now: float) -> list[Decision]:
+    def _refuse_too_late(self, now: float) -> list[Decision]:
         """Refuses queued requests that the rate limit does not let start.
 
         The limit may have become known after a request was queued, and more
--- a/forklift/notice_memory.py
+++ b/forklift/notice_memory.py
@@ -39,13 +39,15 @@
         announcement is then that of an incarnation which started before the
         request was sent.
         """
-        if _may_be_same(self.incarnation, incarnation):
-            asked_ms = self.asked_ms + CLOCK_TOLERANCE_MS
-            is_exact = self.incarnation.started_ms or not incarnation.started_ms
-            return bool(is_exact) or incarnation.started_ms <= asked_ms
-        is_later = _is_earlier(self.incarnation, incarnation)
-        asked_ms = self.asked_ms - CLOCK_TOLERANCE_MS
-        return is_later and incarnation.started_ms <= asked_ms
+        known_ms, started_ms = (
+            self.incarnation.started_ms,
+            incarnation.started_ms,
+        )
+        if known_ms == started_ms or not started_ms:
+            return True
+        if not known_ms:
+            return started_ms <= self.asked_ms + CLOCK_TOLERANCE_MS
+        return known_ms < started_ms <= self.asked_ms - CLOCK_TOLERANCE_MS
 
 
 @dataclasses.dataclass(frozen=True)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -28,8 +28,17 @@
 # Seeds that show what fails without it:
 #   40000: targets name limits; 40001: targets say in answers that they leave.
 SEEDS = (
-    *(2, 4001, 4009, 4013, 4016, 10_000, 20_003, 20_005, 20_020),
-    *(40_000, 40_001),
+    2,
+    4001,
+    4009,
+    4013,
+    4016,
+    10_000,
+    20_003,
+    20_005,
+    20_020,
+    40_000,
+    40_001,
 )
 
 
