--- a/test/test_framing.py
+++ b/test/test_framing.py
@@ -3,6 +3,7 @@
 import random
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies
 
@@ -102,3 +103,31 @@
     flag = framing._COMPRESSED_FLAG if compressed else 0
     receiver.data_received(framing._LENGTH_PREFIX.pack(flag | len(data)) + data)
     assert receiver.transport.aborted or len(received) == 1
+
+
+# Processes of two versions run side by side while a fleet is upgraded.
+def test_fields_of_limits_are_optional_for_other_versions():
+    class EarlierLoad(msgspec.Struct, array_like=True):
+        in_flight: int
+        queued: int
+        limit: int
+        state: messages.TargetState
+        version: int
+        latency: float
+
+    earlier = EarlierLoad(1, 0, 4, messages.TargetState.IN_SERVICE, 3, 0.1)
+    load = messages.Load(
+        1,
+        0,
+        4,
+        messages.TargetState.IN_SERVICE,
+        3,
+        0.1,
+        rate_limit=messages.RateLimitStatus(2.4, 0.3),
+    )
+    received = msgspec.msgpack.decode(messages.encode(load), type=EarlierLoad)
+    assert received == earlier
+    upgraded = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(earlier), type=messages.Load
+    )
+    assert upgraded.rate_limit is None
