Make the test of requests without room independent of the machine's speed

Cause: read once more: its targets named 0.2 requests a second, so a run of over 5 s, or a target that no first request had reached, would have let one through. Not seen to fail.

Change: the targets name 0, a request each 1,000 s is let through while the test runs, and it begins once all limits are known. It also counts the refusals that it made itself, not those before. Checks are as strict as before or stricter.

--- a/test/test_target_limits.py
+++ b/test/test_target_limits.py
@@ -9,6 +9,7 @@
 from forklift import header_fields
 from forklift import heartbeats
 from forklift import invalid_input
+from forklift import target_rate_limit
 from forklift.shell import health_probe
 from forklift.shell import proxy
 from forklift.shell import reports
@@ -103,21 +104,28 @@
 
 # When a whole service is limited at once, what finds no room must not wait
 # until its deadline.
-def test_requests_without_room_are_rejected_with_the_time_to_come_back():
+def test_requests_without_room_are_rejected_with_the_time_to_come_back(
+    monkeypatch,
+):
+    # No further request has room while the test runs.
+    monkeypatch.setattr(target_rate_limit, "MIN_RATE", 0.001)
+
     async def work(fleet):
+        limits = [
+            process.local_targets.by_name[f"t{number}"].controller.rate_limit
+            for number, process in enumerate(fleet.proxies)
+        ]
         for target in fleet.targets:
-            target.rate_limit = 0.2
-        for number in range(len(fleet.proxies)):
-            await fleet.ask(number)
+            target.rate_limit = 0.0
+        while any(limit.finite_rate is None for limit in limits):
+            for number in range(len(fleet.proxies)):
+                await fleet.ask(number)
+        refused_before = sum(limit.refused for limit in limits)
         rejections = [await fleet.ask(number % 3) for number in range(9)]
         assert {response.status for response in rejections} == {503}
         for response in rejections:
             assert float(dict(response.headers)[b"retry-after"]) > 0.2
-        refused = sum(
-            local_target.controller.rate_limit.refused
-            for process in fleet.proxies
-            for local_target in process.local_targets.by_name.values()
-        )
+        refused = sum(limit.refused for limit in limits) - refused_before
         assert refused >= len(rejections)
 
     processes.play(work, [[], [], []], first=IMPATIENT)
