Never take a word for that of another incarnation of a target

Cause: the rule that a word counts for a later incarnation that had started before the request was sent. It compares two clocks; the births of stand-in targets are years back, and a target whose clock is far behind would have been lost for its whole run as well.

Change: the rule is gone. A word whose incarnation was unknown goes to the first one with a start time that may have made it, and to no later one. What the rule was for, a target that restarted unnoticed and says that it leaves, costs at most what is sent until its next answer, which says so again.

--- a/forklift/notice_memory.py
+++ b/forklift/notice_memory.py
@@ -32,23 +32,6 @@
     incarnation: heartbeats.TargetIncarnation
     asked_ms: float
 
-    def is_of(self, incarnation: heartbeats.TargetIncarnation) -> bool:
-        """Whether an incarnation may have made the announcement.
-
-        A target may have restarted without the knowledge of its process. The
-        announcement is then that of an incarnation which started before the
-        request was sent.
-        """
-        known_ms, started_ms = (
-            self.incarnation.started_ms,
-            incarnation.started_ms,
-        )
-        if known_ms == started_ms or not started_ms:
-            return True
-        if not known_ms:
-            return started_ms <= self.asked_ms + CLOCK_TOLERANCE_MS
-        return known_ms < started_ms <= self.asked_ms - CLOCK_TOLERANCE_MS
-
 
 @dataclasses.dataclass(frozen=True)
 class _Limit:
@@ -103,15 +86,25 @@
     def is_leaving(self, name: str) -> bool:
         """Whether an incarnation has announced that it is leaving.
 
-        If one of the start times is unknown, the announcement applies to every
-        incarnation that may have made it.
+        If the start time of the leaving incarnation was unknown, the first
+        incarnation asked about that had started by then is taken for it.
 
         Args:
             name: Name of the incarnation.
         """
         incarnation = heartbeats.parse_incarnation(name)
         leave = self._leave_by_target.get(incarnation.target)
-        return leave is not None and leave.is_of(incarnation)
+        if leave is None or not _may_be_same(leave.incarnation, incarnation):
+            return False
+        if leave.incarnation.started_ms or not incarnation.started_ms:
+            return True
+        if incarnation.started_ms > leave.asked_ms + CLOCK_TOLERANCE_MS:
+            return False
+        # This incarnation made the announcement; later ones did not.
+        self._leave_by_target[incarnation.target] = _Leave(
+            incarnation, leave.asked_ms
+        )
+        return True
 
     def leaving_incarnation(self, name: str) -> str:
         """Returns the most exact known name of an incarnation that leaves.
