--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -283,7 +283,10 @@
         return []
     arrivals = zip(target.received, target.incarnations_received, strict=True)
     at = [received.at for received, found in arrivals if found == incarnation]
-    ended = soak.ended_at_by_incarnation.get(incarnation, soak.over_at)
+    ended = min(
+        soak.ended_at_by_incarnation.get(incarnation, soak.over_at),
+        soak.said_leaving_at_by_incarnation.get(incarnation, math.inf),
+    )
     times = [known, *(when for when in at if known < when < ended), ended]
     return [
         (since, until)
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -232,6 +232,10 @@
         self._limited = seed >= LIMITED_FROM
         if self._limited:
             self._troubles += names_by_theme[GOES_BACK] * GOES_BACK_SHARE
+        # When runs of targets began to say in their answers that they leave.
+        self.said_leaving_at_by_incarnation: dict[
+            heartbeats.TargetIncarnation, float
+        ] = {}
         # Limits that targets named, once they are over.
         self.limits: list[NamedLimit] = []
         if seed >= NOTICES_FROM:
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -238,6 +238,7 @@
         return
     incarnation = target.incarnation
     target.says_leaving = True
+    soak.said_leaving_at_by_incarnation[incarnation] = soak.now()
     lasts = soaks.DRAIN_WITHIN + 0.8
     if soak.rng.random() < 0.5:
         await asyncio.gather(
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -25,6 +25,8 @@
 #   20003: a request that crashes targets was not quarantined.
 #   20005, 20020: a returned target got no work, as few requests reached its own
 #      process.
+#   40026: a target that said that it leaves and started again under its name
+#      was not added again.
 # Seeds that show what fails without it:
 #   40000: targets name limits; 40001: targets say in answers that they leave.
 SEEDS = (
@@ -39,6 +41,7 @@
     20_020,
     40_000,
     40_001,
+    40_026,
 )
 
 
@@ -177,6 +180,7 @@
     found.returns = changes.get("returns", [])
     found.limits = changes.get("limits", [])
     found.ended_at_by_incarnation = changes.get("ended", {})
+    found.said_leaving_at_by_incarnation = changes.get("said", {})
     found.over_at = changes.get("over", NEXT_ACKNOWLEDGED_AT)
     return soak.check(found)
 
@@ -292,6 +296,7 @@
         {"arrivals": [("u-1", WORK_DUE_AT - 0.1)]},
         {"known": {}},
         {"ended": {INCARNATION: WORK_DUE_AT - 0.1}},
+        {"said": {INCARNATION: WORK_DUE_AT - 0.1}},
         {"harms": [(29.0, 31.0)]},
         {"stops": {"p": [(29.0, 31.0)]}},
         {"cuts": {"p": [(29.0, 31.0)]}},
@@ -301,6 +306,7 @@
         "it has some",
         "it said nothing yet",
         "it ended before",
+        "it said that it leaves",
         "its process was killed",
         "its process stops",
         "its process is cut off",
