Let the tests of a leaving target wait until its word was passed on

Cause, from the lines of the failed run: 'hedge request=...-174 second=t1 target=t0'. The request had reached the leaving target, but the hedge answered first and the attempt was cancelled, so no process read the word. The tests took a request that arrived for a word that was passed on; the premise did not hold, and the promise begins with the answer.

Change: both tests ask until a caller gets an answer with the word. Their checks are unchanged.

--- a/test/test_target_limits.py
+++ b/test/test_target_limits.py
@@ -81,15 +81,27 @@
     processes.play(work, [[], [], []], first=IMPATIENT)
 
 
+async def _ask_until_the_word_is_passed_on(fleet, number: int) -> None:
+    """Sends requests until a process passes on that a target is leaving.
+
+    An attempt that a hedge replaced reaches the target as well, but its
+    response is not read.
+    """
+    leaving = header_fields.DEFAULT.leaving
+    while True:
+        response = await fleet.ask(number)
+        assert response.status == 200
+        if leaving in dict(response.headers):
+            return
+
+
 # A process that had passed on the word of a target that it leaves went on to
 # send requests to it, as the target's heartbeats did not say so.
 def test_target_that_says_that_it_leaves_gets_no_further_request():
     async def work(fleet):
         leaving = fleet.targets[0]
         leaving.says_leaving = True
-        while not leaving.received:
-            for number in range(len(fleet.proxies)):
-                assert (await fleet.ask(number)).status == 200
+        await _ask_until_the_word_is_passed_on(fleet, 0)
         received = len(leaving.received)
         controller = fleet.proxies[0].local_targets.by_name["t0"].controller
         assert controller.target_leaving
@@ -178,8 +190,7 @@
     async def work(fleet):
         leaving, other = fleet.targets[0], fleet.proxies[1]
         leaving.says_leaving = True
-        while not leaving.received:
-            assert (await fleet.ask(1)).status == 200
+        await _ask_until_the_word_is_passed_on(fleet, 1)
         received = len(leaving.received)
         leaving.says_leaving = False
         # Only what the ingress process itself remembers counts here.
