Treat downloads as idempotent, and read the weights of organisations

Cause: only routes of the kind 'idempotent' were retried and hedged. Downloads are to be treated alike, so every download that a target lost or broke was lost to its caller.

Change: both kinds are idempotent; a download route is marked as bulk, as its responses are large. An organisation may have a weight; without one its rate limit serves as weight. Nothing uses the weight yet.

Result: the new test fails before and passes now.

--- a/forklift/catalog.py
+++ b/forklift/catalog.py
@@ -47,6 +47,7 @@
         priority: Priority; 0 is the most urgent.
         max_attempts: Maximum number of targets that a request is sent to.
         allows_anonymous: Whether requests without a key are accepted.
+        bulk: Whether responses are large.
     """
 
     name: str
@@ -59,6 +60,7 @@
     priority: int
     max_attempts: int
     allows_anonymous: bool = False
+    bulk: bool = False
 
     def pick_service(self, rng: random.Random) -> str:
         """Returns the name of a service, chosen at random by weight."""
@@ -133,6 +135,11 @@
         """Whether any organisation has a rate limit."""
         return self.callers is not None and self.callers.any_limited
 
+    @functools.cached_property
+    def has_bulk_routes(self) -> bool:
+        """Whether any route has large responses."""
+        return any(route.bulk for route in self.routes)
+
     @functools.cached_property
     def record(self) -> bytes:
         """The record as sent to peers, with digests in place of keys."""
--- a/forklift/organisations.py
+++ b/forklift/organisations.py
@@ -46,6 +46,7 @@
         rate: Rate limit over all processes, requests per second; 0 means
             unlimited.
         burst: Number of requests beyond the rate that may arrive at once.
+        configured_weight: Weight in fair queueing; None if none is configured.
     """
 
     name: str
@@ -53,6 +54,18 @@
     priority: int | None = None
     rate: float = 0.0
     burst: float = 0.0
+    configured_weight: float | None = None
+
+    @property
+    def weight(self) -> float:
+        """Weight in fair queueing; by default the rate limit, or 1.
+
+        The rate limit is what the organisation may use, so it is the best
+        estimate of its usual share.
+        """
+        if self.configured_weight is not None:
+            return self.configured_weight
+        return self.rate if self.limited else 1.0
 
     @property
     def limited(self) -> bool:
--- a/forklift/platform/configuration.py
+++ b/forklift/platform/configuration.py
@@ -9,7 +9,9 @@
 from forklift import organisations
 from forklift import routing
 
-_IDEMPOTENT_KIND = "idempotent"
+_DOWNLOAD_KIND = "download"
+# Kinds of routes whose requests may safely run more than once.
+_IDEMPOTENT_KINDS = ("idempotent", _DOWNLOAD_KIND)
 # Fields that `with_key_digests` rewrites.
 _TENANTS_FIELD = "tenants"
 _KEYS_FIELD = "api-keys"
@@ -49,7 +51,8 @@
 class _Route(_RecordPart):
     host: str
     path_prefix: str
-    # "idempotent" if requests may safely run more than once.
+    # "idempotent" or "download" if requests may safely run more than once; the
+    # responses of a "download" are large.
     kind: str
     service: str = ""
     # Weighted services; used if `service` is empty.
@@ -75,6 +78,8 @@
     rate_per_s: _NonNegativeFloat = 0.0
     # Number of requests allowed in excess of the rate.
     burst: _NonNegativeFloat = 0.0
+    # Weight in fair queueing; by default the rate limit, if there is one.
+    weight: _PositiveFloat | None = None
 
 
 class _Service(_RecordPart):
@@ -182,7 +187,12 @@
     digests = [organisations.digest(key.encode()) for key in found.api_keys]
     digests += [bytes.fromhex(known) for known in found.key_digests]
     return organisations.Organisation(
-        name, tuple(digests), found.priority, found.rate_per_s, found.burst
+        name,
+        tuple(digests),
+        found.priority,
+        found.rate_per_s,
+        found.burst,
+        found.weight,
     )
 
 
@@ -216,10 +226,11 @@
         host=found.host.lower(),
         prefix=found.path_prefix,
         weighted_services=weighted_services,
-        idempotent=found.kind == _IDEMPOTENT_KIND,
+        idempotent=found.kind in _IDEMPOTENT_KINDS,
         timeout=found.timeout_ms / MILLISECONDS_PER_SECOND,
         objective=found.target_latency_ms / MILLISECONDS_PER_SECOND,
         priority=found.priority,
         max_attempts=found.retry_attempts,
         allows_anonymous=found.public,
+        bulk=found.kind == _DOWNLOAD_KIND,
     )
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -49,6 +49,25 @@
     assert found.limits.idle_timeout == 15.0
 
 
+@pytest.mark.parametrize(
+    ("kind", "idempotent", "bulk"),
+    [
+        ("idempotent", True, False),
+        ("download", True, True),
+        ("non_idempotent", False, False),
+        ("unknown", False, False),
+    ],
+)
+def test_kind_of_route_decides_what_may_be_repeated(kind, idempotent, bulk):
+    """Guards against downloads that are never retried or hedged."""
+    found = configuration.decode(
+        record_with(routes={"r": {**ROUTE, "kind": kind}})
+    )
+    route = found.routes.find("h.example", "/a/b")
+    assert (route.idempotent, route.bulk) == (idempotent, bulk)
+    assert found.has_bulk_routes is bulk
+
+
 @pytest.mark.parametrize("path", ["/a", "/", "/ab/", "/b/a/"])
 def test_path_prefix_matches_literally(path):
     found = configuration.decode(record_with())
