--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -76,6 +76,7 @@
         exclusive: Whether the request runs only while no other does. It may
             crash the target; concurrent requests would then fail and be
             suspected as well.
+        organisation: Name of the calling organisation; empty if there is none.
     """
 
     id: tuple[int, int]
@@ -88,6 +89,7 @@
     wait: bool = True
     start_by: float = math.inf
     exclusive: bool = False
+    organisation: str = ""
 
     @property
     def latest_start(self) -> float:
--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -5,6 +5,7 @@
 
 from forklift import errors
 from forklift import ini
+from forklift import overload
 
 
 def _optional_address(value: str) -> str:
@@ -150,6 +151,37 @@
     )
 
 
+def _overload_mode(value: str) -> overload.Mode:
+    """Parses the mode of overload control."""
+    try:
+        return overload.Mode(value.strip().lower())
+    except ValueError as error:
+        known = ", ".join(overload.Mode)
+        raise ValueError(f"set it to one of {known}") from error
+
+
+@dataclasses.dataclass(frozen=True)
+class Overload:
+    """Section [overload]: how requests share the room of targets."""
+
+    mode: overload.Mode = ini.key(
+        _overload_mode,
+        "auto, on or off; auto is on while the configuration in force has a "
+        "route with large responses",
+        overload.Mode.AUTO,
+    )
+    floor: float = ini.key(
+        ini.number(0, overload.MAX_FLOOR),
+        "share of a target's time that each waiting priority keeps",
+        0.1,
+    )
+    call_share: float = ini.key(
+        ini.number(0, overload.MAX_CALL_SHARE),
+        "share of a target's slots that only calls of running requests may use",
+        0.2,
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """All settings of a process.
@@ -160,6 +192,7 @@
         limits: Caller connections and cross-domain cost.
         budget: Retry budget and calls between services.
         organisations: Permitted overshoot of rate limits.
+        overload: How requests share the room of targets.
     """
 
     process: Process
@@ -167,6 +200,7 @@
     limits: Limits = Limits()
     budget: Budget = Budget()
     organisations: RateLimitTolerances = RateLimitTolerances()
+    overload: Overload = Overload()
 
 
 SECTIONS = {
@@ -175,6 +209,7 @@
     "limits": Limits,
     "budget": Budget,
     "organisations": RateLimitTolerances,
+    "overload": Overload,
 }
 
 
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -585,6 +585,7 @@
             self._retry_state.wait,
             start_by,
             self._exclusive,
+            request.organisation,
         )
         return await self._forwarder.local_targets.run(
             selection.target, ticket, request, sink
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -19,6 +19,7 @@
 from forklift import load_balancer
 from forklift import messages
 from forklift import notice_memory
+from forklift import overload
 from forklift import policy
 from forklift import quarantine
 from forklift import rate_limits
@@ -33,6 +34,7 @@
 from forklift.shell import ingress
 from forklift.shell import local_targets
 from forklift.shell import peer_connections
+from forklift.shell import peer_requests
 from forklift.shell import peer_server
 from forklift.shell import quarantine_store
 from forklift.shell import rate_limiting
@@ -412,6 +414,12 @@
 
     # Configuration.
 
+    def overload_control(self) -> bool:
+        """Returns whether overload control is in force."""
+        return overload.is_enabled(
+            self.settings.overload.mode, self.active_catalog.catalog
+        )
+
     def service_policy(self, service: str) -> policy.ServicePolicy:
         """Returns the rules for a service."""
         return self.policy.service_policy(service)
@@ -517,37 +525,8 @@
         if start.incarnation != self.incarnation:
             # A pause of this process may have delayed the request.
             return exchange.not_run(Reason.STALE)
-        request = exchange.Request(
-            id=start.request_id,
-            seq=start.seq,
-            service=start.service,
-            route=start.route,
-            method=start.method,
-            path=start.path,
-            headers=start.headers,
-            length=start.length,
-            body=body,
-            deadline=now + start.remaining,
-            idempotent=start.idempotent,
-            origin=start.origin,
-            priority=start.priority,
-            fingerprint=start.fingerprint,
-            organisation=start.organisation,
-        )
-        ticket = admission.Ticket(
-            (connection.peer_hello.boot, start.seq),
-            start.idempotent,
-            start.priority,
-            request.deadline,
-            admission.RequiredHealth(
-                min(start.required_health, admission.RequiredHealth.ANY)
-            ),
-            now + start.objective_remaining,
-            start.route,
-            start.wait,
-            now + start.start_within,
-            start.exclusive,
-        )
+        request = peer_requests.to_request(start, body, now)
+        ticket = peer_requests.to_ticket(start, connection.peer_hello.boot, now)
         if start.rate_limit is not None:
             self.local_targets.adopt_rate_limit(start.target, start.rate_limit)
         return await self.local_targets.run(start.target, ticket, request, sink)
