Use the allocation of scarce retries while overload control is on

Cause: nothing decided which request gets a retry while the budget is short. A request that could get none went on searching for a target until its deadline: 5.0 s in the new test with a deadline of 5 s.

Change: the forwarder asks request_retries.py before it searches for a target for a retry, and charges retries and hedges through it. A request without a retry is refused at once, as not run where no target ran it, with a Retry-After. Reports: metrics forklift.retries.decisions and .rejected, retries and retry_decisions in the state dump, the decision and its inputs in given_up. While overload control is off the budget alone decides, as before, and no random number is drawn.

--- a/forklift/report.py
+++ b/forklift/report.py
@@ -155,6 +155,20 @@
     arrivals: float = 0.0
 
 
+class ServiceRetries(_Report):
+    """Retries of one process to one service.
+
+    Attributes:
+        rejected: Share of recent sends that targets rejected, 0 to 1.
+        usable: Number of retries that this process may make in a window.
+        used: Number of retries made, and calls charged, in the last window.
+    """
+
+    rejected: float
+    usable: float
+    used: float
+
+
 class StateDump(_Report):
     """Complete state dump of a process.
 
@@ -173,6 +187,10 @@
         store: Number of calls to the store, and how many failed.
         organisations: The busiest organisations with a limit, and the sum of
             the others.
+        retries: Retries by service, for the services that this process sent
+            requests to.
+        retry_decisions: Number of retries asked for under overload control, by
+            priority, cause and decision.
     """
 
     status: Status
@@ -186,6 +204,8 @@
     held: dict[str, float]
     store: dict[str, int]
     organisations: tuple[OrganisationUsage, ...] = ()
+    retries: dict[str, ServiceRetries] = {}
+    retry_decisions: dict[str, int] = {}
 
 
 class TargetAnnouncement(_Report):
--- a/forklift/retries.py
+++ b/forklift/retries.py
@@ -72,6 +72,8 @@
         unproven: Refused targets that were not known to be healthy enough.
         attempts: Number of attempts that reached a target.
         possible_runs: Number of attempts that ran or may have run.
+        ran_last: Whether the last attempt that reached a target ran, or may
+            have run.
         budget_charged: Whether the next attempt has been charged to the retry
             budget.
         process_exits_at: Monotonic seconds at which this process exits.
@@ -92,6 +94,7 @@
     unproven: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     possible_runs: int = 0
+    ran_last: bool = False
     budget_charged: bool = False
     process_exits_at: float = math.inf
     accepts_unproven: bool = False
@@ -186,6 +189,7 @@
         self.refusals_by_reason[str(reason or "")] += 1
         if reason in _REFUSED_BY_TARGET:
             self._record_arrival(target)
+            self.ran_last = False
         if reason in (Reason.DEADLINE, Reason.QUARANTINED):
             # All other targets would refuse the request for the same reason.
             self._refused_permanently = True
@@ -204,6 +208,7 @@
         """Records that a target ran the request, or may have."""
         self._record_arrival(target)
         self.possible_runs += 1
+        self.ran_last = True
         self.exclusive = self.exclusive or reason is Reason.TARGET_CRASHED
 
     def should_give_up(
--- a/forklift/retry_allocation.py
+++ b/forklift/retry_allocation.py
@@ -142,7 +142,6 @@
         usable: Retries that this process may make in a window.
         used: Retries made in the current window.
         kept: Retries kept for more valuable requests.
-        retry_after: Seconds until a new request may succeed.
     """
 
     verdict: Verdict
@@ -153,7 +152,6 @@
     usable: float
     used: float
     kept: float
-    retry_after: float
 
     @property
     def granted(self) -> bool:
@@ -398,7 +396,6 @@
             usable,
             used,
             kept,
-            _retry_after(rejected),
         )
 
     def check(self, retry: Retry, now: float, draw: float) -> Decision | None:
@@ -448,6 +445,15 @@
                 _add(retries, (request.rank, kind), now, self._window)
         return True
 
+    def retry_after(self, service: str, now: float) -> float:
+        """Returns Retry-After of a rejected request, seconds, without jitter.
+
+        Args:
+            service: Name of the service.
+            now: Monotonic seconds.
+        """
+        return _retry_after(self._state(service).rejected_share(now))
+
     def rejected_share_by_service(self, now: float) -> dict[str, float]:
         """Returns the share of recent sends that targets rejected."""
         return {
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -10,6 +10,7 @@
 import itertools
 import math
 import random
+from collections.abc import Callable
 
 import structlog
 
@@ -21,7 +22,9 @@
 from forklift import messages
 from forklift import policy
 from forklift import quarantine as quarantines
+from forklift import request_retries
 from forklift import retries
+from forklift import retry_allocation
 from forklift import target_notices
 from forklift.shell import dispatch
 from forklift.shell import exchange
@@ -38,9 +41,6 @@
 
 # Retry-After of requests for which no target was available.
 RETRY_AFTER_SECONDS = 0.5
-# Fraction of the retry budget that hedged requests may use; the rest is
-# reserved for retries of failed requests.
-HEDGE_BUDGET_FRACTION = 0.85
 _NO_DEADLINES = shutdown.Deadlines(math.inf, math.inf, math.inf)
 
 
@@ -51,6 +51,7 @@
         attempts: Number of attempts so far, retries and hedges included.
         retries: Number of retries so far.
         hedges: Number of hedged requests so far.
+        retry_allocation: Decides who gets a retry.
         stop_deadlines: Deadlines for responding to requests while this process
             stops; infinite before that.
     """
@@ -67,6 +68,7 @@
         rng: random.Random,
         quarantine: quarantines.Quarantine | None = None,
         header_names: header_fields.HeaderNames = header_fields.DEFAULT,
+        overload_control: Callable[[], bool] = lambda: False,
     ):
         self.name = name
         self.header_names = header_names
@@ -84,6 +86,9 @@
         self.attempts = 0
         self.retries = 0
         self.hedges = 0
+        self.retry_allocation = retry_allocation.RetryAllocation(
+            balancer.retry_budgets, overload_control
+        )
         self.stop_deadlines = _NO_DEADLINES
         self._in_flight: set[_ForwardedRequest] = set()
 
@@ -147,6 +152,19 @@
         # The complete response of a failed attempt; a retry may replace it.
         self._withheld: response_buffer.BufferedResponse | None = None
         self._claim = response_buffer.ResponseClaim()
+        self._retries = request_retries.RequestRetries(
+            forwarder.retry_allocation,
+            retry_allocation.Request(
+                request.service,
+                request.priority,
+                request.idempotent,
+                request.max_attempts,
+                self._objective,
+            ),
+            self._retry_state,
+            request.soft_deadline,
+            forwarder.rng.random,
+        )
 
     async def run(self) -> exchange.Result:
         """Returns the final result, after retries if necessary."""
@@ -231,6 +249,7 @@
             insist=retry_state.required_health(self._now()).name.lower(),
             targets=self._balancer.count_by_state(service, self._now()),
             repeats_refused=self._balancer.retry_budgets.refused(service),
+            **self._retries.log_fields(),
         )
 
     def _now(self) -> float:
@@ -296,6 +315,8 @@
             quarantined_for = self._quarantined_for()
             if quarantined_for:
                 return exchange.not_run(Reason.QUARANTINED, quarantined_for)
+            if self._retries.is_refused(self._distribution, self._now()):
+                return self._add_retry_after(result)
             selection = self._select()
             if selection is None:
                 if self._withheld is not None:
@@ -305,7 +326,7 @@
                 if not self._retry_state.relax_requirements():
                     await asyncio.sleep(self._retry_state.next_poll_delay())
                 continue
-            if not self._charge_budget():
+            if not self._retries.charge(self._distribution, self._now()):
                 service = self._request.service
                 self._balancer.finish_attempt(
                     service, selection, None, self._now()
@@ -335,21 +356,14 @@
         )
         return self._balancer.select(requirements, tried, now, refused)
 
-    def _charge_budget(self) -> bool:
-        """Charges a retry to the budget; the first attempt is free.
-
-        Returns:
-            Whether the request may be sent.
-        """
-        retry_state = self._retry_state
-        if retry_state.attempts == 0 or retry_state.budget_charged:
-            return True
-        if retry_state.attempts >= self._request.max_attempts:
-            return False
-        retry_state.budget_charged = self._balancer.retry_budgets.spend(
-            self._request.service, self._now(), objective=self._objective
-        )
-        return retry_state.budget_charged
+    def _add_retry_after(self, result: exchange.Result) -> exchange.Result:
+        """Adds Retry-After to the result of a request without a retry."""
+        ending = result.ending
+        if ending.outcome is not Outcome.NOT_RUN or ending.retry_after:
+            return result
+        retry_after = self._retries.retry_after(self._now())
+        ending = dataclasses.replace(ending, retry_after=retry_after)
+        return dataclasses.replace(result, ending=ending)
 
     # Results of attempts.
 
@@ -360,6 +374,7 @@
             Whether to send the request to another target.
         """
         ending, target = attempt.result.ending, attempt.selection.target
+        self._retries.record_result(ending.outcome, ending.reason, self._now())
         if ending.outcome is Outcome.NOT_RUN:
             self._retry_state.record_not_run(target, ending.reason)
             return self._can_resend and not self._retry_state.exhausted
@@ -372,6 +387,7 @@
             return False
         if not self._can_resend or not self._policy_allows_retry(ending):
             return False
+        self._retries.record_failure(self._now())
         self._forwarder.retries += 1
         _log.info(
             "retry",
@@ -502,13 +518,7 @@
         hedge = self._balancer.select(requirements, excluded, now, refused)
         if hedge is None:
             return None
-        if not self._retry_state.budget_charged:
-            self._retry_state.budget_charged = (
-                self._balancer.retry_budgets.spend(
-                    service, now, HEDGE_BUDGET_FRACTION, self._objective
-                )
-            )
-        if not self._retry_state.budget_charged:
+        if not self._retries.charge_hedge(self._distribution, now):
             self._balancer.finish_attempt(service, hedge, None, now)
             return None
         self._forwarder.hedges += 1
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -238,6 +238,7 @@
             self._rng,
             self.quarantine,
             self._header_names,
+            self.overload_control,
         )
         self.ingress = ingress.Ingress(
             ingress.Hooks(
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -47,9 +47,30 @@
         _quarantine_seconds_by_fingerprint(proxy),
         {"calls": proxy.store.calls, "failures": proxy.store.failures},
         _organisation_usages(proxy),
+        _retries_by_service(proxy),
+        {
+            f"{rank}/{cause}/{verdict}": count
+            for (rank, cause, verdict), count in (
+                proxy.forwarder.retry_allocation.count_by_decision.items()
+            )
+        },
     )
 
 
+def _retries_by_service(proxy) -> dict[str, report.ServiceRetries]:
+    now = proxy.clock.monotonic()
+    budgets = proxy.balancer.retry_budgets
+    shares = proxy.forwarder.retry_allocation.rejected_share_by_service(now)
+    return {
+        service: report.ServiceRetries(
+            rejected,
+            round(budgets.usable(service, now), 2),
+            round(budgets.used(service, now), 2),
+        )
+        for service, rejected in shares.items()
+    }
+
+
 def _organisation_usages(proxy) -> tuple[report.OrganisationUsage, ...]:
     quota = proxy.rate_limiter.limiter.quota
     now = proxy.clock.monotonic()
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -36,6 +36,7 @@
         self._meter = self._provider.get_meter("forklift")
         self._add_request_metrics(proxy)
         self._add_target_metrics(proxy)
+        self._add_retry_metrics(proxy)
         self._add_process_metrics(proxy)
 
     def render(self) -> bytes:
@@ -166,6 +167,37 @@
             ],
         )
 
+    def _add_retry_metrics(self, proxy) -> None:
+        allocation = proxy.forwarder.retry_allocation
+        self.add_counter(
+            "forklift.retries.decisions",
+            "Retries asked for under overload control, by priority, cause and "
+            "decision",
+            lambda: [
+                (
+                    count,
+                    {
+                        "rank": str(rank),
+                        "cause": str(cause),
+                        "verdict": str(verdict),
+                    },
+                )
+                for (rank, cause, verdict), count in (
+                    allocation.count_by_decision.items()
+                )
+            ],
+        )
+        self.add_gauge(
+            "forklift.retries.rejected",
+            "Share of recent sends that targets rejected, by service",
+            lambda: [
+                (share, {"service": service})
+                for service, share in allocation.rejected_share_by_service(
+                    proxy.clock.monotonic()
+                ).items()
+            ],
+        )
+
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.store.calls",
--- a/test/test_retry_allocation.py
+++ b/test/test_retry_allocation.py
@@ -1,10 +1,18 @@
-"""Allocation of scarce retries: single decisions and a simulated fleet."""
+"""Allocation of scarce retries: decisions, a simulated fleet, processes."""
+
+import dataclasses
 
 import pytest
+import structlog
 
 from forklift import messages
+from forklift import overload
 from forklift import retry_allocation
 from forklift import retry_budgets
+from forklift.shell import reports
+from forklift.shell import telemetry
+from test import helper
+from test import processes
 from test import retry_simulation
 
 Cause = retry_allocation.Cause
@@ -189,9 +197,9 @@
     process = Process(8.0)
     process.send(CHARGE, 5, 95)
     process.spend(CHARGE, count=2)
-    decision = process.decide(CHARGE)
-    assert decision.verdict is Verdict.REJECTING
-    assert decision.retry_after > retry_allocation.RETRY_AFTER_SECONDS
+    assert process.decide(CHARGE).verdict is Verdict.REJECTING
+    retry_after = process.allocation.retry_after(SERVICE, 0.0)
+    assert retry_after > 2 * retry_allocation.RETRY_AFTER_SECONDS
     # Even then a first retry is granted, so that the end is noticed.
     assert process.decide(CHARGE, now=WINDOW).granted
 
@@ -350,3 +358,140 @@
     for _ in range(10):
         budgets.for_service(SERVICE).record_request(0.0)
     assert allocation.spend(retry, 0.0, 0.99)
+
+
+# Whole processes.
+
+
+def bulk_record() -> dict:
+    """A configuration with a charge, a look-up and a download.
+
+    The download puts overload control in force.
+    """
+
+    def route(kind: str, path: str, priority: int) -> dict:
+        changes = {"path-prefix": path, "priority": priority}
+        return processes.route(kind, **{"retry-attempts": 3, **changes})
+
+    return processes.record(
+        1,
+        charge=route("non_idempotent", "/a/", 1),
+        lookup=route("idempotent", "/b/", 2),
+        statement=route("download", "/c/", 2),
+    )
+
+
+def train(fleet: processes.Fleet, requests: int, rejected: int) -> None:
+    """Lets the first process see that charges are rejected."""
+    one = fleet.proxies[0]
+    request = retry_allocation.Request("s", 1, False, 3, 2.8)
+    now = one.clock.monotonic()
+    for number in range(requests):
+        is_rejected = number < rejected
+        outcome = messages.Outcome.ANSWERED
+        reason = None
+        if is_rejected:
+            outcome, reason = messages.Outcome.NOT_RUN, messages.Reason.SHED
+        one.forwarder.retry_allocation.record_send(
+            request, outcome, reason, True, now
+        )
+
+
+def refuse_first(fleet: processes.Fleet, count: int) -> None:
+    """Lets the first requests be rejected, whichever targets receive them."""
+    shared = ["refuse"] * count
+    for target in fleet.targets:
+        target.script = shared
+
+
+def limit_retries(fleet: processes.Fleet, usable_at_first: float) -> None:
+    """Sets the budget of the first process, without requests."""
+    reserve = len(fleet.proxies) * usable_at_first / 0.9
+    fleet.proxies[0].balancer.retry_budgets.set_limits(
+        retry_budgets.Limits(0.0, 1000.0, reserve, 0.0)
+    )
+
+
+def test_look_up_without_a_retry_is_refused_at_once_as_not_run():
+    """Charges need the budget, so the look-up is not sent to others in turn."""
+
+    async def work(fleet):
+        refuse_first(fleet, 2)
+        limit_retries(fleet, 8.0)
+        train(fleet, 20, 10)
+        one = fleet.proxies[0]
+        one.forwarder.rng.random = lambda: 0.99
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(2):
+                one.balancer.retry_budgets.spend("s", one.clock.monotonic())
+            response = await fleet.ask(path="/b/")
+        assert response.status == 503
+        assert float(dict(response.headers)[b"retry-after"]) >= 0.5
+        assert fleet.runs() == 1
+        (line,) = (line for line in lines if line["event"] == "given_up")
+        assert line["retry"]["verdict"] == "outranked"
+        assert line["retry"]["kept"] > 0
+        response = await fleet.ask(path="/a/")
+        assert response.status == 200
+        assert fleet.runs() == 3
+        state = reports.build_state_dump(one)
+        assert state.retry_decisions == {
+            "2/rejected/outranked": 1,
+            "1/rejected/granted": 1,
+        }
+        assert state.retries["s"].used == 3
+        metrics = telemetry.Telemetry(one).render().decode()
+        assert 'rank="2",verdict="outranked"' in metrics
+        assert "forklift_retries_rejected" in metrics
+
+    processes.play(work, [[], [], []], first=bulk_record())
+
+
+def test_off_leaves_the_retry_to_the_budget_alone():
+    async def work(fleet):
+        one = fleet.proxies[0]
+        one.settings = dataclasses.replace(
+            one.settings,
+            overload=dataclasses.replace(
+                one.settings.overload, mode=overload.Mode.OFF
+            ),
+        )
+        limit_retries(fleet, 8.0)
+        train(fleet, 20, 10)
+        for _ in range(2):
+            one.balancer.retry_budgets.spend("s", one.clock.monotonic())
+        refuse_first(fleet, 2)
+        response = await fleet.ask(path="/b/")
+        assert response.status == 200
+        assert fleet.runs() == 3
+        assert not one.forwarder.retry_allocation.count_by_decision
+
+    processes.play(work, [[], [], []], first=bulk_record())
+
+
+def test_request_without_budget_does_not_wait_for_a_target():
+    """It polled for a target until its deadline, with no retry to send it."""
+
+    async def work(fleet):
+        limit_retries(fleet, 0.0)
+        # The other target takes nothing, so a search for one would go on.
+        fleet.proxies[1].local_targets.by_name["t1"].controller.mark_draining()
+        one = fleet.proxies[0]
+        await helper.until(
+            lambda: (
+                one.balancer.count_by_state("s", one.clock.monotonic())
+                == {"in-service": 1, "draining": 1}
+            )
+        )
+        searches = []
+        select = one.balancer.select
+        one.balancer.select = lambda *arguments: (
+            searches.append(1) or select(*arguments)
+        )
+        response = await fleet.ask(path="/a/")
+        assert response.status == 503
+        assert float(dict(response.headers)[b"retry-after"]) >= 0.5
+        assert len(searches) == 1
+        assert fleet.runs() == 1
+
+    processes.play(work, [["refuse"], []], first=bulk_record())
