Give the calls of a run its priority and its soft deadline

Cause: a call made by a target is queued by the priority of its own route, so urgent runs wait behind less urgent requests, and the calls of less urgent runs go before urgent requests.

Change: forklift/run_calls.py matches a request without an organisation that names a timeout to the running request of the local target whose deadline is nearest (3 ms early to 60 ms late); of runs within 5 ms the most urgent counts. The request takes the priority of the run and its soft deadline if that is earlier; the retry budget still uses the objective of the called route. Only while overload control is on. Metric forklift.calls, `calls` in the state dump.

Result: with real processes, the call of a run of priority 0 (called route: priority 2) starts before a queued request of priority 1; with overload control off it starts after it, as before. After a restart of the process beside the target, the call of a run in progress matches nothing and is served. Tests of ingress, run_calls, local_targets, proxy, ui, docs, layout, upstream, fuzz and doctests passed.

--- a/forklift/report.py
+++ b/forklift/report.py
@@ -173,6 +173,8 @@
         store: Number of calls to the store, and how many failed.
         organisations: The busiest organisations with a limit, and the sum of
             the others.
+        calls: Number of requests that may have been calls of local targets:
+            `matched` to a run, of these `ambiguous`, and `unmatched`.
     """
 
     status: Status
@@ -186,6 +188,7 @@
     held: dict[str, float]
     store: dict[str, int]
     organisations: tuple[OrganisationUsage, ...] = ()
+    calls: dict[str, int] = {}
 
 
 class TargetAnnouncement(_Report):
--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -12,6 +12,7 @@
 
 from forklift import errors
 from forklift import messages
+from forklift import run_calls
 from forklift.shell import http
 
 # Maximum size in bytes of a body that is read completely before its request is
@@ -99,6 +100,8 @@
             recognized.
         organisation: Name of the calling organisation; empty if the route
             allows anonymous callers and the request has no key.
+        call: The run of a local target that makes the request, and what the
+            request takes from it; None if it is not known to be a call.
     """
 
     id: str
@@ -118,6 +121,14 @@
     max_attempts: int = 3
     fingerprint: bytes = b""
     organisation: str = ""
+    call: run_calls.Call | None = None
+
+    @property
+    def route_soft_deadline(self) -> float:
+        """Soft deadline by the route alone, also of the call of a run."""
+        if self.call is None:
+            return self.soft_deadline
+        return self.call.route_soft_deadline
 
 
 @dataclasses.dataclass(frozen=True)
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -248,8 +248,8 @@
 
     @property
     def _objective(self) -> float:
-        """Latency objective, in seconds."""
-        return self._request.soft_deadline - self._retry_state.started
+        """Latency objective of the route, in seconds."""
+        return self._request.route_soft_deadline - self._retry_state.started
 
     @property
     def _start_by(self) -> float:
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -20,6 +20,8 @@
 from forklift import header_fields
 from forklift import messages
 from forklift import organisations
+from forklift import run_calls
+from forklift.shell import caller_fields
 from forklift.shell import exchange
 from forklift.shell import http
 from forklift.shell import request_body
@@ -81,6 +83,8 @@
         origin_service: Returns the name of the service on this instance.
         on_rejected: Called with the reason for each request that is rejected
             before it runs.
+        match_call: Returns the call of a run that a request is, or None; see
+            `run_calls.RunCalls.match`.
     """
 
     header_names: header_fields.HeaderNames
@@ -92,6 +96,9 @@
     on_result: Callable[[exchange.Request, exchange.Result, float], None]
     origin_service: Callable[[], str]
     on_rejected: Callable[[Reason], None] = lambda reason: None
+    match_call: Callable[[str, float | None, float], run_calls.Call | None] = (
+        lambda organisation, named_deadline, route_soft_deadline: None
+    )
 
 
 class Ingress:
@@ -453,9 +460,13 @@
             return None, Reason.NO_SERVICE
         route = match.route
         caller = match.organisation.name if match.organisation else ""
-        timeout = _timeout(headers, names.deadline, route.timeout)
+        named = caller_fields.named_timeout(headers, names.deadline)
+        timeout = route.timeout if named is None else min(route.timeout, named)
         length = http.content_length(headers)
         now = self._clock.monotonic()
+        named_deadline = None if named is None else now + named
+        soft = now + route.objective
+        call = self._hooks.match_call(caller, named_deadline, soft)
         request = exchange.Request(
             id=request_id,
             seq=self._hooks.next_seq(),
@@ -463,17 +474,18 @@
             route=route.name,
             method=event.method,
             path=event.target,
-            headers=_forwarded_headers(headers, names),
+            headers=caller_fields.forwarded(headers, names),
             length=length,
             body=body,
             deadline=now + timeout,
             idempotent=route.idempotent,
             origin=self._hooks.origin_service(),
-            priority=match.priority,
-            soft_deadline=now + route.objective,
+            priority=call.priority if call else match.priority,
+            soft_deadline=call.soft_deadline if call else soft,
             max_attempts=route.max_attempts,
             fingerprint=self._fingerprint(event, headers, body, caller),
             organisation=caller,
+            call=call,
         )
         return request, None
 
@@ -621,27 +633,6 @@
     )
 
 
-def _forwarded_headers(
-    headers: http.Headers, names: header_fields.HeaderNames
-) -> http.Headers:
-    """Returns the end-to-end fields, without those that forklift sets."""
-    reserved = names.reserved
-    return tuple(h for h in http.end_to_end(headers) if h[0] not in reserved)
-
-
-def _timeout(headers: http.Headers, name: bytes, maximum: float) -> float:
-    """Returns the caller's timeout in seconds, limited to `maximum`."""
-    value = http.value(headers, name)
-    if value is None:
-        return maximum
-    try:
-        return max(0.0, min(maximum, int(value) / 1000))
-    except ValueError as error:
-        raise errors.BadRequest(
-            f"{name.decode()} is no number", "send whole milliseconds"
-        ) from error
-
-
 _TOO_MANY_CONNECTIONS = (
     b"HTTP/1.1 503 Too many connections\r\nretry-after: 1\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -16,6 +16,7 @@
 from forklift import notice_memory
 from forklift import policy
 from forklift import quarantine as quarantines
+from forklift import run_calls
 from forklift import target_notices
 from forklift.shell import connection_pool
 from forklift.shell import exchange
@@ -104,6 +105,7 @@
         quarantine: quarantines.Quarantine | None = None,
         on_evidence=lambda: None,
         notices: notice_memory.NoticeMemory | None = None,
+        calls: run_calls.RunCalls | None = None,
     ):
         self._header_names = header_names
         self._find_policy = find_policy
@@ -113,6 +115,7 @@
         self._quarantine = quarantine or quarantines.Quarantine()
         self._on_evidence = on_evidence
         self._notices = notices or notice_memory.NoticeMemory(clock.wall)
+        self._calls = calls or run_calls.RunCalls()
         self.by_name: dict[str, LocalTarget] = {}
         self.fences = fences.Fences()
         # Current names of targets, by the names that were used before their
@@ -374,6 +377,7 @@
             result = self._timeout_result(ticket)
         finally:
             candidates.mark_ended(ticket.id, self._clock.monotonic())
+            self._calls.end_run(ticket)
             self._finish(local_target, ticket, signal)
         return dataclasses.replace(
             result, load=self._current_load(local_target, request.route)
@@ -505,6 +509,7 @@
         if not self.fences.try_start(ticket.id, now):
             return Reason.FENCED
         local_target.candidates.add(ticket.id, fingerprint, now)
+        self._calls.start_run(ticket)
         return None
 
     def _current_load(
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -23,6 +23,7 @@
 from forklift import policy
 from forklift import quarantine
 from forklift import rate_limits
+from forklift import run_calls
 from forklift import settings
 from forklift.shell import clock as clocks
 from forklift.shell import configuration_loader
@@ -31,6 +32,7 @@
 from forklift.shell import exchange
 from forklift.shell import forwarding
 from forklift.shell import framing
+from forklift.shell import idle_targets
 from forklift.shell import ingress
 from forklift.shell import local_targets
 from forklift.shell import peer_connections
@@ -57,16 +59,6 @@
 # state of a target at once. Other peers learn the state when this process
 # rejects their request.
 RECENT_SENDER_SECONDS = 3.0
-# Seconds without a request after which a target is announced as idle. Must
-# exceed the time within which an ingress process that has callers sends to an
-# idle target anyway.
-IDLE_TARGET_SECONDS = 1.2
-# States in which an idle target is announced. A suspected target needs a trial
-# request to be reinstated.
-_IDLE_STATES = (
-    messages.TargetState.IN_SERVICE,
-    messages.TargetState.SUSPECT,
-)
 # Seconds after its start at which a process is ready even if it found no peers.
 READY_WITHOUT_PEERS_SECONDS = 3.0
 
@@ -88,6 +80,7 @@
         counters: Counters for metrics.
         active_catalog: The catalog that this process uses.
         notices: What targets have announced in responses.
+        run_calls: The runs of the local targets and the calls that they make.
     """
 
     def __init__(
@@ -136,6 +129,7 @@
         )
         self.quarantine = quarantine.Quarantine()
         self.notices = notice_memory.NoticeMemory(self.clock.wall)
+        self.run_calls = run_calls.RunCalls(self.overload_control)
         self._create_components()
 
     # Construction.
@@ -169,6 +163,7 @@
             self.quarantine,
             self._distribute_evidence,
             self.notices,
+            self.run_calls,
         )
         self.target_registry = target_registry.TargetRegistry(
             self.settings,
@@ -250,6 +245,7 @@
                 on_result=self._on_result,
                 origin_service=lambda: self.settings.platform.service,
                 on_rejected=self.counters.record_refusal,
+                match_call=self.run_calls.match,
             ),
             self.settings.limits.callers,
             self.clock,
@@ -656,32 +652,14 @@
             self.ingress.tick(now)
             self.target_registry.expire(now)
             self.control_protocols.update_own_targets()
-            self._announce_idle_targets(now)
+            if self.active_catalog.loaded:
+                send = self.control_protocols.announce_idle_target
+                idle_targets.announce(self.local_targets, send, now)
             self.quarantine_store.tick()
         self.control_protocols.tick(now)
         self.rate_limiter.tick(now)
         self.follower.update_role()
 
-    def _announce_idle_targets(self, now: float) -> None:
-        """Asks other processes to send requests to idle local targets.
-
-        An ingress process sends to idle targets only while it has callers. If
-        this one has none, the other processes would go on with the targets
-        that they know to be healthy.
-        """
-        for local_target in self.local_targets.by_name.values():
-            load = local_target.controller.load(now)
-            has_room = load.rate_limit is None or load.rate_limit.wait == 0
-            usable = load.state in _IDLE_STATES and has_room
-            if (
-                usable
-                and load.idle > IDLE_TARGET_SECONDS
-                and self.active_catalog.loaded
-            ):
-                self.control_protocols.announce_idle_target(
-                    local_target.controller.name, load
-                )
-
     def _update_local_loads(self, now: float) -> None:
         """Updates the load balancer with the load of the local targets."""
         for local_target in self.local_targets.by_name.values():
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -47,6 +47,7 @@
         _quarantine_seconds_by_fingerprint(proxy),
         {"calls": proxy.store.calls, "failures": proxy.store.failures},
         _organisation_usages(proxy),
+        proxy.run_calls.counts(),
     )
 
 
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -36,6 +36,7 @@
         self._meter = self._provider.get_meter("forklift")
         self._add_request_metrics(proxy)
         self._add_target_metrics(proxy)
+        self._add_call_metrics(proxy)
         self._add_process_metrics(proxy)
 
     def render(self) -> bytes:
@@ -166,6 +167,13 @@
             ],
         )
 
+    def _add_call_metrics(self, proxy) -> None:
+        self.add_counter(
+            "forklift.calls",
+            "Requests that may be calls of targets beside, by match",
+            lambda: _labelled_samples(proxy.run_calls.counts(), "match"),
+        )
+
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.store.calls",
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -20,6 +20,7 @@
 from forklift.shell import forwarding
 from forklift.shell import health_probe
 from forklift.shell import hedging
+from forklift.shell import idle_targets
 from forklift.shell import proxy
 from forklift.shell import server
 from forklift.shell import shutdown
@@ -817,7 +818,9 @@
         record_work_request = other.record_work_request
 
         def record_announcement(target, load, now):
-            announced.append((target, load.idle > proxy.IDLE_TARGET_SECONDS))
+            announced.append(
+                (target, load.idle > idle_targets.IDLE_TARGET_SECONDS)
+            )
             record_work_request(target, load, now)
 
         other.record_work_request = record_announcement
@@ -837,14 +840,19 @@
     async def work(fleet):
         one = fleet.proxies[0]
         announced = []
-        one.control_protocols.announce_idle_target = lambda *said: (
-            announced.append(said)
-        )
-        one._announce_idle_targets(one.clock.monotonic())
+
+        def announce():
+            idle_targets.announce(
+                one.local_targets,
+                lambda *said: announced.append(said),
+                one.clock.monotonic(),
+            )
+
+        announce()
         assert [name for name, _ in announced] == ["t0"]
         announced.clear()
         one.local_targets.drain("t0")
-        one._announce_idle_targets(one.clock.monotonic())
+        announce()
         assert announced == []
 
     processes.play(work, [[], []])
