Learn what the runs of each route call

Cause: a run starts whether or not its calls find room, as nothing knows what it calls.

Change: forklift/call_profile.py learns by route of the run, at the end of each matched call: calls in a run, seconds, and the share rejected for lack of room (busy, or no-target while known targets are full; never shed). Metrics, state dump and `forklift explain TARGET` have it. Only while overload control is on.

--- a/forklift/report.py
+++ b/forklift/report.py
@@ -29,6 +29,26 @@
     risk: float
 
 
+class CalledRoute(_Report):
+    """What the runs of a route call, as learned by the target's process.
+
+    Attributes:
+        route: Route of the runs.
+        called_route: Route that they call.
+        service: Service that serves the called route.
+        calls_per_run: Mean number of calls in a run.
+        seconds: Mean duration of a call.
+        rejected: Share of the calls that was rejected for lack of room.
+    """
+
+    route: str
+    called_route: str
+    service: str
+    calls_per_run: float
+    seconds: float
+    rejected: float
+
+
 class TargetExplanation(_Report):
     """State of a target and its causes, reported by the target's process.
 
@@ -49,6 +69,7 @@
         rate_limit: Requests per second that the target takes from all
             processes together; None if it has named no limit.
         starts: Number of requests that were started on the target.
+        called_routes: What the runs of its routes call.
     """
 
     target: str
@@ -66,6 +87,7 @@
     changes: tuple[EjectionChange, ...]
     rate_limit: float | None = None
     starts: int = 0
+    called_routes: tuple[CalledRoute, ...] = ()
 
 
 class Target(_Report):
@@ -175,6 +197,7 @@
             the others.
         calls: Number of requests that may have been calls of local targets:
             `matched` to a run, of these `ambiguous`, and `unmatched`.
+        called_routes: What the runs of local targets call.
     """
 
     status: Status
@@ -189,6 +212,7 @@
     store: dict[str, int]
     organisations: tuple[OrganisationUsage, ...] = ()
     calls: dict[str, int] = {}
+    called_routes: tuple[CalledRoute, ...] = ()
 
 
 class TargetAnnouncement(_Report):
--- a/forklift/run_calls.py
+++ b/forklift/run_calls.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from forklift import admission
+from forklift import call_profile
 
 # Seconds by which the deadline that a call names may precede that of its run.
 # The process and the target each round the remaining time to milliseconds, and
@@ -75,6 +76,7 @@
         ambiguous: How many of these matched several runs.
         unmatched: Number of requests that might have been calls but matched no
             run.
+        profile: What the runs of each route call.
     """
 
     def __init__(self, is_enabled: Callable[[], bool] = lambda: False):
@@ -88,6 +90,7 @@
         self.matched = 0
         self.ambiguous = 0
         self.unmatched = 0
+        self.profile = call_profile.CallProfile()
         self._run_by_id: dict[tuple[int, int], Run] = {}
 
     @property
@@ -103,21 +106,51 @@
             "unmatched": self.unmatched,
         }
 
-    def start_run(self, ticket: admission.Ticket) -> None:
-        """Records that a request is sent to a local target."""
-        if self.is_enabled():
-            self._run_by_id[ticket.id] = Run(
-                ticket.id,
-                ticket.route,
-                ticket.deadline,
-                ticket.priority,
-                ticket.soft_deadline,
-            )
+    def start_run(self, ticket: admission.Ticket, now: float) -> None:
+        """Records that a request is sent to a local target.
+
+        Args:
+            ticket: The request.
+            now: Monotonic seconds.
+        """
+        if not self.is_enabled():
+            return
+        self._run_by_id[ticket.id] = Run(
+            ticket.id,
+            ticket.route,
+            ticket.deadline,
+            ticket.priority,
+            ticket.soft_deadline,
+        )
+        self.profile.record_run(ticket.route, now)
 
     def end_run(self, ticket: admission.Ticket) -> None:
         """Records the end of a run; requests that never ran are ignored."""
         self._run_by_id.pop(ticket.id, None)
 
+    def end_call(
+        self,
+        call: Call,
+        route: str,
+        service: str,
+        seconds: float,
+        lacked_room: bool,
+        now: float,
+    ) -> None:
+        """Records the end of a call.
+
+        Args:
+            call: The call.
+            route: Route that was called.
+            service: Service that was called.
+            seconds: Duration of the call.
+            lacked_room: Whether it was rejected for lack of room.
+            now: Monotonic seconds.
+        """
+        self.profile.record_call(
+            call.run.route, route, service, seconds, lacked_room, now
+        )
+
     def match(
         self,
         organisation: str,
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -509,7 +509,7 @@
         if not self.fences.try_start(ticket.id, now):
             return Reason.FENCED
         local_target.candidates.add(ticket.id, fingerprint, now)
-        self._calls.start_run(ticket)
+        self._calls.start_run(ticket, now)
         return None
 
     def _current_load(
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -25,6 +25,7 @@
 from forklift import rate_limits
 from forklift import run_calls
 from forklift import settings
+from forklift.shell import call_results
 from forklift.shell import clock as clocks
 from forklift.shell import configuration_loader
 from forklift.shell import control_channel
@@ -577,6 +578,10 @@
         outcome = str(ending.outcome)
         reason = str(ending.reason or "")
         self.counters.record_request(request.service, outcome, reason, seconds)
+        now = self.clock.monotonic()
+        call_results.record(
+            self.run_calls, self.balancer, request, ending, seconds, now
+        )
         failed = ending.outcome is not messages.Outcome.ANSWERED
         if failed or ending.status >= 400:
             _log.info(
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -48,6 +48,7 @@
         {"calls": proxy.store.calls, "failures": proxy.store.failures},
         _organisation_usages(proxy),
         proxy.run_calls.counts(),
+        _called_routes(proxy),
     )
 
 
@@ -114,6 +115,26 @@
         _ejection_changes(proxy, local_target),
         controller.rate_limit.finite_rate,
         controller.starts,
+        tuple(
+            called
+            for called in _called_routes(proxy)
+            if controller.latencies.get(called.route) is not None
+        ),
+    )
+
+
+def _called_routes(proxy) -> tuple[report.CalledRoute, ...]:
+    now = proxy.clock.monotonic()
+    return tuple(
+        report.CalledRoute(
+            called.route,
+            called.called_route,
+            called.service,
+            called.calls_per_run,
+            called.seconds,
+            called.rejected,
+        )
+        for called in proxy.run_calls.profile.called_routes(now)
     )
 
 
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -173,6 +173,45 @@
             "Requests that may be calls of targets beside, by match",
             lambda: _labelled_samples(proxy.run_calls.counts(), "match"),
         )
+        self._add_called_route_gauge(
+            proxy, "calls_per_run", "Calls of the usual run, by called route"
+        )
+        self._add_called_route_gauge(
+            proxy, "seconds", "Seconds of the usual call, by called route"
+        )
+        self._add_called_route_gauge(
+            proxy,
+            "rejected",
+            "Part of the calls that found no room, by called route",
+        )
+
+    def _add_called_route_gauge(
+        self, proxy, attribute: str, description: str
+    ) -> None:
+        """Adds a gauge of what the runs of local targets call.
+
+        Args:
+            proxy: The process.
+            attribute: Attribute of a `call_profile.CalledRoute`.
+            description: Description of the gauge.
+        """
+        self.add_gauge(
+            f"forklift.called.{attribute.replace('_', '.')}",
+            description,
+            lambda: [
+                (
+                    getattr(called, attribute),
+                    {
+                        "route": called.route,
+                        "called": called.called_route,
+                        "service": called.service,
+                    },
+                )
+                for called in proxy.run_calls.profile.called_routes(
+                    proxy.clock.monotonic()
+                )
+            ],
+        )
 
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -71,6 +71,13 @@
         )
     for route, seconds in explanation.latency_by_route.items():
         click.echo(f"  {route} has a median latency of {seconds * 1000:.0f} ms")
+    for called in explanation.called_routes:
+        click.echo(
+            f"  a run of {called.route} calls {called.called_route} of "
+            f"{called.service} {called.calls_per_run:g} times, "
+            f"{called.seconds * 1000:.0f} ms each; "
+            f"{called.rejected:.0%} found no room"
+        )
     for reason, count in explanation.refusals.items():
         click.echo(f"  rejected {count} requests: {reason}")
     for change in explanation.changes:
--- a/test/test_run_calls.py
+++ b/test/test_run_calls.py
@@ -35,7 +35,7 @@
 def calls_of(*tickets: admission.Ticket) -> run_calls.RunCalls:
     calls = run_calls.RunCalls(lambda: True)
     for one in tickets:
-        calls.start_run(one)
+        calls.start_run(one, 0.0)
     return calls
 
 
@@ -107,10 +107,10 @@
 def test_nothing_matches_while_overload_control_is_off():
     enabled = [False]
     calls = run_calls.RunCalls(lambda: enabled[0])
-    calls.start_run(ticket(1))
+    calls.start_run(ticket(1), 0.0)
     assert calls.running == 0
     enabled[0] = True
-    calls.start_run(ticket(2))
+    calls.start_run(ticket(2), 0.0)
     assert matched_run(calls, DEADLINE) == (1, 2)
     enabled[0] = False
     assert calls.match("", DEADLINE, 950.0) is None
@@ -137,7 +137,7 @@
                     running.remove((end, one))
             # The run that starts now arrived `wait` seconds ago.
             one = ticket(number, now - wait + 3.0)
-            calls.start_run(one)
+            calls.start_run(one, 0.0)
             running.append((now + 0.6, one))
             calls.match("", now + rng.uniform(0.0, 0.1) + 3.0, 950.0)
         share_by_wait[wait] = calls.matched / 4000
