Keep slots of called targets for the calls of runs

Cause: where services call each other in a cycle, or a service calls itself, runs of callers take all slots and their calls wait for slots that these runs hold. Most runs then fail, although each of them would fit.

Change: while a call arrived within the last 3 s, requests of callers use at most all slots of the target but [overload] call_share of them, at least one of two or more (forklift/call_reserve.py). RequestStart.is_call, added last with a default, tells the process beside the target what is a call.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -14,6 +14,7 @@
 import heapq
 import math
 
+from forklift import call_reserve
 from forklift import health
 from forklift import invariants
 from forklift import latency
@@ -34,9 +35,6 @@
 # Survival probability of a request's age below which the request counts as
 # hanging: its slot is then expected to become free only at its deadline.
 HANG_SURVIVAL = 0.03
-# Expected remaining time of a running request, as a multiple of the mean
-# latency of its route.
-RESIDUAL_FACTOR = 1.0
 # Idle time reported by a target that has run no request yet. Longer idle times
 # are reported as this value.
 UNUSED_IDLE_SECONDS = 1000.0
@@ -77,6 +75,7 @@
             crash the target; concurrent requests would then fail and be
             suspected as well.
         organisation: Name of the calling organisation; empty if there is none.
+        is_call: Whether a run of a target makes the request.
     """
 
     id: tuple[int, int]
@@ -90,6 +89,7 @@
     start_by: float = math.inf
     exclusive: bool = False
     organisation: str = ""
+    is_call: bool = False
 
     @property
     def latest_start(self) -> float:
@@ -151,6 +151,7 @@
         self.cold_until = 0.0
         self.refusals_by_reason: dict[Reason, int] = {}
         self.rate_limit = target_rate_limit.TargetRateLimit()
+        self.call_reserve = call_reserve.CallReserve()
         self.starts = 0
         self._last_start = float("-inf")
         self._running_by_id: dict[tuple[int, int], _Running] = {}
@@ -203,16 +204,9 @@
             round(min(UNUSED_IDLE_SECONDS, now - self._last_start), 2),
             round(self.health.unhealthy_probability(now), 2),
             round(distribution.spread, 2) if distribution else 0.0,
-            rate_limit=self._rate_limit_status(now),
+            rate_limit=self.rate_limit.status(now, self.waiting),
         )
 
-    def _rate_limit_status(self, now: float) -> messages.RateLimitStatus | None:
-        rate = self.rate_limit.finite_rate
-        if rate is None:
-            return None
-        wait = self.rate_limit.wait(now, self.waiting)
-        return messages.RateLimitStatus(rate, round(wait, 3))
-
     # Requests.
 
     def admit(self, ticket: Ticket, now: float) -> Decision:
@@ -220,8 +214,9 @@
         reason = self._refusal_reason(ticket, now)
         if reason is not None:
             return self._refuse(ticket, reason)
-        has_room = self._has_slot(ticket) and self.rate_limit.wait(now) == 0
-        if has_room and not self._waiting:
+        self.call_reserve.record(ticket, now)
+        has_room = self._has_slot(ticket, now) and not self.rate_limit.wait(now)
+        if has_room and (not self._waiting or self._callers_blocked(now)):
             return self._start(ticket, now)
         position = (ticket.priority, ticket.soft_deadline, self._arrivals + 1)
         wait = self._expected_wait(position, now, ticket)
@@ -285,29 +280,25 @@
 
     def mark_draining(self) -> list[Decision]:
         """Refuses all requests, because the target is leaving."""
-        if self.state in (State.IN_SERVICE, State.PAUSED):
-            self.state = State.DRAINING
-            self.version += 1
-        return self._refuse_all(Reason.DRAINING)
+        return self._close(State.DRAINING, (State.IN_SERVICE, State.PAUSED))
 
     def mark_paused(self) -> list[Decision]:
         """Refuses all requests, as this process stops without its target."""
-        if self.state is State.IN_SERVICE:
-            self.state = State.PAUSED
-            self.version += 1
-        return self._refuse_all(Reason.DRAINING)
+        return self._close(State.PAUSED, (State.IN_SERVICE,))
 
     def mark_left(self) -> list[Decision]:
         """Refuses all requests, because the target has left."""
-        if self.state is not State.LEFT:
-            self.state = State.LEFT
+        return self._close(State.LEFT, tuple(State))
+
+    def _close(self, state: State, former: tuple[State, ...]) -> list[Decision]:
+        if self.state in former and self.state is not state:
+            self.state = state
             self.version += 1
         return self._refuse_all(Reason.DRAINING)
 
     def tick(self, now: float) -> list[Decision]:
         """Expires queued requests and reevaluates the target's health."""
-        decisions: list[Decision] = self._expire(now)
-        decisions += self._refuse_too_late(now)
+        decisions = self._expire(now) + self._refuse_too_late(now)
         decisions += self._apply_ejection_change(self.health.evaluate(now))
         return decisions + self.start_waiting(now)
 
@@ -343,7 +334,7 @@
 
         None if no request is queued, or if the first waits for a slot.
         """
-        if not self._waiting or not self._has_slot(self._waiting[0][1]):
+        if not self._waiting or not self._has_slot(self._waiting[0][1], now):
             return None
         return self.rate_limit.wait(now)
 
@@ -365,11 +356,11 @@
 
         The rate limit of the target may make the request wait for longer.
         """
-        free_at = [
-            self._remaining_time(r, now) for r in self._running_by_id.values()
-        ]
+        runs = list(self._running_by_id.values())
+        runs, slots = self.call_reserve.usable(ticket, runs, self.slots, now)
+        free_at = [self._remaining_time(run, now) for run in runs]
         blocked = max(free_at) if self._exclusive_running else 0.0
-        free_at += [blocked] * (self.slots - len(free_at))
+        free_at += [blocked] * (slots - len(free_at))
         heapq.heapify(free_at)
         ahead = 0
         for other_position, other in self._waiting:
@@ -387,10 +378,17 @@
         """Whether a running request excludes all others from the target."""
         return any(run.ticket.exclusive for run in self._running_by_id.values())
 
-    def _has_slot(self, ticket: Ticket) -> bool:
+    def _callers_blocked(self, now: float) -> bool:
+        """Whether all slots that are free are reserved for calls."""
+        runs = self._running_by_id.values()
+        return self.call_reserve.blocks_callers(runs, self.slots, now)
+
+    def _has_slot(self, ticket: Ticket, now: float) -> bool:
         """Whether a slot is free for the request."""
         if ticket.exclusive:
             return not self.running
+        if not ticket.is_call and self._callers_blocked(now):
+            return False
         return self.running < self.slots and not self._exclusive_running
 
     def _remaining_time(self, running: _Running, now: float) -> float:
@@ -398,7 +396,7 @@
         time_left = max(0.0, running.ticket.deadline - now)
         if running.distribution.survival(now - running.started) < HANG_SURVIVAL:
             return time_left
-        return min(time_left, RESIDUAL_FACTOR * running.distribution.mean)
+        return min(time_left, running.distribution.mean)
 
     def _refusal_reason(self, ticket: Ticket, now: float) -> Reason | None:
         if self.closed:
@@ -442,7 +440,7 @@
             index = self._next_index(now)
             ticket = self._waiting[index][1]
             reason = self._refusal_reason(ticket, now)
-            if reason is None and not self._has_slot(ticket):
+            if reason is None and not self._has_slot(ticket, now):
                 # Later requests wait, so that the exclusive one can start.
                 break
             del self._waiting[index]
@@ -459,6 +457,8 @@
         its latency objective goes first. Serving late requests first would
         make the requests behind them miss their objectives, too.
         """
+        if self._callers_blocked(now):
+            return call_reserve.first_call(entry[1] for entry in self._waiting)
         priority = self._waiting[0][1].priority
         for index, (_, ticket) in enumerate(self._waiting):
             if ticket.priority != priority:
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -192,6 +192,7 @@
         rate_limit: Rate limit that the target had named, as far as the sender
             knows, in requests per second; None if there is none. The receiver
             may have forgotten it in a restart.
+        is_call: Whether a run of a target makes the request.
     """
 
     id: int
@@ -219,6 +220,7 @@
     exclusive: bool = False
     organisation: str = ""
     rate_limit: float | None = None
+    is_call: bool = False
 
 
 class BodyChunk(_Message, tag=4):
@@ -757,20 +759,6 @@
     return kept
 
 
-def age_evidence(evidence: Evidence, seconds: float) -> Evidence:
-    """Returns evidence with the age of each crash increased.
-
-    >>> crash = Crash(1, 2.0, True, False)
-    >>> age_evidence(Evidence(b"f", (crash,)), 3.0).crashes[0].age
-    5.0
-    """
-    crashes = tuple(
-        Crash(one.id, one.age + seconds, one.alone, one.void)
-        for one in evidence.crashes
-    )
-    return Evidence(evidence.fingerprint, crashes)
-
-
 def decode_control(data: bytes) -> Control:
     """Decodes a control message.
 
--- a/forklift/quarantine.py
+++ b/forklift/quarantine.py
@@ -384,3 +384,19 @@
         == (after.crash_by_id[number].alone, after.crash_by_id[number].void)
         for number, one in before.crash_by_id.items()
     )
+
+
+def age_evidence(
+    evidence: messages.Evidence, seconds: float
+) -> messages.Evidence:
+    """Returns evidence with the age of each crash increased.
+
+    >>> crash = messages.Crash(1, 2.0, True, False)
+    >>> age_evidence(messages.Evidence(b"f", (crash,)), 3.0).crashes[0].age
+    5.0
+    """
+    crashes = tuple(
+        messages.Crash(one.id, one.age + seconds, one.alone, one.void)
+        for one in evidence.crashes
+    )
+    return messages.Evidence(evidence.fingerprint, crashes)
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -70,6 +70,7 @@
             processes together; None if it has named no limit.
         starts: Number of requests that were started on the target.
         called_routes: What the runs of its routes call.
+        reserved: Number of slots that only calls of runs get at present.
     """
 
     target: str
@@ -88,6 +89,7 @@
     rate_limit: float | None = None
     starts: int = 0
     called_routes: tuple[CalledRoute, ...] = ()
+    reserved: int = 0
 
 
 class Target(_Report):
--- a/forklift/run_calls.py
+++ b/forklift/run_calls.py
@@ -13,6 +13,7 @@
 
 from forklift import admission
 from forklift import call_profile
+from forklift import settings
 
 # Seconds by which the deadline that a call names may precede that of its run.
 # The process and the target each round the remaining time to milliseconds, and
@@ -79,14 +80,20 @@
         profile: What the runs of each route call.
     """
 
-    def __init__(self, is_enabled: Callable[[], bool] = lambda: False):
+    def __init__(
+        self,
+        is_enabled: Callable[[], bool] = lambda: False,
+        rules: Callable[[], settings.Overload] = settings.Overload,
+    ):
         """Creates an empty register.
 
         Args:
             is_enabled: Returns whether overload control is in force; otherwise
                 nothing matches.
+            rules: Returns the settings of overload control.
         """
         self.is_enabled = is_enabled
+        self._rules = rules
         self.matched = 0
         self.ambiguous = 0
         self.unmatched = 0
@@ -106,6 +113,10 @@
             "unmatched": self.unmatched,
         }
 
+    def reserved_share(self) -> float:
+        """Share of the slots of a called target that is reserved for calls."""
+        return self._rules().call_share if self.is_enabled() else 0.0
+
     def start_run(self, ticket: admission.Ticket, now: float) -> None:
         """Records that a request is sent to a local target.
 
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -273,4 +273,5 @@
         required_health=required_health,
         fingerprint=request.fingerprint,
         organisation=request.organisation,
+        is_call=request.call is not None,
     )
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -586,6 +586,7 @@
             start_by,
             self._exclusive,
             request.organisation,
+            request.call is not None,
         )
         return await self._forwarder.local_targets.run(
             selection.target, ticket, request, sink
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -8,6 +8,7 @@
 import structlog
 
 from forklift import admission
+from forklift import call_reserve
 from forklift import crash_candidates
 from forklift import fences
 from forklift import header_fields
@@ -133,6 +134,9 @@
     def add(self, name: str, local_target: LocalTarget) -> None:
         """Adds a target."""
         self.by_name[name] = local_target
+        local_target.controller.call_reserve = call_reserve.CallReserve(
+            self._calls.reserved_share
+        )
 
     def rename(self, previous: str, name: str) -> None:
         """Renames a target once the name of its incarnation is known.
--- a/forklift/shell/peer_requests.py
+++ b/forklift/shell/peer_requests.py
@@ -58,4 +58,5 @@
         now + start.start_within,
         start.exclusive,
         start.organisation,
+        start.is_call,
     )
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -130,7 +130,9 @@
         )
         self.quarantine = quarantine.Quarantine()
         self.notices = notice_memory.NoticeMemory(self.clock.wall)
-        self.run_calls = run_calls.RunCalls(self.overload_control)
+        self.run_calls = run_calls.RunCalls(
+            self.overload_control, lambda: self.settings.overload
+        )
         self._create_components()
 
     # Construction.
--- a/forklift/shell/quarantine_store.py
+++ b/forklift/shell/quarantine_store.py
@@ -108,7 +108,7 @@
             )
             return
         age = max(0.0, self._clock.wall() - stored.at)
-        evidence = messages.age_evidence(stored.evidence, age)
+        evidence = quarantines.age_evidence(stored.evidence, age)
         self._quarantine.merge([evidence], self._clock.monotonic())
         crashes = frozenset(crash.id for crash in evidence.crashes)
         self._crash_ids_by_fingerprint[evidence.fingerprint] = crashes
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -120,6 +120,9 @@
             for called in _called_routes(proxy)
             if controller.latencies.get(called.route) is not None
         ),
+        controller.call_reserve.reserved(
+            controller.slots, proxy.clock.monotonic()
+        ),
     )
 
 
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -173,6 +173,19 @@
             "Requests that may be calls of targets beside, by match",
             lambda: _labelled_samples(proxy.run_calls.counts(), "match"),
         )
+        self.add_gauge(
+            "forklift.targets.reserved",
+            "Slots of targets beside that only calls get at present",
+            lambda: [
+                (
+                    target.controller.call_reserve.reserved(
+                        target.controller.slots, proxy.clock.monotonic()
+                    ),
+                    {"target": name},
+                )
+                for name, target in proxy.local_targets.by_name.items()
+            ],
+        )
         self._add_called_route_gauge(
             proxy, "calls_per_run", "Calls of the usual run, by called route"
         )
--- a/forklift/target_rate_limit.py
+++ b/forklift/target_rate_limit.py
@@ -7,6 +7,7 @@
 
 import math
 
+from forklift import messages
 from forklift import rate_limits
 from forklift import rates
 
@@ -51,6 +52,20 @@
         """The rate for reports and messages; None if there is no limit."""
         return self.rate if math.isfinite(self.rate) else None
 
+    def status(
+        self, now: float, waiting: int
+    ) -> messages.RateLimitStatus | None:
+        """The limit for load balancers; None if there is none.
+
+        Args:
+            now: Monotonic seconds.
+            waiting: Number of queued requests.
+        """
+        if self.finite_rate is None:
+            return None
+        wait = round(self.wait(now, waiting), 3)
+        return messages.RateLimitStatus(self.rate, wait)
+
     def record(self, rate: float, sent_at: float, now: float) -> bool:
         """Records the limit in a response.
 
--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -64,6 +64,8 @@
         f"unhealthy with probability {explanation.risk:g}"
     )
     click.echo(f"  last request started {explanation.idle:g} s ago")
+    if explanation.reserved:
+        click.echo(f"  {explanation.reserved} slots are reserved for calls")
     if explanation.rate_limit is not None:
         click.echo(
             f"  the target has named a limit of {explanation.rate_limit:g} "
