--- a/forklift/report.py
+++ b/forklift/report.py
@@ -29,6 +29,26 @@
     risk: float
 
 
+class CalledRoute(_Report):
+    """What the runs of a route call, as learned by the target's process.
+
+    Attributes:
+        route: Route of the runs.
+        called_route: Route that they call.
+        service: Service that serves the called route.
+        calls_per_run: Mean number of calls in a run.
+        seconds: Mean duration of a call.
+        rejected: Share of the calls that was rejected for lack of room.
+    """
+
+    route: str
+    called_route: str
+    service: str
+    calls_per_run: float
+    seconds: float
+    rejected: float
+
+
 class TargetExplanation(_Report):
     """State of a target and its causes, reported by the target's process.
 
@@ -49,6 +69,8 @@
         rate_limit: Requests per second that the target takes from all
             processes together; None if it has named no limit.
         starts: Number of requests that were started on the target.
+        called_routes: What the runs of its routes call.
+        reserved: Number of slots that only calls of runs get at present.
     """
 
     target: str
@@ -66,6 +88,8 @@
     changes: tuple[EjectionChange, ...]
     rate_limit: float | None = None
     starts: int = 0
+    called_routes: tuple[CalledRoute, ...] = ()
+    reserved: int = 0
 
 
 class Target(_Report):
@@ -191,6 +215,9 @@
             requests to.
         retry_decisions: Number of retries asked for under overload control, by
             priority, cause and decision.
+        calls: Number of requests that may have been calls of local targets:
+            `matched` to a run, of these `ambiguous`, and `unmatched`.
+        called_routes: What the runs of local targets call.
     """
 
     status: Status
@@ -206,6 +233,8 @@
     organisations: tuple[OrganisationUsage, ...] = ()
     retries: dict[str, ServiceRetries] = {}
     retry_decisions: dict[str, int] = {}
+    calls: dict[str, int] = {}
+    called_routes: tuple[CalledRoute, ...] = ()
 
 
 class TargetAnnouncement(_Report):
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -267,8 +267,8 @@
 
     @property
     def _objective(self) -> float:
-        """Latency objective, in seconds."""
-        return self._request.soft_deadline - self._retry_state.started
+        """Latency objective of the route, in seconds."""
+        return self._request.route_soft_deadline - self._retry_state.started
 
     @property
     def _start_by(self) -> float:
@@ -598,6 +598,7 @@
             start_by,
             self._exclusive,
             request.organisation,
+            request.call is not None,
         )
         return await self._forwarder.local_targets.run(
             selection.target, ticket, request, sink
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -54,6 +54,8 @@
                 proxy.forwarder.retry_allocation.count_by_decision.items()
             )
         },
+        proxy.run_calls.counts(),
+        _called_routes(proxy),
     )
 
 
@@ -134,6 +136,29 @@
         _ejection_changes(proxy, local_target),
         controller.rate_limit.finite_rate,
         controller.starts,
+        tuple(
+            called
+            for called in _called_routes(proxy)
+            if controller.latencies.get(called.route) is not None
+        ),
+        controller.call_reserve.reserved(
+            controller.slots, proxy.clock.monotonic()
+        ),
+    )
+
+
+def _called_routes(proxy) -> tuple[report.CalledRoute, ...]:
+    now = proxy.clock.monotonic()
+    return tuple(
+        report.CalledRoute(
+            called.route,
+            called.called_route,
+            called.service,
+            called.calls_per_run,
+            called.seconds,
+            called.rejected,
+        )
+        for called in proxy.run_calls.profile.called_routes(now)
     )
 
 
--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -64,6 +64,8 @@
         f"unhealthy with probability {explanation.risk:g}"
     )
     click.echo(f"  last request started {explanation.idle:g} s ago")
+    if explanation.reserved:
+        click.echo(f"  {explanation.reserved} slots are reserved for calls")
     if explanation.rate_limit is not None:
         click.echo(
             f"  the target has named a limit of {explanation.rate_limit:g} "
@@ -71,6 +73,13 @@
         )
     for route, seconds in explanation.latency_by_route.items():
         click.echo(f"  {route} has a median latency of {seconds * 1000:.0f} ms")
+    for called in explanation.called_routes:
+        click.echo(
+            f"  a run of {called.route} calls {called.called_route} of "
+            f"{called.service} {called.calls_per_run:g} times, "
+            f"{called.seconds * 1000:.0f} ms each; "
+            f"{called.rejected:.0%} found no room"
+        )
     for reason, count in explanation.refusals.items():
         click.echo(f"  rejected {count} requests: {reason}")
     for change in explanation.changes:
