Order the queue of a target by fair queueing while overload control is on

Cause: on twelve targets with 4 slots and 0.4 s of work, an organisation at six times its usual rate takes the room of the others, as the queue is ordered by arrival within a priority.

While it is on, a full queue refuses the last request of its order, and a queued request that an insertion makes too late is refused at once; admission.Queued carries these refusals.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -3,21 +3,22 @@
 The controller runs in the process that owns the target. Every request to the
 target passes through the controller, so its count of running requests is exact.
 It limits concurrency to the target's slots, keeps to the rate limit that the
-target has named, queues requests by priority, refuses those that cannot end
-before their deadline, and starts none once the target leaves. All methods are
-synchronous.
+target has named, queues requests (`request_queue`), refuses those that cannot
+end before their deadline, and starts none once the target leaves. All methods
+are synchronous.
 """
 
-import bisect
 import dataclasses
 import enum
-import heapq
 import math
+from collections.abc import Callable
 
+from forklift import fair_queueing
 from forklift import health
 from forklift import invariants
 from forklift import latency
 from forklift import messages
+from forklift import request_queue
 from forklift import target_rate_limit
 
 Reason = messages.Reason
@@ -106,9 +107,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queued:
-    """The request is queued for a slot."""
+    """The request is queued for a slot.
+
+    Attributes:
+        ticket: The request.
+        displaced: Refusals of queued requests that gave way to it.
+    """
 
     ticket: Ticket
+    displaced: tuple["Refused", ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,7 +146,13 @@
 class Controller:
     """Slots, queue and health of one target."""
 
-    def __init__(self, name: str, service: str, slots: int):
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        slots: int,
+        rules: fair_queueing.Rules = fair_queueing.OFF,
+    ):
         self.name = name
         self.service = service
         self.slots = slots
@@ -154,10 +167,7 @@
         self.starts = 0
         self._last_start = float("-inf")
         self._running_by_id: dict[tuple[int, int], _Running] = {}
-        # Sorted by priority, then by soft deadline. A request that another
-        # target refused thus keeps its place.
-        self._waiting: list[tuple[tuple[int, float, int], Ticket]] = []
-        self._arrivals = 0
+        self.queue = request_queue.Queue(self._distribution, rules)
 
     @property
     def running(self) -> int:
@@ -167,7 +177,7 @@
     @property
     def waiting(self) -> int:
         """Number of queued requests."""
-        return len(self._waiting)
+        return len(self.queue)
 
     @property
     def closed(self) -> bool:
@@ -221,29 +231,24 @@
         if reason is not None:
             return self._refuse(ticket, reason)
         has_room = self._has_slot(ticket) and self.rate_limit.wait(now) == 0
-        if has_room and not self._waiting:
+        if has_room and not self.waiting:
             return self._start(ticket, now)
-        position = (ticket.priority, ticket.soft_deadline, self._arrivals + 1)
-        wait = self._expected_wait(position, now, ticket)
+        placement = self.queue.place(ticket, now, self._expected_room(now))
+        wait = placement.wait
         duration = self._distribution(ticket, now).learned_median
         late = now + wait + duration > ticket.deadline
         late = late or now + wait > ticket.start_by
-        full = self.waiting >= MAX_QUEUED_PER_SLOT * self.slots
         accepts_wait = ticket.wait or wait <= SHORT_WAIT_SECONDS
-        if not accepts_wait or late or full:
+        if not accepts_wait or late or not placement.has_room:
             if self.rate_limit.wait(now) > 0:
                 return self._refuse_for_rate_limit(ticket, wait)
             return self._refuse(ticket, Reason.BUSY, wait)
-        self._arrivals += 1
-        entry = (position, ticket)
-        bisect.insort(self._waiting, entry, key=lambda entry: entry[0])
-        return Queued(ticket)
+        self.queue.add(ticket)
+        return Queued(ticket, self._displace(placement.displaced, now))
 
     def cancel(self, ticket: Ticket) -> bool:
         """Removes a queued request; returns False if it is not queued."""
-        before = len(self._waiting)
-        self._waiting = [e for e in self._waiting if e[1].id != ticket.id]
-        return len(self._waiting) < before
+        return self.queue.remove(ticket)
 
     def finish(
         self, ticket: Ticket, signal: Signal | None, now: float
@@ -262,6 +267,7 @@
         running = self._running_by_id.pop(ticket.id, None)
         if running is None:
             return []
+        self.queue.record_end(ticket)
         seconds = now - running.started
         if signal is Signal.SUCCESS:
             running.distribution.record(seconds)
@@ -343,7 +349,8 @@
 
         None if no request is queued, or if the first waits for a slot.
         """
-        if not self._waiting or not self._has_slot(self._waiting[0][1]):
+        first = self.queue.head(now)
+        if first is None or not self._has_slot(first):
             return None
         return self.rate_limit.wait(now)
 
@@ -358,29 +365,38 @@
             ticket.route, ticket.soft_deadline - now
         )
 
-    def _expected_wait(
-        self, position: tuple[int, float, int], now: float, ticket: Ticket
-    ) -> float:
-        """Seconds until a slot is expected for a queue position.
+    def _expected_room(self, now: float) -> request_queue.Room:
+        """When the slots and the rate limit are expected to admit requests."""
+        return request_queue.Room(
+            MAX_QUEUED_PER_SLOT * self.slots,
+            lambda: self._slot_times(
+                lambda run: self._remaining_time(run, now)
+            ),
+            lambda: self._slot_times(lambda run: self._earliest_end(run, now)),
+            lambda ahead, priority: self.rate_limit.expected_wait(
+                now, ahead, priority
+            ),
+        )
 
-        The rate limit of the target may make the request wait for longer.
-        """
-        free_at = [
-            self._remaining_time(r, now) for r in self._running_by_id.values()
-        ]
+    def _slot_times(
+        self, remaining: Callable[[_Running], float]
+    ) -> request_queue.SlotTimes:
+        free_at = [remaining(run) for run in self._running_by_id.values()]
         blocked = max(free_at) if self._exclusive_running else 0.0
-        free_at += [blocked] * (self.slots - len(free_at))
-        heapq.heapify(free_at)
-        ahead = 0
-        for other_position, other in self._waiting:
-            if other_position > position:
-                break
-            ahead += 1
-            mean = self._distribution(other, now).mean
-            heapq.heapreplace(free_at, free_at[0] + mean)
-        slot_wait = max(free_at) if ticket.exclusive else free_at[0]
-        limit_wait = self.rate_limit.expected_wait(now, ahead, ticket.priority)
-        return max(slot_wait, limit_wait)
+        return request_queue.SlotTimes(
+            free_at + [blocked] * (self.slots - len(free_at))
+        )
+
+    def _displace(
+        self, displaced: tuple[request_queue.Displaced, ...], now: float
+    ) -> tuple[Refused, ...]:
+        """Refuses queued requests in favour of another one."""
+        refused = []
+        for one in displaced:
+            self.queue.remove(one.ticket)
+            self.queue.usage.record_displaced(one.ticket.organisation, now)
+            refused.append(self._refuse(one.ticket, Reason.BUSY, one.wait))
+        return tuple(refused)
 
     @property
     def _exclusive_running(self) -> bool:
@@ -400,6 +416,11 @@
             return time_left
         return min(time_left, RESIDUAL_FACTOR * running.distribution.mean)
 
+    def _earliest_end(self, running: _Running, now: float) -> float:
+        """Seconds until a running request ends if it takes its usual time."""
+        usual = running.started + running.distribution.mean - now
+        return max(0.0, min(self._remaining_time(running, now), usual))
+
     def _refusal_reason(self, ticket: Ticket, now: float) -> Reason | None:
         if self.closed:
             return Reason.DRAINING
@@ -427,6 +448,7 @@
         self._running_by_id[ticket.id] = _Running(ticket, now, distribution)
         self._last_start = now
         self.starts += 1
+        self.queue.record_start(ticket, now)
         self.rate_limit.take(now, ticket.priority)
         self.health.record_start(ticket.id, distribution, now)
         return Started(ticket)
@@ -435,45 +457,24 @@
         """Starts the queued requests for which there is room."""
         decisions: list[Decision] = []
         while (
-            self._waiting
+            self.waiting
             and self.running < self.slots
             and self.rate_limit.wait(now) == 0
         ):
-            index = self._next_index(now)
-            ticket = self._waiting[index][1]
+            ticket = self.queue.next(now)
             reason = self._refusal_reason(ticket, now)
             if reason is None and not self._has_slot(ticket):
                 # Later requests wait, so that the exclusive one can start.
                 break
-            del self._waiting[index]
             if reason is not None:
+                self.queue.remove(ticket)
                 decisions.append(self._refuse(ticket, reason))
             else:
                 decisions.append(self._start(ticket, now))
         return decisions
 
-    def _next_index(self, now: float) -> int:
-        """Index of the queued request to start next.
-
-        Among requests of the highest priority, the first that can still meet
-        its latency objective goes first. Serving late requests first would
-        make the requests behind them miss their objectives, too.
-        """
-        priority = self._waiting[0][1].priority
-        for index, (_, ticket) in enumerate(self._waiting):
-            if ticket.priority != priority:
-                break
-            if (
-                now + self._distribution(ticket, now).median
-                <= ticket.soft_deadline
-            ):
-                return index
-        return 0
-
     def _expire(self, now: float) -> list[Decision]:
-        waiting = [entry[1] for entry in self._waiting]
-        late = [ticket for ticket in waiting if ticket.latest_start <= now]
-        self._waiting = [e for e in self._waiting if e[1].latest_start > now]
+        late = self.queue.remove_if(lambda ticket: ticket.latest_start <= now)
         return [
             self._refuse(
                 ticket, Reason.DEADLINE, self._retry_delay(ticket, now)
@@ -494,24 +495,19 @@
         if self.rate_limit.finite_rate is None:
             return []
         decisions: list[Decision] = []
-        kept: list[tuple[tuple[int, float, int], Ticket]] = []
-        for entry in self._waiting:
-            ticket = entry[1]
-            wait = self.rate_limit.expected_wait(
-                now, len(kept), ticket.priority
-            )
+        kept = 0
+        for ticket in self.queue.ordered(now):
+            wait = self.rate_limit.expected_wait(now, kept, ticket.priority)
             if now + wait > ticket.latest_start:
+                self.queue.remove(ticket)
                 decisions.append(self._refuse_for_rate_limit(ticket, wait))
             else:
-                kept.append(entry)
-        self._waiting = kept
+                kept += 1
         return decisions
 
     def _refuse_after_ejection(self) -> list[Decision]:
         """Refuses queued requests that may not run on an ejected target."""
-        entries = self._waiting
-        self._waiting = [e for e in entries if _accepts_ejected(e[1])]
-        refused = [e[1] for e in entries if not _accepts_ejected(e[1])]
+        refused = self.queue.remove_if(lambda one: not _accepts_ejected(one))
         return [self._refuse(ticket, Reason.EJECTED) for ticket in refused]
 
     def _refuse_for_rate_limit(self, ticket: Ticket, wait: float) -> Refused:
@@ -519,8 +515,7 @@
         return self._refuse(ticket, Reason.BUSY, wait)
 
     def _refuse_all(self, reason: Reason) -> list[Decision]:
-        tickets = [entry[1] for entry in self._waiting]
-        self._waiting = []
+        tickets = self.queue.remove_if(lambda ticket: True)
         return [self._refuse(ticket, reason) for ticket in tickets]
 
     def _refuse(
@@ -528,6 +523,7 @@
     ) -> Refused:
         count = self.refusals_by_reason.get(reason, 0)
         self.refusals_by_reason[reason] = count + 1
+        self.queue.usage.record_refusal(ticket.priority)
         return Refused(ticket, reason, retry_after)
 
 
--- a/forklift/fair_queueing.py
+++ b/forklift/fair_queueing.py
@@ -318,7 +318,11 @@
         started: int,
         seconds: float,
     ) -> None:
-        """Updates what the waiting priorities may start.
+        """Updates what the priorities may start.
+
+        A priority that had to wait goes on to earn its floor while none of its
+        requests wait, up to one request. Otherwise the next one would be
+        refused because of its long wait, and the wait would never end.
 
         Args:
             credit_by_priority: Seconds of work by priority; updated.
@@ -327,9 +331,12 @@
             seconds: Its expected seconds of work.
         """
         less_urgent = waiting[1:]
-        if not less_urgent:
-            return
-        floor = min(self._rules.floor(), MAX_FLOOR_SUM / len(less_urgent))
+        floor = min(
+            self._rules.floor(), MAX_FLOOR_SUM / max(1, len(less_urgent))
+        )
+        for priority in set(credit_by_priority) - set(less_urgent):
+            credit = credit_by_priority[priority] + floor * seconds
+            credit_by_priority[priority] = min(credit, seconds)
         for priority in less_urgent:
             credit = credit_by_priority.get(priority, 0.0)
             credit_by_priority[priority] = credit + floor * seconds
--- a/forklift/rates.py
+++ b/forklift/rates.py
@@ -30,9 +30,9 @@
         self._count = 0.0
         self._last_at = -math.inf
 
-    def record(self, now: float) -> None:
-        """Records an event."""
-        self._count = self.count(now) + 1.0
+    def record(self, now: float, amount: float = 1.0) -> None:
+        """Records an event, or an amount of them."""
+        self._count = self.count(now) + amount
         self._last_at = now
 
     def count(self, now: float) -> float:
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -29,6 +29,35 @@
     risk: float
 
 
+class RoomShares(_Report):
+    """Who gets the room of a target, and who waits or was refused.
+
+    Organisations are the busiest by name; the empty name stands for the sum of
+    all others, and of requests without an organisation.
+
+    Attributes:
+        fair: Whether the queue is ordered by fair queueing.
+        starts_by_priority: Number of started requests.
+        refusals_by_priority: Number of refused requests.
+        waiting_by_priority: Number of queued requests.
+        waiting_by_organisation: Number of queued requests.
+        displaced: Number of queued requests that were refused in favour of
+            others.
+        displaced_by_organisation: The same, of the last seconds, decaying.
+        work_by_organisation: Expected seconds of work that were started per
+            second, over the last seconds.
+    """
+
+    fair: bool
+    starts_by_priority: dict[str, int]
+    refusals_by_priority: dict[str, int]
+    waiting_by_priority: dict[str, int]
+    waiting_by_organisation: dict[str, int]
+    displaced: int
+    displaced_by_organisation: dict[str, float]
+    work_by_organisation: dict[str, float]
+
+
 class TargetExplanation(_Report):
     """State of a target and its causes, reported by the target's process.
 
@@ -49,6 +78,7 @@
         rate_limit: Requests per second that the target takes from all
             processes together; None if it has named no limit.
         starts: Number of requests that were started on the target.
+        room: Who gets the room of the target; None from an older process.
     """
 
     target: str
@@ -66,6 +96,7 @@
     changes: tuple[EjectionChange, ...]
     rate_limit: float | None = None
     starts: int = 0
+    room: RoomShares | None = None
 
 
 class Target(_Report):
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -250,10 +250,14 @@
     ) -> exchange.Result:
         self.running += 1
         try:
+            version = local_target.controller.version
             decision = local_target.controller.admit(
                 ticket, self._clock.monotonic()
             )
             if isinstance(decision, admission.Queued):
+                self._apply_decisions(
+                    local_target, list(decision.displaced), version
+                )
                 decision = await self._wait_for_slot(local_target, ticket)
             if isinstance(decision, admission.Refused):
                 self.fences.check_not_started(ticket.id)
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -1,8 +1,12 @@
 """Builds the reports of the admin interface from a running process."""
 
+import collections
+
 import forklift
+from forklift import admission
 from forklift import invariants
 from forklift import report
+from forklift import room_usage
 from forklift.shell import local_targets
 
 # Maximum number of organisations that a state dump lists by name. The others,
@@ -113,9 +117,68 @@
         _ejection_changes(proxy, local_target),
         controller.rate_limit.finite_rate,
         controller.starts,
+        _room_shares(controller, proxy.clock.monotonic()),
+    )
+
+
+def _room_shares(
+    controller: admission.Controller, now: float
+) -> report.RoomShares:
+    usage, tickets = controller.queue.usage, controller.queue.tickets
+    waiting = collections.Counter(ticket.organisation for ticket in tickets)
+    count = MAX_LISTED_ORGANISATIONS
+    return report.RoomShares(
+        controller.queue.is_fair(),
+        _by_text(usage.starts_by_priority),
+        _by_text(usage.refusals_by_priority),
+        _by_text(collections.Counter(ticket.priority for ticket in tickets)),
+        room_usage.busiest(waiting, count),
+        usage.displaced,
+        {
+            name: round(number, 2)
+            for name, number in usage.displaced_by_organisation.busiest(
+                count, now
+            ).items()
+        },
+        {
+            name: round(seconds / room_usage.RECENT_SECONDS, 4)
+            for name, seconds in usage.work_by_organisation.busiest(
+                count, now
+            ).items()
+        },
     )
 
 
+def work_by_organisation(proxy) -> dict[str, float]:
+    """Seconds of work started per second on the targets of a process.
+
+    Returns:
+        Work of the busiest organisations by name, and the sum of the others.
+    """
+    now = proxy.clock.monotonic()
+    work: collections.Counter[str] = collections.Counter()
+    for local_target in proxy.local_targets.by_name.values():
+        usage = local_target.controller.queue.usage
+        work.update(
+            usage.work_by_organisation.busiest(
+                room_usage.MAX_ORGANISATIONS, now
+            )
+        )
+    return {
+        name: seconds / room_usage.RECENT_SECONDS
+        for name, seconds in room_usage.busiest(
+            work, MAX_LISTED_ORGANISATIONS
+        ).items()
+    }
+
+
+def _by_text(count_by_priority: dict[int, int]) -> dict[str, int]:
+    return {
+        str(priority): count
+        for priority, count in sorted(count_by_priority.items())
+    }
+
+
 def _ejection_changes(
     proxy, local_target: local_targets.LocalTarget
 ) -> tuple[report.EjectionChange, ...]:
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -8,10 +8,12 @@
 
 from forklift import admission
 from forklift import catalog
+from forklift import fair_queueing
 from forklift import header_fields
 from forklift import heartbeats
 from forklift import invalid_input
 from forklift import notice_memory
+from forklift import overload
 from forklift import settings
 from forklift.shell import clock as clocks
 from forklift.shell import connection_pool
@@ -72,6 +74,11 @@
         self._clock = clock
         self._on_change = on_change
         self._notices = notices or notice_memory.NoticeMemory(clock.wall)
+        self._queueing_rules = fair_queueing.Rules(
+            self._is_overload_control_on,
+            self._weight,
+            lambda: self.settings.overload.floor,
+        )
         self._last_seen_by_target: dict[str, float] = {}
         self._incarnations = heartbeats.IncarnationTracker(
             self._heartbeat_interval + HEARTBEAT_TOLERANCE
@@ -83,6 +90,16 @@
         """Seconds between two heartbeats of a target."""
         return self.settings.platform.heartbeat_ms / 1000
 
+    def _is_overload_control_on(self) -> bool:
+        return overload.is_enabled(
+            self.settings.overload.mode, self._active_catalog.catalog
+        )
+
+    def _weight(self, organisation: str) -> float:
+        """Weight of an organisation by the configuration in force."""
+        found = self._active_catalog.catalog.organisation(organisation)
+        return found.weight if found else fair_queueing.DEFAULT_WEIGHT
+
     def record_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
         """Records a heartbeat and adds, replaces or drains its target."""
         now = self._clock.monotonic()
@@ -305,7 +322,12 @@
         )
         local_target = local_targets.LocalTarget(
             heartbeat.incarnation.target,
-            admission.Controller(name, heartbeat.service, heartbeat.slots),
+            admission.Controller(
+                name,
+                heartbeat.service,
+                heartbeat.slots,
+                self._queueing_rules,
+            ),
             connection_pool.Pool(
                 heartbeat.address, max_connections, self._clock.monotonic
             ),
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -13,6 +13,7 @@
 from forklift import invalid_input
 from forklift import invariants
 from forklift.shell import logs
+from forklift.shell import reports
 
 # The value of a metric and its labels.
 Sample = tuple[float, dict[str, str]]
@@ -36,6 +37,7 @@
         self._meter = self._provider.get_meter("forklift")
         self._add_request_metrics(proxy)
         self._add_target_metrics(proxy)
+        self._add_room_metrics(proxy)
         self._add_process_metrics(proxy)
 
     def render(self) -> bytes:
@@ -166,6 +168,50 @@
             ],
         )
 
+    def _add_room_metrics(self, proxy) -> None:
+        """Adds metrics on who gets the room of the local targets.
+
+        Their labels are bounded: see `room_usage`.
+        """
+        local_targets = proxy.local_targets.by_name
+        self.add_counter(
+            "forklift.room.starts",
+            "Requests that were started on targets beside, by priority",
+            lambda: [
+                (count, {"target": name, "priority": str(priority)})
+                for name, target in local_targets.items()
+                for priority, count in (
+                    target.controller.queue.usage.starts_by_priority.items()
+                )
+            ],
+        )
+        self.add_counter(
+            "forklift.room.refusals",
+            "Requests that were refused at targets beside, by priority",
+            lambda: [
+                (count, {"target": name, "priority": str(priority)})
+                for name, target in local_targets.items()
+                for priority, count in (
+                    target.controller.queue.usage.refusals_by_priority.items()
+                )
+            ],
+        )
+        self.add_counter(
+            "forklift.room.displaced",
+            "Queued requests that were refused in favour of others",
+            lambda: [
+                (target.controller.queue.usage.displaced, {"target": name})
+                for name, target in local_targets.items()
+            ],
+        )
+        self.add_gauge(
+            "forklift.room.work",
+            "Seconds of work started a second, by the busiest organisations",
+            lambda: _labelled_samples(
+                reports.work_by_organisation(proxy), "organisation"
+            ),
+        )
+
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.store.calls",
--- a/forklift/ui/explain.py
+++ b/forklift/ui/explain.py
@@ -73,6 +73,8 @@
         click.echo(f"  {route} has a median latency of {seconds * 1000:.0f} ms")
     for reason, count in explanation.refusals.items():
         click.echo(f"  rejected {count} requests: {reason}")
+    if explanation.room is not None:
+        _print_room(explanation.room)
     for change in explanation.changes:
         at = datetime.datetime.fromtimestamp(change.at)
         action = "ejected" if change.doubted else "reinstated"
@@ -80,3 +82,36 @@
             f"  {at:%H:%M:%S.%f} {action}: {change.sign}, "
             f"unhealthy with probability {change.risk:g}"
         )
+
+
+def _print_room(room: report.RoomShares) -> None:
+    """Prints who gets the room of a target, who waits and who was refused."""
+    order = "fair queueing" if room.fair else "priority and soft deadline"
+    click.echo(f"  the queue is ordered by {order}")
+    priorities = set(room.starts_by_priority) | set(room.refusals_by_priority)
+    for priority in sorted(priorities, key=int):
+        click.echo(
+            f"  priority {priority}: "
+            f"{room.starts_by_priority.get(priority, 0)} started, "
+            f"{room.refusals_by_priority.get(priority, 0)} refused, "
+            f"{room.waiting_by_priority.get(priority, 0)} waiting"
+        )
+    names = dict.fromkeys(
+        [
+            *room.work_by_organisation,
+            *room.waiting_by_organisation,
+            *room.displaced_by_organisation,
+        ]
+    )
+    for name in sorted(names, key=lambda name: not name):
+        click.echo(
+            f"  {name or 'all others'}: "
+            f"{room.work_by_organisation.get(name, 0.0):.2f} s of work a "
+            f"second, {room.waiting_by_organisation.get(name, 0)} waiting, "
+            f"{room.displaced_by_organisation.get(name, 0.0):.0f} displaced "
+            "lately"
+        )
+    if room.displaced:
+        click.echo(
+            f"  {room.displaced} queued requests gave way to others in all"
+        )
--- a/test/load_simulation.py
+++ b/test/load_simulation.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from forklift import admission
+from forklift import fair_queueing
 from forklift import health
 from forklift import retries
 from forklift.shell import ticker
@@ -33,6 +34,8 @@
         timeout: Seconds from arrival to the deadline.
         idempotent: Whether the request may run more than once.
         priority: Rank; 0 is the most urgent.
+        organisation: Organisation that sends the requests.
+        spread: Standard deviation of the logarithm of the service time.
     """
 
     route: str
@@ -41,6 +44,8 @@
     timeout: float
     idempotent: bool = False
     priority: int = 1
+    organisation: str = ""
+    spread: float = 0.5
 
 
 @dataclasses.dataclass
@@ -78,6 +83,7 @@
         slots: Concurrent requests that a target may run.
         is_unhealthy: Returns whether a target, by its index, is unhealthy at
             a simulated time.
+        rules: Rules of fair queueing; by default it is off.
     """
 
     def __init__(
@@ -85,9 +91,10 @@
         controllers: int,
         slots: int,
         is_unhealthy: Callable[[int, float], bool],
+        rules: fair_queueing.Rules = fair_queueing.OFF,
     ):
         self.controllers = [
-            admission.Controller(f"t{n}", "s", slots)
+            admission.Controller(f"t{n}", "s", slots, rules)
             for n in range(controllers)
         ]
         self.outcomes: list[RequestOutcome] = []
@@ -160,6 +167,7 @@
             kind.route,
             wait=retry_state.wait,
             start_by=retry_state.start_by(distribution, soft_deadline),
+            organisation=kind.organisation,
         )
         self._pending_by_id[ticket.id] = (outcome, retry_state, controller)
         self._handle_decisions([controller.admit(ticket, now)], now)
@@ -169,6 +177,7 @@
     ) -> None:
         for decision in decisions:
             if isinstance(decision, admission.Queued):
+                self._handle_decisions(list(decision.displaced), now)
                 continue
             pending = self._pending_by_id.pop(decision.ticket.id)
             if isinstance(decision, admission.Started):
@@ -201,7 +210,9 @@
         now: float,
     ) -> None:
         retry_state.record_run(controller.name)
-        duration = outcome.kind.median * self._rng.lognormvariate(0.0, 0.5)
+        duration = outcome.kind.median * self._rng.lognormvariate(
+            0.0, outcome.kind.spread
+        )
         will_hang = self._is_unhealthy(self.controllers.index(controller), now)
         will_hang = (
             will_hang and self._rng.random() < health.UNHEALTHY_FAILURE_RATE
