Move the slots in use out of the admission controller; charge calls on reserved slots

A call that starts on a reserved slot while others wait was not among the waiting priorities, so fair queueing raised KeyError and the connection of the peer broke. The priority of a call that starts past others counts as waiting.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -11,7 +11,6 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Callable
 
 from forklift import call_reserve
 from forklift import fair_queueing
@@ -20,6 +19,7 @@
 from forklift import latency
 from forklift import messages
 from forklift import request_queue
+from forklift import slots_in_use
 from forklift import target_rate_limit
 
 Reason = messages.Reason
@@ -33,9 +33,6 @@
 SHORT_WAIT_SECONDS = 0.1
 # Highest unhealthy probability at which a target counts as proven.
 MAX_PROVEN_PROBABILITY = 0.15
-# Survival probability of a request's age below which the request counts as
-# hanging: its slot is then expected to become free only at its deadline.
-HANG_SURVIVAL = 0.03
 # Idle time reported by a target that has run no request yet. Longer idle times
 # are reported as this value.
 UNUSED_IDLE_SECONDS = 1000.0
@@ -136,13 +133,6 @@
 Decision = Started | Queued | Refused
 
 
-@dataclasses.dataclass
-class _Running:
-    ticket: Ticket
-    started: float
-    distribution: latency.Distribution
-
-
 class Controller:
     """Slots, queue and health of one target."""
 
@@ -165,15 +155,17 @@
         self.refusals_by_reason: dict[Reason, int] = {}
         self.rate_limit = target_rate_limit.TargetRateLimit()
         self.call_reserve = call_reserve.CallReserve()
+        self._slots_in_use = slots_in_use.SlotsInUse(
+            lambda: self.slots, lambda: self.call_reserve
+        )
         self.starts = 0
         self._last_start = float("-inf")
-        self._running_by_id: dict[tuple[int, int], _Running] = {}
         self.queue = request_queue.Queue(self._distribution, rules)
 
     @property
     def running(self) -> int:
         """Number of requests that the target is running."""
-        return len(self._running_by_id)
+        return len(self._slots_in_use)
 
     @property
     def waiting(self) -> int:
@@ -226,7 +218,9 @@
             return self._refuse(ticket, reason)
         self.call_reserve.record(ticket, now)
         has_room = self._has_slot(ticket, now) and not self.rate_limit.wait(now)
-        if has_room and (not self.waiting or self._callers_blocked(now)):
+        if has_room and (
+            not self.waiting or self._slots_in_use.callers_blocked(now)
+        ):
             return self._start(ticket, now)
         placement = self.queue.place(
             ticket, now, self._expected_room(ticket, now)
@@ -261,7 +255,7 @@
         Returns:
             Decisions on queued requests.
         """
-        running = self._running_by_id.pop(ticket.id, None)
+        running = self._slots_in_use.release(ticket)
         if running is None:
             return []
         self.queue.record_end(ticket)
@@ -350,8 +344,7 @@
     def exclude_pause(self, seconds: float) -> None:
         """Excludes a pause of this process from the age of requests."""
         self.health.exclude_pause(seconds)
-        for running in self._running_by_id.values():
-            running.started += seconds
+        self._slots_in_use.exclude_pause(seconds)
 
     def _distribution(self, ticket: Ticket, now: float) -> latency.Distribution:
         return self.latencies.for_route(
@@ -362,32 +355,13 @@
         """When the slots and the rate limit are expected to admit requests."""
         return request_queue.Room(
             MAX_QUEUED_PER_SLOT * self.slots,
-            lambda: self._slot_times(
-                ticket, lambda run: self._remaining_time(run, now), now
-            ),
-            lambda: self._slot_times(
-                ticket, lambda run: self._earliest_end(run, now), now
-            ),
+            lambda: self._slots_in_use.usual_times(ticket, now),
+            lambda: self._slots_in_use.earliest_times(ticket, now),
             lambda ahead, priority: self.rate_limit.expected_wait(
                 now, ahead, priority
             ),
         )
 
-    def _slot_times(
-        self,
-        ticket: Ticket,
-        remaining: Callable[[_Running], float],
-        now: float,
-    ) -> request_queue.SlotTimes:
-        """When the slots that a request may use are expected to be free."""
-        runs = list(self._running_by_id.values())
-        runs, slots = self.call_reserve.usable(ticket, runs, self.slots, now)
-        free_at = [remaining(run) for run in runs]
-        blocked = max(free_at) if self._exclusive_running else 0.0
-        return request_queue.SlotTimes(
-            free_at + [blocked] * (slots - len(free_at))
-        )
-
     def _displace(
         self, displaced: tuple[request_queue.Displaced, ...], now: float
     ) -> tuple[Refused, ...]:
@@ -399,35 +373,8 @@
             refused.append(self._refuse(one.ticket, Reason.BUSY, one.wait))
         return tuple(refused)
 
-    @property
-    def _exclusive_running(self) -> bool:
-        """Whether a running request excludes all others from the target."""
-        return any(run.ticket.exclusive for run in self._running_by_id.values())
-
-    def _callers_blocked(self, now: float) -> bool:
-        """Whether all slots that are free are reserved for calls."""
-        runs = self._running_by_id.values()
-        return self.call_reserve.blocks_callers(runs, self.slots, now)
-
     def _has_slot(self, ticket: Ticket, now: float) -> bool:
-        """Whether a slot is free for the request."""
-        if ticket.exclusive:
-            return not self.running
-        if not ticket.is_call and self._callers_blocked(now):
-            return False
-        return self.running < self.slots and not self._exclusive_running
-
-    def _remaining_time(self, running: _Running, now: float) -> float:
-        """Expected seconds until a running request ends."""
-        time_left = max(0.0, running.ticket.deadline - now)
-        if running.distribution.survival(now - running.started) < HANG_SURVIVAL:
-            return time_left
-        return min(time_left, running.distribution.mean)
-
-    def _earliest_end(self, running: _Running, now: float) -> float:
-        """Seconds until a running request ends if it takes its usual time."""
-        usual = running.started + running.distribution.mean - now
-        return max(0.0, min(self._remaining_time(running, now), usual))
+        return self._slots_in_use.has_free(ticket, now)
 
     def _refusal_reason(self, ticket: Ticket, now: float) -> Reason | None:
         if self.closed:
@@ -453,7 +400,7 @@
     def _start(self, ticket: Ticket, now: float) -> Started:
         invariants.no_new_work(self.closed, self.name)
         distribution = self._distribution(ticket, now)
-        self._running_by_id[ticket.id] = _Running(ticket, now, distribution)
+        self._slots_in_use.take(ticket, distribution, now)
         self._last_start = now
         self.starts += 1
         self.queue.record_start(ticket, now)
@@ -483,7 +430,7 @@
 
     def _next_ticket(self, now: float) -> Ticket:
         """The queued request to start next."""
-        if self._callers_blocked(now):
+        if self._slots_in_use.callers_blocked(now):
             ordered = self.queue.ordered(now)
             return ordered[call_reserve.first_call(ordered)]
         return self.queue.next(now)
--- a/forklift/request_queue.py
+++ b/forklift/request_queue.py
@@ -227,9 +227,11 @@
             return
         seconds = self._distribution(ticket, now).mean
         self.usage.record_work(ticket.organisation, seconds, now)
-        self._fair.record_start(
-            ticket, seconds, {other.priority for _, other in waiting}
-        )
+        priorities = {other.priority for _, other in waiting}
+        if priorities:
+            # A call may start on a reserved slot without having waited.
+            priorities.add(ticket.priority)
+        self._fair.record_start(ticket, seconds, priorities)
 
     def record_end(self, ticket) -> None:
         """Records the end of a started request."""
