Limit only requests that make calls to the slots outside the reserve

Cause: the reserve for calls kept slots from all requests of callers, also from those whose runs call nothing and thus block nobody.

Change: only requests of routes that were found to make 0.2 calls or more in a run are limited.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -19,6 +19,7 @@
 from forklift import invariants
 from forklift import latency
 from forklift import messages
+from forklift import running_request
 from forklift import target_rate_limit
 
 Reason = messages.Reason
@@ -32,9 +33,6 @@
 SHORT_WAIT_SECONDS = 0.1
 # Highest unhealthy probability at which a target counts as proven.
 MAX_PROVEN_PROBABILITY = 0.15
-# Survival probability of a request's age below which the request counts as
-# hanging: its slot is then expected to become free only at its deadline.
-HANG_SURVIVAL = 0.03
 # Idle time reported by a target that has run no request yet. Longer idle times
 # are reported as this value.
 UNUSED_IDLE_SECONDS = 1000.0
@@ -129,13 +127,6 @@
 Decision = Started | Queued | Refused
 
 
-@dataclasses.dataclass
-class _Running:
-    ticket: Ticket
-    started: float
-    distribution: latency.Distribution
-
-
 class Controller:
     """Slots, queue and health of one target."""
 
@@ -154,7 +145,9 @@
         self.call_reserve = call_reserve.CallReserve()
         self.starts = 0
         self._last_start = float("-inf")
-        self._running_by_id: dict[tuple[int, int], _Running] = {}
+        self._running_by_id: dict[
+            tuple[int, int], running_request.RunningRequest
+        ] = {}
         # Sorted by priority, then by soft deadline. A request that another
         # target refused thus keeps its place.
         self._waiting: list[tuple[tuple[int, float, int], Ticket]] = []
@@ -216,7 +209,7 @@
             return self._refuse(ticket, reason)
         self.call_reserve.record(ticket, now)
         has_room = self._has_slot(ticket, now) and not self.rate_limit.wait(now)
-        if has_room and (not self._waiting or self._callers_blocked(now)):
+        if has_room and (not self._waiting or self._only_limited_wait(now)):
             return self._start(ticket, now)
         position = (ticket.priority, ticket.soft_deadline, self._arrivals + 1)
         wait = self._expected_wait(position, now, ticket)
@@ -358,7 +351,7 @@
         """
         runs = list(self._running_by_id.values())
         runs, slots = self.call_reserve.usable(ticket, runs, self.slots, now)
-        free_at = [self._remaining_time(run, now) for run in runs]
+        free_at = [run.remaining(now) for run in runs]
         blocked = max(free_at) if self._exclusive_running else 0.0
         free_at += [blocked] * (slots - len(free_at))
         heapq.heapify(free_at)
@@ -378,26 +371,28 @@
         """Whether a running request excludes all others from the target."""
         return any(run.ticket.exclusive for run in self._running_by_id.values())
 
-    def _callers_blocked(self, now: float) -> bool:
+    def _reserve_full(self, now: float) -> bool:
         """Whether all slots that are free are reserved for calls."""
         runs = self._running_by_id.values()
-        return self.call_reserve.blocks_callers(runs, self.slots, now)
+        return self.call_reserve.is_full(runs, self.slots, now)
+
+    def _first_unlimited(self) -> int | None:
+        """Index of the first queued request that may use a reserved slot."""
+        tickets = (entry[1] for entry in self._waiting)
+        return self.call_reserve.first_unlimited(tickets)
+
+    def _only_limited_wait(self, now: float) -> bool:
+        """Whether all queued requests wait until a slot is not reserved."""
+        return self._reserve_full(now) and self._first_unlimited() is None
 
     def _has_slot(self, ticket: Ticket, now: float) -> bool:
         """Whether a slot is free for the request."""
         if ticket.exclusive:
             return not self.running
-        if not ticket.is_call and self._callers_blocked(now):
+        if self.call_reserve.is_limited(ticket) and self._reserve_full(now):
             return False
         return self.running < self.slots and not self._exclusive_running
 
-    def _remaining_time(self, running: _Running, now: float) -> float:
-        """Expected seconds until a running request ends."""
-        time_left = max(0.0, running.ticket.deadline - now)
-        if running.distribution.survival(now - running.started) < HANG_SURVIVAL:
-            return time_left
-        return min(time_left, running.distribution.mean)
-
     def _refusal_reason(self, ticket: Ticket, now: float) -> Reason | None:
         if self.closed:
             return Reason.DRAINING
@@ -422,7 +417,9 @@
     def _start(self, ticket: Ticket, now: float) -> Started:
         invariants.no_new_work(self.closed, self.name)
         distribution = self._distribution(ticket, now)
-        self._running_by_id[ticket.id] = _Running(ticket, now, distribution)
+        self._running_by_id[ticket.id] = running_request.RunningRequest(
+            ticket, now, distribution
+        )
         self._last_start = now
         self.starts += 1
         self.rate_limit.take(now, ticket.priority)
@@ -457,8 +454,8 @@
         its latency objective goes first. Serving late requests first would
         make the requests behind them miss their objectives, too.
         """
-        if self._callers_blocked(now):
-            return call_reserve.first_call(entry[1] for entry in self._waiting)
+        if self._reserve_full(now):
+            return self._first_unlimited() or 0
         priority = self._waiting[0][1].priority
         for index, (_, ticket) in enumerate(self._waiting):
             if ticket.priority != priority:
--- a/forklift/call_profile.py
+++ b/forklift/call_profile.py
@@ -15,6 +15,10 @@
 # Seconds after which an event counts for 1/e. Long enough for a route with one
 # run in several seconds, short enough to follow a new version of a service.
 TIME_CONSTANT = 10.0
+# Mean number of calls in a run from which a route counts as making calls. Below
+# it, at most one slot in five waits for a call, and a request that matched a
+# run by chance does not count.
+MIN_CALLS_PER_RUN = 0.2
 # Maximum number of routes whose runs are profiled; the least recently used one
 # is evicted first.
 MAX_ROUTES = 32
@@ -118,6 +122,21 @@
         values[1] += lacked_room
         values[2] += seconds
 
+    def calling_routes(self, now: float) -> frozenset[str]:
+        """Routes whose runs make calls.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        calls_by_route: collections.Counter[str] = collections.Counter()
+        for called in self.called_routes(now):
+            calls_by_route[called.route] += called.calls_per_run
+        return frozenset(
+            route
+            for route, calls in calls_by_route.items()
+            if calls >= MIN_CALLS_PER_RUN
+        )
+
     def called_routes(self, now: float) -> list[CalledRoute]:
         """What the runs of each route call, for metrics and reports.
 
--- a/forklift/call_reserve.py
+++ b/forklift/call_reserve.py
@@ -7,12 +7,11 @@
 
 import math
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterable
-from typing import Protocol
-from typing import TypeVar
 
-_Running = TypeVar("_Running", bound="Running")
+from forklift import running_request
+
+Running = running_request.RunningRequest
 
 # Seconds after a call for which slots are reserved. As long as the runs of the
 # deployments have to meet their objectives, up to 2.8 s: a run that waits for
@@ -20,38 +19,32 @@
 RECENT_CALL_SECONDS = 3.0
 
 
-class Ticket(Protocol):
-    """A request for admission, see `admission.Ticket`."""
-
-    is_call: bool
-
-
-class Running(Protocol):
-    """A request that the target runs."""
-
-    ticket: Ticket
-
-
 class CallReserve:
-    """Slots of one target that requests of callers may not use."""
+    """Slots of one target that callers' requests with calls may not use."""
 
-    def __init__(self, share: Callable[[], float] = lambda: 0.0):
+    def __init__(
+        self,
+        share: Callable[[], float] = lambda: 0.0,
+        makes_calls: Callable[[str], bool] = lambda route: True,
+    ):
         """Creates a reserve.
 
         Args:
             share: Returns the share of the slots that is reserved while calls
                 arrive; 0 reserves none.
+            makes_calls: Returns whether the runs of a route make calls.
         """
         self._share = share
+        self._makes_calls = makes_calls
         self._last_call = -math.inf
 
-    def record(self, ticket: Ticket, now: float) -> None:
+    def record(self, ticket: running_request.Ticket, now: float) -> None:
         """Records that a request arrived."""
         if ticket.is_call:
             self._last_call = now
 
     def reserved(self, slots: int, now: float) -> int:
-        """Number of slots that requests of callers may not use.
+        """Number of slots that callers' requests with calls may not use.
 
         Args:
             slots: Number of slots of the target.
@@ -70,10 +63,15 @@
         share = self._share()
         return max(1, int(slots * share)) if share > 0 else 0
 
-    def blocks_callers(
-        self, runs: Collection[Running], slots: int, now: float
-    ) -> bool:
-        """Whether all slots that are free are reserved for calls.
+    def is_limited(self, ticket: running_request.Ticket) -> bool:
+        """Whether a request may not use the reserved slots.
+
+        A request whose run makes no calls ends without the help of others.
+        """
+        return not ticket.is_call and self._makes_calls(ticket.route)
+
+    def is_full(self, runs: Iterable[Running], slots: int, now: float) -> bool:
+        """Whether all slots that are free are reserved.
 
         Args:
             runs: Requests that the target runs.
@@ -81,11 +79,15 @@
             now: Monotonic seconds.
         """
         reserved = self.reserved(slots, now)
-        return reserved > 0 and _count_callers(runs) >= slots - reserved
+        return reserved > 0 and self._count_limited(runs) >= slots - reserved
 
     def usable(
-        self, ticket: Ticket, runs: list[_Running], slots: int, now: float
-    ) -> tuple[list[_Running], int]:
+        self,
+        ticket: running_request.Ticket,
+        runs: list[Running],
+        slots: int,
+        now: float,
+    ) -> tuple[list[Running], int]:
         """The slots that a request may use.
 
         Args:
@@ -95,22 +97,24 @@
             now: Monotonic seconds.
 
         Returns:
-            The requests that run on these slots, and their number. Running
-            calls hold the reserved slots first.
+            The requests that run on these slots, and their number. Requests
+            that are not limited hold the reserved slots first.
         """
-        reserved = 0 if ticket.is_call else self.reserved(slots, now)
-        if not reserved:
+        reserved = self.reserved(slots, now)
+        if not reserved or not self.is_limited(ticket):
             return runs, slots
-        calls_first = sorted(runs, key=lambda run: not run.ticket.is_call)
-        held = min(reserved, len(runs) - _count_callers(runs))
-        return calls_first[held:], slots - reserved
-
-
-def first_call(tickets: Iterable[Ticket]) -> int:
-    """Index of the first call; 0 if there is none."""
-    calls = (index for index, one in enumerate(tickets) if one.is_call)
-    return next(calls, 0)
-
-
-def _count_callers(runs: Iterable[Running]) -> int:
-    return sum(not run.ticket.is_call for run in runs)
+        limited_last = sorted(runs, key=lambda run: self.is_limited(run.ticket))
+        held = min(reserved, len(runs) - self._count_limited(runs))
+        return limited_last[held:], slots - reserved
+
+    def first_unlimited(
+        self, tickets: Iterable[running_request.Ticket]
+    ) -> int | None:
+        """Index of the first request that may use the reserved slots."""
+        for index, ticket in enumerate(tickets):
+            if not self.is_limited(ticket):
+                return index
+        return None
+
+    def _count_limited(self, runs: Iterable[Running]) -> int:
+        return sum(self.is_limited(run.ticket) for run in runs)
--- a/forklift/run_calls.py
+++ b/forklift/run_calls.py
@@ -26,6 +26,9 @@
 # Runs whose deadlines differ by at most this many seconds can't be told apart,
 # as both ends round to milliseconds and transport takes a varying time.
 AMBIGUITY = 0.005
+# Seconds between two computations of the routes that make calls, so that no
+# request waits for sums over the profile.
+CALLING_ROUTES_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +102,8 @@
         self.unmatched = 0
         self.profile = call_profile.CallProfile()
         self._run_by_id: dict[tuple[int, int], Run] = {}
+        self._calling_routes: frozenset[str] = frozenset()
+        self._updated_at = -math.inf
 
     @property
     def running(self) -> int:
@@ -117,6 +122,15 @@
         """Share of the slots of a called target that is reserved for calls."""
         return self._rules().call_share if self.is_enabled() else 0.0
 
+    def makes_calls(self, route: str) -> bool:
+        """Whether the runs of a route were found to make calls."""
+        return route in self._calling_routes
+
+    def _update_calling_routes(self, now: float) -> None:
+        if now - self._updated_at >= CALLING_ROUTES_SECONDS:
+            self._updated_at = now
+            self._calling_routes = self.profile.calling_routes(now)
+
     def start_run(self, ticket: admission.Ticket, now: float) -> None:
         """Records that a request is sent to a local target.
 
@@ -134,6 +148,7 @@
             ticket.soft_deadline,
         )
         self.profile.record_run(ticket.route, now)
+        self._update_calling_routes(now)
 
     def end_run(self, ticket: admission.Ticket) -> None:
         """Records the end of a run; requests that never ran are ignored."""
@@ -161,6 +176,7 @@
         self.profile.record_call(
             call.run.route, route, service, seconds, lacked_room, now
         )
+        self._update_calling_routes(now)
 
     def match(
         self,
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -135,7 +135,7 @@
         """Adds a target."""
         self.by_name[name] = local_target
         local_target.controller.call_reserve = call_reserve.CallReserve(
-            self._calls.reserved_share
+            self._calls.reserved_share, self._calls.makes_calls
         )
 
     def rename(self, previous: str, name: str) -> None:
