--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -218,9 +218,7 @@
             return self._refuse(ticket, reason)
         self.call_reserve.record(ticket, now)
         has_room = self._has_slot(ticket, now) and not self.rate_limit.wait(now)
-        if has_room and (
-            not self.waiting or self._slots_in_use.callers_blocked(now)
-        ):
+        if has_room and (not self.waiting or self._only_limited_wait(now)):
             return self._start(ticket, now)
         placement = self.queue.place(
             ticket, now, self._expected_room(ticket, now)
@@ -373,6 +371,11 @@
             refused.append(self._refuse(one.ticket, Reason.BUSY, one.wait))
         return tuple(refused)
 
+    def _only_limited_wait(self, now: float) -> bool:
+        """Whether all queued requests wait until a slot is not reserved."""
+        first = self.call_reserve.first_unlimited(self.queue.tickets)
+        return self._slots_in_use.reserve_full(now) and first is None
+
     def _has_slot(self, ticket: Ticket, now: float) -> bool:
         return self._slots_in_use.has_free(ticket, now)
 
@@ -430,9 +433,9 @@
 
     def _next_ticket(self, now: float) -> Ticket:
         """The queued request to start next."""
-        if self._slots_in_use.callers_blocked(now):
+        if self._slots_in_use.reserve_full(now):
             ordered = self.queue.ordered(now)
-            return ordered[call_reserve.first_call(ordered)]
+            return ordered[self.call_reserve.first_unlimited(ordered) or 0]
         return self.queue.next(now)
 
     def _expire(self, now: float) -> list[Decision]:
