--- a/forklift/report.py
+++ b/forklift/report.py
@@ -224,6 +224,22 @@
     used: float
 
 
+class LimitRefusals(_Report):
+    """Requests of an organisation that this process refused with status 429.
+
+    The counts never decrease; see `limit_refusals`.
+
+    Attributes:
+        name: Name of the organisation; empty for the sum of those not listed.
+        refused: Number of refused requests, by cause.
+        within: Estimated number of these that were within the limit.
+    """
+
+    name: str
+    refused: dict[str, int]
+    within: float
+
+
 class StateDump(_Report):
     """Complete state dump of a process.
 
@@ -249,6 +265,9 @@
         calls: Number of requests that may have been calls of local targets:
             `matched` to a run, of these `ambiguous`, and `unmatched`.
         called_routes: What the runs of local targets call.
+        limit_refusals: Requests refused by rate limits since the start of the
+            process, for the organisations with most of them and the sum of the
+            others.
     """
 
     status: Status
@@ -266,6 +285,7 @@
     retry_decisions: dict[str, int] = {}
     calls: dict[str, int] = {}
     called_routes: tuple[CalledRoute, ...] = ()
+    limit_refusals: tuple[LimitRefusals, ...] = ()
 
 
 class TargetAnnouncement(_Report):
--- a/forklift/shell/rate_limiting.py
+++ b/forklift/shell/rate_limiting.py
@@ -20,6 +20,7 @@
 from forklift import messages
 from forklift import rate_limits
 from forklift.shell import clock as clocks
+from forklift.shell import exchange
 
 _log = structlog.get_logger(__name__)
 
@@ -72,6 +73,7 @@
         send: Callable[[str, messages.Control], object],
         clock: clocks.SystemClock,
         rng: random.Random,
+        overload_control: Callable[[], bool] = lambda: False,
     ):
         """Creates a limiter without leases.
 
@@ -84,6 +86,7 @@
             send: Sends a message to the process at an address.
             clock: Clock of the process.
             rng: Source of the jitter that is added to Retry-After.
+            overload_control: Returns whether overload control is in force.
         """
         self.limiter = limiters.Limiter(
             directory,
@@ -93,7 +96,9 @@
             fleet_size_known,
             self._on_tokens,
             self._request_tokens_of_shard,
+            overload_control,
         )
+        self._overload_control = overload_control
         self._active_catalog = active_catalog
         self._send_to = send
         self._clock = clock
@@ -119,27 +124,35 @@
             return None
         retry_after = result.retry_after
         if result.decision is local_quota.Decision.ASK_ALLOCATOR:
-            retry_after = await self._wait_for_token(organisation)
-            self.limiter.quota.record_outcome(organisation, retry_after is None)
+            decision = await self._wait_for_token(organisation)
+            retry_after = _retry_after(decision)
+            self.limiter.quota.record_outcome(
+                organisation,
+                retry_after is None,
+                decision is not None,
+                self._clock.monotonic(),
+            )
         if retry_after is None:
             return None
         # The jitter spreads the retries of requests rejected at the same time.
         return max(MIN_RETRY_AFTER, retry_after) * (1 + self._rng.random())
 
     def log_rejection(
-        self, request_id: str, organisation: str, retry_after: float
+        self, request: exchange.Request, retry_after: float
     ) -> None:
         """Logs a rejected request and the state of its organisation's limit."""
+        organisation = request.organisation
         now = self._clock.monotonic()
         current = self._active_catalog.catalog
         limit = current.organisation(organisation)
         quota = self.limiter.quota
         _log.info(
             "limited",
-            request=request_id,
+            request=request.id,
             organisation=organisation,
             rate=limit.rate if limit is not None else 0.0,
             part=round(quota.leased_share(organisation, now), 4),
+            cause=quota.refusal_cause(organisation),
             allocator=self.limiter.allocator_of(organisation),
             heard=quota.seconds_since_allocation(organisation, now),
             wait=round(retry_after, 2),
@@ -160,11 +173,11 @@
         """Handles a message of another process about rate limits."""
         self._send(self.limiter.receive(message, self._clock.monotonic()))
 
-    async def _wait_for_token(self, organisation: str) -> float | None:
-        """Waits for a token from the allocator.
+    async def _wait_for_token(self, organisation: str) -> _TokenDecision | None:
+        """Waits for a token from the allocator, until it may be used.
 
         Returns:
-            None if a token is granted, else seconds until a retry.
+            The allocator's decision; None if it did not answer in time.
         """
         answer = asyncio.get_running_loop().create_future()
         waiting = self._waiting_by_organisation.setdefault(
@@ -183,18 +196,20 @@
             for seconds in later_waits:
                 if answer.done():
                     break
-                self._request_tokens(organisation)
+                # The first request asks for the others, too. If each did, an
+                # allocator that is slow as it is busy would get more messages.
+                if answer is waiting[0] or not self._overload_control():
+                    self._request_tokens(organisation)
                 await asyncio.wait([answer], timeout=seconds)
         finally:
             if answer in waiting:
                 waiting.remove(answer)
         if not answer.done():
-            return DEFAULT_RETRY_AFTER
+            return None
         decision = answer.result()
-        if not decision.granted:
-            return decision.seconds
-        await asyncio.sleep(decision.seconds)
-        return None
+        if decision.granted:
+            await asyncio.sleep(decision.seconds)
+        return decision
 
     def _token_waits(self, organisation: str) -> tuple[float, ...]:
         """Seconds to wait for an answer to each request for tokens.
@@ -245,6 +260,13 @@
             self._send_to(send.address, send.message)
 
 
+def _retry_after(decision: _TokenDecision | None) -> float | None:
+    """Seconds until a retry; None if a token is granted."""
+    if decision is None:
+        return DEFAULT_RETRY_AFTER
+    return None if decision.granted else decision.seconds
+
+
 def _set_result(future: asyncio.Future, value: _TokenDecision) -> None:
     if not future.done():
         future.set_result(value)
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -60,6 +60,17 @@
         },
         proxy.run_calls.counts(),
         _called_routes(proxy),
+        tuple(
+            report.LimitRefusals(
+                name,
+                {
+                    str(key): count
+                    for key, count in tally.count_by_cause.items()
+                },
+                round(tally.within, 1),
+            )
+            for name, tally in proxy.rate_limiter.limiter.quota.refusals.items()
+        ),
     )
 
 
