Refuse requests that have no chance at the ingress process

Cause: while a service has no room, each ingress process sends every request to up to seven full targets before it refuses it. Processes spend their time on messages that lead nowhere.

--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -27,6 +27,7 @@
 from forklift.shell import exchange
 from forklift.shell import hedging
 from forklift.shell import http
+from forklift.shell import ingress_admission
 from forklift.shell import local_targets
 from forklift.shell import peer_connections
 from forklift.shell import response_buffer
@@ -53,6 +54,7 @@
         hedges: Number of hedged requests so far.
         stop_deadlines: Deadlines for responding to requests while this process
             stops; infinite before that.
+        ingress_admission: Refuses requests that have no chance of a slot.
     """
 
     def __init__(
@@ -85,6 +87,9 @@
         self.retries = 0
         self.hedges = 0
         self.stop_deadlines = _NO_DEADLINES
+        self.ingress_admission = ingress_admission.IngressAdmission(
+            balancer, clock, rng
+        )
         self._in_flight: set[_ForwardedRequest] = set()
 
     def next_seq(self) -> int:
@@ -100,12 +105,19 @@
             tcp_stream.ConnectionLost: The sink's connection is lost.
             asyncio.CancelledError: The caller gave up.
         """
+        refusal = self.ingress_admission.refuse(request)
+        if refusal is not None:
+            return refusal
         forwarded = _ForwardedRequest(self, request, sink)
         self._in_flight.add(forwarded)
         try:
-            return await forwarded.run()
+            result = await forwarded.run()
         finally:
             self._in_flight.discard(forwarded)
+        self.ingress_admission.record(
+            request, result, forwarded.arrived_at, forwarded.has_waited
+        )
+        return result
 
     def set_stop_deadlines(self, deadlines: shutdown.Deadlines) -> None:
         """Ensures that all requests end before this process stops.
@@ -165,6 +177,16 @@
             return exchange.unknown(result.ending.reason)
         return self._add_jitter(result)
 
+    @property
+    def arrived_at(self) -> float:
+        """Monotonic seconds at which the request arrived."""
+        return self._retry_state.started
+
+    @property
+    def has_waited(self) -> bool:
+        """Whether it was sent to targets without a free slot."""
+        return self._retry_state.wait
+
     def _add_jitter(self, result: exchange.Result) -> exchange.Result:
         """Adds jitter to Retry-After, so that callers do not retry together."""
         retry_after = result.ending.retry_after
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -239,6 +239,11 @@
             self.quarantine,
             self._header_names,
         )
+        self.forwarder.ingress_admission.connect(
+            self.overload_control,
+            lambda: self.settings.overload.floor,
+            self.active_catalog,
+        )
         self.ingress = ingress.Ingress(
             ingress.Hooks(
                 header_names=self._header_names,
@@ -376,10 +381,7 @@
 
         A peer connection counts once, however many requests it carries.
         """
-        from_peers = sum(
-            1 for connection in self.server_connections if connection.busy
-        )
-        return self.ingress.running + self.local_targets.running + from_peers
+        return self.ingress.running + self._running_for_others()
 
     def pending_responses(self) -> int:
         """Number of responses that callers and peers still wait for.
@@ -387,14 +389,12 @@
         Unlike `running`, this includes requests that are still being read and
         responses that are not yet in the socket buffer.
         """
-        from_peers = sum(
-            1 for connection in self.server_connections if connection.busy
-        )
-        return (
-            self.ingress.pending_connections
-            + self.local_targets.running
-            + from_peers
-        )
+        return self.ingress.pending_connections + self._running_for_others()
+
+    def _running_for_others(self) -> int:
+        connections = self.server_connections
+        from_peers = sum(1 for connection in connections if connection.busy)
+        return self.local_targets.running + from_peers
 
     def ready(self) -> bool:
         """Whether the platform should send callers to this process."""
--- a/forklift/target_view.py
+++ b/forklift/target_view.py
@@ -122,6 +122,16 @@
             self._unhealthy_probability, now - self._reported_at
         )
 
+    @property
+    def reported_at(self) -> float:
+        """Monotonic seconds of the last load report; -inf without one."""
+        return self._reported_at
+
+    @property
+    def reported_room(self) -> int:
+        """Free slots by the last report; negative if requests are queued."""
+        return self.slots - self.in_flight - self._others_load
+
     def idle_seconds(self, now: float) -> float:
         """Returns the seconds since the last known start of a request."""
         return now - self._used_at
