--- a/forklift/admission_level.py
+++ b/forklift/admission_level.py
@@ -49,6 +49,9 @@
 # Time constant of the shares of organisations, in seconds. At one request a
 # second, a shorter one could not tell a flooding organisation from chance.
 ORGANISATION_SECONDS = 8.0
+# Seconds for which a division among organisations is kept. It takes one step
+# for each organisation, which must not be spent on each refusal.
+DIVISION_SECONDS = 0.1
 # Bounds on Retry-After before jitter, in seconds. Room can't be foreseen for
 # longer than reports of it are valid.
 MIN_RETRY_AFTER = 0.1
@@ -231,7 +234,7 @@
             state.admitted_by_rank[rank] += 1
             return None
         state.refused_by_rank[rank] += 1
-        state.window.add((_REFUSED_HERE, rank), now)
+        state.window.add(_REFUSED_HERE, now)
         # The draw is uniform above the level; reuses it as jitter.
         jitter = (draw - level) / (1 - level)
         retry_after = state.retry_after(rank, jitter, now)
@@ -256,7 +259,7 @@
         state = self._state(arrival.service)
         rank = arrival.rank
         if lacked:
-            state.window.add((_LACKED, rank), now)
+            state.window.add(_LACKED, now)
             state.lacked_at_by_rank[rank] = now
         elif started_at_once is not None:
             before = state.at_once_by_rank.get(rank, -math.inf)
@@ -283,29 +286,31 @@
         return state
 
 
-_ARRIVED, _REFUSED_HERE, _LACKED = "arrived", "refused-here", "lacked"
+# Indices of counts; lower ones count arrivals by rank.
+_REFUSED_HERE, _LACKED = MAX_PRIORITIES, MAX_PRIORITIES + 1
 
 
 class _Window:
-    """Counts events by key over the last `WINDOW_SECONDS`."""
+    """Counts events over the last `WINDOW_SECONDS`, by index."""
 
     def __init__(self):
-        self._buckets: collections.deque[
-            tuple[int, collections.Counter[tuple[str, int]]]
-        ] = collections.deque()
+        self._total = [0] * (MAX_PRIORITIES + 2)
+        self._buckets: collections.deque[tuple[int, list[int]]] = (
+            collections.deque()
+        )
 
-    def add(self, key: tuple[str, int], now: float) -> None:
+    def add(self, index: int, now: float) -> None:
+        """Counts an event."""
         number = self._expire(now)
         if not self._buckets or self._buckets[-1][0] < number:
-            self._buckets.append((number, collections.Counter()))
-        self._buckets[-1][1][key] += 1
+            self._buckets.append((number, [0] * len(self._total)))
+        self._buckets[-1][1][index] += 1
+        self._total[index] += 1
 
-    def counts(self, now: float) -> collections.Counter[tuple[str, int]]:
+    def counts(self, now: float) -> list[int]:
+        """Numbers of events by index; not to be changed by the caller."""
         self._expire(now)
-        total: collections.Counter[tuple[str, int]] = collections.Counter()
-        for _, bucket in self._buckets:
-            total.update(bucket)
-        return total
+        return self._total
 
     def seconds(self, now: float) -> float:
         """Seconds over which the counted events occurred."""
@@ -317,7 +322,8 @@
     def _expire(self, now: float) -> int:
         number = math.floor(now * BUCKETS / WINDOW_SECONDS)
         while self._buckets and self._buckets[0][0] <= number - BUCKETS:
-            self._buckets.popleft()
+            for index, count in enumerate(self._buckets.popleft()[1]):
+                self._total[index] -= count
         return number
 
 
@@ -331,6 +337,8 @@
         self.admitted_by_rank: collections.Counter[int] = collections.Counter()
         self.refused_by_rank: collections.Counter[int] = collections.Counter()
         self._return_at_by_rank: dict[int, float] = {}
+        # When the share of a rank was last divided, and the part per weight.
+        self._part_by_rank: dict[int, tuple[float, float]] = {}
         # Arrivals and weights of organisations, by rank and organisation.
         self._arrivals_by_caller: collections.OrderedDict[
             tuple[int, str], tuple[rates.DecayingCounter, float]
@@ -338,7 +346,7 @@
 
     def count_arrival(self, arrival: Arrival, now: float) -> None:
         """Counts a request, whether it is admitted or refused afterwards."""
-        self.window.add((_ARRIVED, arrival.rank), now)
+        self.window.add(arrival.rank, now)
         key = (arrival.rank, arrival.organisation)
         known = self._arrivals_by_caller.pop(key, None)
         counter = (
@@ -376,7 +384,7 @@
         if lacked_at <= now - WINDOW_SECONDS:
             return 1.0
         counts = self.window.counts(now)
-        arrived = _total(counts, _ARRIVED)
+        arrived = sum(counts[:MAX_PRIORITIES])
         share = min(1.0, self._budget(counts) / max(1.0, arrived))
         certainty = _fade(now - lacked_at, LACK_CERTAIN_SECONDS, LACK_SECONDS)
         return 1 - (1 - share) * certainty
@@ -402,16 +410,13 @@
         times = self.at_once_by_rank.items()
         return max((at for r, at in times if r >= rank), default=-math.inf)
 
-    def _budget(self, counts: collections.Counter[tuple[str, int]]) -> float:
+    def _budget(self, counts: list[int]) -> float:
         """Number of requests to send in a window.
 
         Requests whose end is not known count as accepted.
         """
-        accepted = (
-            _total(counts, _ARRIVED)
-            - _total(counts, _REFUSED_HERE)
-            - _total(counts, _LACKED)
-        )
+        arrived = sum(counts[:MAX_PRIORITIES])
+        accepted = arrived - counts[_REFUSED_HERE] - counts[_LACKED]
         return HEADROOM * max(0, accepted) + PRIOR_REQUESTS
 
     def _share(self, rank: int, now: float) -> float:
@@ -420,9 +425,8 @@
         More urgent requests come first.
         """
         counts = self.window.counts(now)
-        left = self._budget(counts)
-        left -= sum(counts[_ARRIVED, r] for r in range(rank))
-        return max(0.0, min(1.0, left / max(1, counts[_ARRIVED, rank])))
+        left = self._budget(counts) - sum(counts[:rank])
+        return max(0.0, min(1.0, left / max(1, counts[rank])))
 
     def _share_of_organisation(
         self, arrival: Arrival, share: float, now: float
@@ -434,31 +438,30 @@
         """
         if not arrival.organisation or share >= 1:
             return share
-        part_by_name = {
-            name: (counter.count(now), weight)
-            for (rank, name), (counter, weight) in (
-                self._arrivals_by_caller.items()
-            )
-            if rank == arrival.rank and name
-        }
-        left = share * sum(count for count, _ in part_by_name.values())
-        weights = sum(weight for _, weight in part_by_name.values())
-        per_weight = 0.0
-        parts = sorted(
-            part_by_name.values(), key=lambda part: part[0] / part[1]
-        )
-        for count, weight in parts:
-            per_weight = left / weights
-            if count > per_weight * weight:
+        rank = arrival.rank
+        divided_at, part = self._part_by_rank.get(rank, (-math.inf, 0.0))
+        if now - divided_at >= DIVISION_SECONDS:
+            part = self._part_per_weight(rank, share, now)
+            self._part_by_rank[rank] = (now, part)
+        counter, weight = self._arrivals_by_caller[rank, arrival.organisation]
+        return min(1.0, part * weight / counter.count(now))
+
+    def _part_per_weight(self, rank: int, share: float, now: float) -> float:
+        """Requests that an organisation may send for each unit of weight."""
+        callers = [
+            (counter.count(now), weight)
+            for (r, name), (counter, weight) in self._arrivals_by_caller.items()
+            if r == rank and name
+        ]
+        callers.sort(key=lambda caller: caller[0] / caller[1])
+        left = share * sum(count for count, _ in callers)
+        weights = sum(weight for _, weight in callers)
+        for count, weight in callers:
+            if count > left / weights * weight:
                 break
             left -= count
             weights -= weight
-        count, weight = part_by_name[arrival.organisation]
-        return min(1.0, per_weight * weight / count)
-
-
-def _total(counts: collections.Counter[tuple[str, int]], kind: str) -> int:
-    return sum(count for (k, _), count in counts.items() if k == kind)
+        return left / weights if weights > 0 else math.inf
 
 
 def _fade(age: float, certain: float, expired: float) -> float:
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -155,6 +155,23 @@
     arrivals: float = 0.0
 
 
+class AdmissionLevel(_Report):
+    """Admission level of a service at one process.
+
+    Attributes:
+        service: Name of the service.
+        level: Share of the requests that is admitted now, 0 to 1.
+        admitted: Number of admitted requests, by priority.
+        refused: Number of requests refused at once for lack of room, by
+            priority.
+    """
+
+    service: str
+    level: float
+    admitted: dict[int, int]
+    refused: dict[int, int]
+
+
 class StateDump(_Report):
     """Complete state dump of a process.
 
@@ -173,6 +190,8 @@
         store: Number of calls to the store, and how many failed.
         organisations: The busiest organisations with a limit, and the sum of
             the others.
+        admission: Services with the most requests refused at once for lack of
+            room; empty while overload control is off.
     """
 
     status: Status
@@ -186,6 +205,7 @@
     held: dict[str, float]
     store: dict[str, int]
     organisations: tuple[OrganisationUsage, ...] = ()
+    admission: tuple[AdmissionLevel, ...] = ()
 
 
 class TargetAnnouncement(_Report):
--- a/forklift/shell/ingress_admission.py
+++ b/forklift/shell/ingress_admission.py
@@ -119,6 +119,10 @@
             self._arrival(request), lacked, arrived_at if at_once else None, now
         )
 
+    def read(self) -> dict[str, admission_level.ServiceLevel]:
+        """Returns the level of each service, by name."""
+        return self.levels.levels(self._clock.monotonic())
+
     def _arrival(self, request: exchange.Request) -> admission_level.Arrival:
         name = request.organisation
         organisation = self._active_catalog.catalog.organisation(name)
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -8,6 +8,8 @@
 # Maximum number of organisations that a state dump lists by name. The others,
 # which have the fewest requests, are summed up without a name.
 MAX_LISTED_ORGANISATIONS = 20
+# Maximum number of services whose admission level a state dump lists.
+MAX_LISTED_LEVELS = 20
 
 
 def build_status(proxy) -> report.Status:
@@ -47,6 +49,7 @@
         _quarantine_seconds_by_fingerprint(proxy),
         {"calls": proxy.store.calls, "failures": proxy.store.failures},
         _organisation_usages(proxy),
+        _admission_levels(proxy),
     )
 
 
@@ -77,6 +80,20 @@
     return tuple(usages)
 
 
+def _admission_levels(proxy) -> tuple[report.AdmissionLevel, ...]:
+    levels = [
+        report.AdmissionLevel(
+            service,
+            level.level,
+            level.admitted_by_priority,
+            level.refused_by_priority,
+        )
+        for service, level in proxy.forwarder.ingress_admission.read().items()
+    ]
+    levels.sort(key=lambda level: (-sum(level.refused.values()), level.service))
+    return tuple(levels[:MAX_LISTED_LEVELS])
+
+
 def _quarantine_seconds_by_fingerprint(proxy) -> dict[str, float]:
     now = proxy.clock.monotonic()
     return {
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -36,6 +36,7 @@
         self._meter = self._provider.get_meter("forklift")
         self._add_request_metrics(proxy)
         self._add_target_metrics(proxy)
+        self._add_admission_metrics(proxy)
         self._add_process_metrics(proxy)
 
     def render(self) -> bytes:
@@ -166,6 +167,29 @@
             ],
         )
 
+    def _add_admission_metrics(self, proxy) -> None:
+        self.add_counter(
+            "forklift.admission.requests",
+            "Requests that this entry admitted or refused at once for room",
+            lambda: [
+                (count, {"service": s, "priority": str(p), "decision": name})
+                for s, level in proxy.forwarder.ingress_admission.read().items()
+                for name, count_by_priority in (
+                    ("admitted", level.admitted_by_priority),
+                    ("refused", level.refused_by_priority),
+                )
+                for p, count in count_by_priority.items()
+            ],
+        )
+        self.add_gauge(
+            "forklift.admission.level",
+            "Share of requests that this entry admits, by service",
+            lambda: [
+                (level.level, {"service": s})
+                for s, level in proxy.forwarder.ingress_admission.read().items()
+            ],
+        )
+
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.store.calls",
