Bound the log lines of early refusals

Cause: hundreds of refusals a second would take the place of all other log lines, of which at most 50 a second are written.

--- a/forklift/shell/ingress_admission.py
+++ b/forklift/shell/ingress_admission.py
@@ -13,12 +13,16 @@
 from forklift import load_balancer
 from forklift import messages
 from forklift.shell import exchange
+from forklift.shell import logs
 
 _log = structlog.get_logger(__name__)
 
 # Seconds for which the room of a service is kept. Reading it takes one step for
 # each target, which must not be spent on each refusal.
 ROOM_SECONDS = 0.02
+# Maximum number of refusals logged in a second. More would leave no place for
+# other lines, whose number is limited, too.
+MAX_LOGGED_PER_SECOND = 10
 
 
 class IngressAdmission:
@@ -41,6 +45,8 @@
         self._room_by_service: dict[
             str, tuple[float, admission_level.Room]
         ] = {}
+        self._log_limiter = logs.FixedWindowLimiter(MAX_LOGGED_PER_SECOND)
+        self._unlogged = 0
 
     def connect(
         self,
@@ -72,18 +78,7 @@
         )
         if refusal is None:
             return None
-        _log.info(
-            "level_refused",
-            request=request.id,
-            service=request.service,
-            priority=request.priority,
-            organisation=request.organisation,
-            admitted_share=round(refusal.level, 3),
-            lacked=round(refusal.lack_age, 2),
-            free=round(room.free, 1),
-            reports=room.reports,
-            wait=round(refusal.retry_after, 2),
-        )
+        self._log_refusal(request, refusal, room, now)
         return exchange.not_run(
             messages.Reason.BUSY, round(refusal.retry_after, 2)
         )
@@ -123,6 +118,32 @@
         """Returns the level of each service, by name."""
         return self.levels.levels(self._clock.monotonic())
 
+    def _log_refusal(
+        self,
+        request: exchange.Request,
+        refusal: admission_level.Refusal,
+        room: admission_level.Room,
+        now: float,
+    ) -> None:
+        """Logs a refusal, unless many were logged in this second."""
+        if not self._log_limiter.try_take(now):
+            self._unlogged += 1
+            return
+        _log.info(
+            "level_refused",
+            request=request.id,
+            service=request.service,
+            priority=request.priority,
+            organisation=request.organisation,
+            admitted_share=round(refusal.level, 3),
+            lacked=round(refusal.lack_age, 2),
+            free=round(room.free, 1),
+            reports=room.reports,
+            wait=round(refusal.retry_after, 2),
+            unlogged=self._unlogged,
+        )
+        self._unlogged = 0
+
     def _arrival(self, request: exchange.Request) -> admission_level.Arrival:
         name = request.organisation
         organisation = self._active_catalog.catalog.organisation(name)
--- a/test/test_ingress_admission.py
+++ b/test/test_ingress_admission.py
@@ -9,8 +9,10 @@
 from forklift import overload
 from forklift import settings
 from forklift.shell import exchange
+from forklift.shell import ingress_admission
 from forklift.shell import reports
 from forklift.shell import telemetry
+from test import helper
 from test import processes
 
 
@@ -101,6 +103,28 @@
     processes.play(work, [[], []])
 
 
+def test_logged_refusals_are_bounded(monkeypatch):
+    """Guards against refusals that leave no place for other log lines."""
+    logged = []
+    monkeypatch.setattr(
+        ingress_admission._log,
+        "info",
+        lambda event, **fields: logged.append(fields),
+    )
+    clock = helper.FakeClock()
+    gate = ingress_admission.IngressAdmission(None, clock, None)
+    refusal = admission_level.Refusal(0.2, 1.0, 0.1)
+    for _ in range(100):
+        gate._log_refusal(
+            _request(1), refusal, admission_level.Room(), clock.now
+        )
+    clock.now += 1.0
+    gate._log_refusal(_request(2), refusal, admission_level.Room(), clock.now)
+    assert len(logged) == ingress_admission.MAX_LOGGED_PER_SECOND + 1
+    unlogged = 100 - ingress_admission.MAX_LOGGED_PER_SECOND
+    assert logged[-1]["unlogged"] == unlogged
+
+
 def _request(number: int) -> exchange.Request:
     return exchange.Request(
         f"r{number}",
