Merge the admission level at the ingress process

Cause: while a service has no room, each process sent every request to several full targets before it refused it.

--- a/forklift/report.py
+++ b/forklift/report.py
@@ -240,6 +240,23 @@
     within: float
 
 
+class AdmissionLevel(_Report):
+    """Admission level of a service at one process.
+
+    Attributes:
+        service: Name of the service.
+        level: Share of the requests that is admitted now, 0 to 1.
+        admitted: Number of admitted requests, by priority.
+        refused: Number of requests refused at once for lack of room, by
+            priority.
+    """
+
+    service: str
+    level: float
+    admitted: dict[int, int]
+    refused: dict[int, int]
+
+
 class StateDump(_Report):
     """Complete state dump of a process.
 
@@ -268,6 +285,8 @@
         limit_refusals: Requests refused by rate limits since the start of the
             process, for the organisations with most of them and the sum of the
             others.
+        admission: Services with the most requests refused at once for lack of
+            room; empty while overload control is off.
     """
 
     status: Status
@@ -286,6 +305,7 @@
     calls: dict[str, int] = {}
     called_routes: tuple[CalledRoute, ...] = ()
     limit_refusals: tuple[LimitRefusals, ...] = ()
+    admission: tuple[AdmissionLevel, ...] = ()
 
 
 class TargetAnnouncement(_Report):
