--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -3,23 +3,23 @@
 The controller runs in the process that owns the target. Every request to the
 target passes through the controller, so its count of running requests is exact.
 It limits concurrency to the target's slots, keeps to the rate limit that the
-target has named, queues requests by priority, refuses those that cannot end
-before their deadline, and starts none once the target leaves. All methods are
-synchronous.
+target has named, queues requests (`request_queue`), refuses those that cannot
+end before their deadline, and starts none once the target leaves. All methods
+are synchronous.
 """
 
-import bisect
 import dataclasses
 import enum
-import heapq
 import math
 
 from forklift import call_reserve
+from forklift import fair_queueing
 from forklift import health
 from forklift import invariants
 from forklift import latency
 from forklift import messages
-from forklift import running_request
+from forklift import request_queue
+from forklift import slots_in_use
 from forklift import target_rate_limit
 
 Reason = messages.Reason
@@ -104,9 +104,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queued:
-    """The request is queued for a slot."""
+    """The request is queued for a slot.
+
+    Attributes:
+        ticket: The request.
+        displaced: Refusals of queued requests that gave way to it.
+    """
 
     ticket: Ticket
+    displaced: tuple["Refused", ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,7 +136,13 @@
 class Controller:
     """Slots, queue and health of one target."""
 
-    def __init__(self, name: str, service: str, slots: int):
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        slots: int,
+        rules: fair_queueing.Rules = fair_queueing.OFF,
+    ):
         self.name = name
         self.service = service
         self.slots = slots
@@ -143,25 +155,22 @@
         self.refusals_by_reason: dict[Reason, int] = {}
         self.rate_limit = target_rate_limit.TargetRateLimit()
         self.call_reserve = call_reserve.CallReserve()
+        self._slots_in_use = slots_in_use.SlotsInUse(
+            lambda: self.slots, lambda: self.call_reserve
+        )
         self.starts = 0
         self._last_start = float("-inf")
-        self._running_by_id: dict[
-            tuple[int, int], running_request.RunningRequest
-        ] = {}
-        # Sorted by priority, then by soft deadline. A request that another
-        # target refused thus keeps its place.
-        self._waiting: list[tuple[tuple[int, float, int], Ticket]] = []
-        self._arrivals = 0
+        self.queue = request_queue.Queue(self._distribution, rules)
 
     @property
     def running(self) -> int:
         """Number of requests that the target is running."""
-        return len(self._running_by_id)
+        return len(self._slots_in_use)
 
     @property
     def waiting(self) -> int:
         """Number of queued requests."""
-        return len(self._waiting)
+        return len(self.queue)
 
     @property
     def closed(self) -> bool:
@@ -209,29 +218,26 @@
             return self._refuse(ticket, reason)
         self.call_reserve.record(ticket, now)
         has_room = self._has_slot(ticket, now) and not self.rate_limit.wait(now)
-        if has_room and (not self._waiting or self._only_limited_wait(now)):
+        if has_room and (not self.waiting or self._only_limited_wait(now)):
             return self._start(ticket, now)
-        position = (ticket.priority, ticket.soft_deadline, self._arrivals + 1)
-        wait = self._expected_wait(position, now, ticket)
+        placement = self.queue.place(
+            ticket, now, self._expected_room(ticket, now)
+        )
+        wait = placement.wait
         duration = self._distribution(ticket, now).learned_median
         late = now + wait + duration > ticket.deadline
         late = late or now + wait > ticket.start_by
-        full = self.waiting >= MAX_QUEUED_PER_SLOT * self.slots
         accepts_wait = ticket.wait or wait <= SHORT_WAIT_SECONDS
-        if not accepts_wait or late or full:
+        if not accepts_wait or late or not placement.has_room:
             if self.rate_limit.wait(now) > 0:
                 return self._refuse_for_rate_limit(ticket, wait)
             return self._refuse(ticket, Reason.BUSY, wait)
-        self._arrivals += 1
-        entry = (position, ticket)
-        bisect.insort(self._waiting, entry, key=lambda entry: entry[0])
-        return Queued(ticket)
+        self.queue.add(ticket)
+        return Queued(ticket, self._displace(placement.displaced, now))
 
     def cancel(self, ticket: Ticket) -> bool:
         """Removes a queued request; returns False if it is not queued."""
-        before = len(self._waiting)
-        self._waiting = [e for e in self._waiting if e[1].id != ticket.id]
-        return len(self._waiting) < before
+        return self.queue.remove(ticket)
 
     def finish(
         self, ticket: Ticket, signal: Signal | None, now: float
@@ -247,9 +253,10 @@
         Returns:
             Decisions on queued requests.
         """
-        running = self._running_by_id.pop(ticket.id, None)
+        running = self._slots_in_use.release(ticket)
         if running is None:
             return []
+        self.queue.record_end(ticket)
         seconds = now - running.started
         if signal is Signal.SUCCESS:
             running.distribution.record(seconds)
@@ -327,71 +334,50 @@
 
         None if no request is queued, or if the first waits for a slot.
         """
-        if not self._waiting or not self._has_slot(self._waiting[0][1], now):
+        first = self.queue.head(now)
+        if first is None or not self._has_slot(first, now):
             return None
         return self.rate_limit.wait(now)
 
     def exclude_pause(self, seconds: float) -> None:
         """Excludes a pause of this process from the age of requests."""
         self.health.exclude_pause(seconds)
-        for running in self._running_by_id.values():
-            running.started += seconds
+        self._slots_in_use.exclude_pause(seconds)
 
     def _distribution(self, ticket: Ticket, now: float) -> latency.Distribution:
         return self.latencies.for_route(
             ticket.route, ticket.soft_deadline - now
         )
 
-    def _expected_wait(
-        self, position: tuple[int, float, int], now: float, ticket: Ticket
-    ) -> float:
-        """Seconds until a slot is expected for a queue position.
-
-        The rate limit of the target may make the request wait for longer.
-        """
-        runs = list(self._running_by_id.values())
-        runs, slots = self.call_reserve.usable(ticket, runs, self.slots, now)
-        free_at = [run.remaining(now) for run in runs]
-        blocked = max(free_at) if self._exclusive_running else 0.0
-        free_at += [blocked] * (slots - len(free_at))
-        heapq.heapify(free_at)
-        ahead = 0
-        for other_position, other in self._waiting:
-            if other_position > position:
-                break
-            ahead += 1
-            mean = self._distribution(other, now).mean
-            heapq.heapreplace(free_at, free_at[0] + mean)
-        slot_wait = max(free_at) if ticket.exclusive else free_at[0]
-        limit_wait = self.rate_limit.expected_wait(now, ahead, ticket.priority)
-        return max(slot_wait, limit_wait)
-
-    @property
-    def _exclusive_running(self) -> bool:
-        """Whether a running request excludes all others from the target."""
-        return any(run.ticket.exclusive for run in self._running_by_id.values())
-
-    def _reserve_full(self, now: float) -> bool:
-        """Whether all slots that are free are reserved for calls."""
-        runs = self._running_by_id.values()
-        return self.call_reserve.is_full(runs, self.slots, now)
+    def _expected_room(self, ticket: Ticket, now: float) -> request_queue.Room:
+        """When the slots and the rate limit are expected to admit requests."""
+        return request_queue.Room(
+            MAX_QUEUED_PER_SLOT * self.slots,
+            lambda: self._slots_in_use.usual_times(ticket, now),
+            lambda: self._slots_in_use.earliest_times(ticket, now),
+            lambda ahead, priority: self.rate_limit.expected_wait(
+                now, ahead, priority
+            ),
+        )
 
-    def _first_unlimited(self) -> int | None:
-        """Index of the first queued request that may use a reserved slot."""
-        tickets = (entry[1] for entry in self._waiting)
-        return self.call_reserve.first_unlimited(tickets)
+    def _displace(
+        self, displaced: tuple[request_queue.Displaced, ...], now: float
+    ) -> tuple[Refused, ...]:
+        """Refuses queued requests in favour of another one."""
+        refused = []
+        for one in displaced:
+            self.queue.remove(one.ticket)
+            self.queue.usage.record_displaced(one.ticket.organisation, now)
+            refused.append(self._refuse(one.ticket, Reason.BUSY, one.wait))
+        return tuple(refused)
 
     def _only_limited_wait(self, now: float) -> bool:
         """Whether all queued requests wait until a slot is not reserved."""
-        return self._reserve_full(now) and self._first_unlimited() is None
+        first = self.call_reserve.first_unlimited(self.queue.tickets)
+        return self._slots_in_use.reserve_full(now) and first is None
 
     def _has_slot(self, ticket: Ticket, now: float) -> bool:
-        """Whether a slot is free for the request."""
-        if ticket.exclusive:
-            return not self.running
-        if self.call_reserve.is_limited(ticket) and self._reserve_full(now):
-            return False
-        return self.running < self.slots and not self._exclusive_running
+        return self._slots_in_use.has_free(ticket, now)
 
     def _refusal_reason(self, ticket: Ticket, now: float) -> Reason | None:
         if self.closed:
@@ -417,11 +403,10 @@
     def _start(self, ticket: Ticket, now: float) -> Started:
         invariants.no_new_work(self.closed, self.name)
         distribution = self._distribution(ticket, now)
-        self._running_by_id[ticket.id] = running_request.RunningRequest(
-            ticket, now, distribution
-        )
+        self._slots_in_use.take(ticket, distribution, now)
         self._last_start = now
         self.starts += 1
+        self.queue.record_start(ticket, now)
         self.rate_limit.take(now, ticket.priority)
         self.health.record_start(ticket.id, distribution, now)
         return Started(ticket)
@@ -430,47 +415,31 @@
         """Starts the queued requests for which there is room."""
         decisions: list[Decision] = []
         while (
-            self._waiting
+            self.waiting
             and self.running < self.slots
             and self.rate_limit.wait(now) == 0
         ):
-            index = self._next_index(now)
-            ticket = self._waiting[index][1]
+            ticket = self._next_ticket(now)
             reason = self._refusal_reason(ticket, now)
             if reason is None and not self._has_slot(ticket, now):
                 # Later requests wait, so that the exclusive one can start.
                 break
-            del self._waiting[index]
             if reason is not None:
+                self.queue.remove(ticket)
                 decisions.append(self._refuse(ticket, reason))
             else:
                 decisions.append(self._start(ticket, now))
         return decisions
 
-    def _next_index(self, now: float) -> int:
-        """Index of the queued request to start next.
-
-        Among requests of the highest priority, the first that can still meet
-        its latency objective goes first. Serving late requests first would
-        make the requests behind them miss their objectives, too.
-        """
-        if self._reserve_full(now):
-            return self._first_unlimited() or 0
-        priority = self._waiting[0][1].priority
-        for index, (_, ticket) in enumerate(self._waiting):
-            if ticket.priority != priority:
-                break
-            if (
-                now + self._distribution(ticket, now).median
-                <= ticket.soft_deadline
-            ):
-                return index
-        return 0
+    def _next_ticket(self, now: float) -> Ticket:
+        """The queued request to start next."""
+        if self._slots_in_use.reserve_full(now):
+            ordered = self.queue.ordered(now)
+            return ordered[self.call_reserve.first_unlimited(ordered) or 0]
+        return self.queue.next(now)
 
     def _expire(self, now: float) -> list[Decision]:
-        waiting = [entry[1] for entry in self._waiting]
-        late = [ticket for ticket in waiting if ticket.latest_start <= now]
-        self._waiting = [e for e in self._waiting if e[1].latest_start > now]
+        late = self.queue.remove_if(lambda ticket: ticket.latest_start <= now)
         return [
             self._refuse(
                 ticket, Reason.DEADLINE, self._retry_delay(ticket, now)
@@ -491,24 +460,19 @@
         if self.rate_limit.finite_rate is None:
             return []
         decisions: list[Decision] = []
-        kept: list[tuple[tuple[int, float, int], Ticket]] = []
-        for entry in self._waiting:
-            ticket = entry[1]
-            wait = self.rate_limit.expected_wait(
-                now, len(kept), ticket.priority
-            )
+        kept = 0
+        for ticket in self.queue.ordered(now):
+            wait = self.rate_limit.expected_wait(now, kept, ticket.priority)
             if now + wait > ticket.latest_start:
+                self.queue.remove(ticket)
                 decisions.append(self._refuse_for_rate_limit(ticket, wait))
             else:
-                kept.append(entry)
-        self._waiting = kept
+                kept += 1
         return decisions
 
     def _refuse_after_ejection(self) -> list[Decision]:
         """Refuses queued requests that may not run on an ejected target."""
-        entries = self._waiting
-        self._waiting = [e for e in entries if _accepts_ejected(e[1])]
-        refused = [e[1] for e in entries if not _accepts_ejected(e[1])]
+        refused = self.queue.remove_if(lambda one: not _accepts_ejected(one))
         return [self._refuse(ticket, Reason.EJECTED) for ticket in refused]
 
     def _refuse_for_rate_limit(self, ticket: Ticket, wait: float) -> Refused:
@@ -516,8 +480,7 @@
         return self._refuse(ticket, Reason.BUSY, wait)
 
     def _refuse_all(self, reason: Reason) -> list[Decision]:
-        tickets = [entry[1] for entry in self._waiting]
-        self._waiting = []
+        tickets = self.queue.remove_if(lambda ticket: True)
         return [self._refuse(ticket, reason) for ticket in tickets]
 
     def _refuse(
@@ -525,6 +488,7 @@
     ) -> Refused:
         count = self.refusals_by_reason.get(reason, 0)
         self.refusals_by_reason[reason] = count + 1
+        self.queue.usage.record_refusal(ticket.priority)
         return Refused(ticket, reason, retry_after)
 
 
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -63,6 +63,35 @@
     held: int
 
 
+class RoomShares(_Report):
+    """Who gets the room of a target, and who waits or was refused.
+
+    Organisations are the busiest by name; the empty name stands for the sum of
+    all others, and of requests without an organisation.
+
+    Attributes:
+        fair: Whether the queue is ordered by fair queueing.
+        starts_by_priority: Number of started requests.
+        refusals_by_priority: Number of refused requests.
+        waiting_by_priority: Number of queued requests.
+        waiting_by_organisation: Number of queued requests.
+        displaced: Number of queued requests that were refused in favour of
+            others.
+        displaced_by_organisation: The same, of the last seconds, decaying.
+        work_by_organisation: Expected seconds of work that were started per
+            second, over the last seconds.
+    """
+
+    fair: bool
+    starts_by_priority: dict[str, int]
+    refusals_by_priority: dict[str, int]
+    waiting_by_priority: dict[str, int]
+    waiting_by_organisation: dict[str, int]
+    displaced: int
+    displaced_by_organisation: dict[str, float]
+    work_by_organisation: dict[str, float]
+
+
 class TargetExplanation(_Report):
     """State of a target and its causes, reported by the target's process.
 
@@ -85,6 +114,7 @@
         starts: Number of requests that were started on the target.
         called_routes: What the runs of its routes call.
         reserved: Number of slots that only calls of runs get at present.
+        room: Who gets the room of the target; None from an older process.
         held_routes: Runs that are held back.
     """
 
@@ -105,6 +135,7 @@
     starts: int = 0
     called_routes: tuple[CalledRoute, ...] = ()
     reserved: int = 0
+    room: RoomShares | None = None
     held_routes: tuple[HeldRoute, ...] = ()
 
 
@@ -195,6 +226,20 @@
     arrivals: float = 0.0
 
 
+class ServiceRetries(_Report):
+    """Retries of one process to one service.
+
+    Attributes:
+        rejected: Share of recent sends that targets rejected, 0 to 1.
+        usable: Number of retries that this process may make in a window.
+        used: Number of retries made, and calls charged, in the last window.
+    """
+
+    rejected: float
+    usable: float
+    used: float
+
+
 class StateDump(_Report):
     """Complete state dump of a process.
 
@@ -213,6 +258,10 @@
         store: Number of calls to the store, and how many failed.
         organisations: The busiest organisations with a limit, and the sum of
             the others.
+        retries: Retries by service, for the services that this process sent
+            requests to.
+        retry_decisions: Number of retries asked for under overload control, by
+            priority, cause and decision.
         calls: Number of requests that may have been calls of local targets:
             `matched` to a run, of these `ambiguous`, and `unmatched`.
         called_routes: What the runs of local targets call.
@@ -230,6 +279,8 @@
     held: dict[str, float]
     store: dict[str, int]
     organisations: tuple[OrganisationUsage, ...] = ()
+    retries: dict[str, ServiceRetries] = {}
+    retry_decisions: dict[str, int] = {}
     calls: dict[str, int] = {}
     called_routes: tuple[CalledRoute, ...] = ()
     held_routes: tuple[HeldRoute, ...] = ()
--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -266,8 +266,12 @@
             return exchange.not_run(Reason.BUSY, held_back_for, load)
         self.running += 1
         try:
+            version = local_target.controller.version
             decision = local_target.controller.admit(ticket, now)
             if isinstance(decision, admission.Queued):
+                self._apply_decisions(
+                    local_target, list(decision.displaced), version
+                )
                 decision = await self._wait_for_slot(local_target, ticket)
             if isinstance(decision, admission.Refused):
                 self.fences.check_not_started(ticket.id)
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -1,8 +1,12 @@
 """Builds the reports of the admin interface from a running process."""
 
+import collections
+
 import forklift
+from forklift import admission
 from forklift import invariants
 from forklift import report
+from forklift import room_usage
 from forklift.shell import local_targets
 
 # Maximum number of organisations that a state dump lists by name. The others,
@@ -37,7 +41,7 @@
         ),
         requests,
         {
-            service: proxy.balancer.retries_refused(service)
+            service: proxy.balancer.retry_budgets.refused(service)
             for service in proxy.active_catalog.catalog.services_by_name
         },
         {"all": proxy.forwarder.attempts, "repeats": proxy.forwarder.retries},
@@ -47,12 +51,33 @@
         _quarantine_seconds_by_fingerprint(proxy),
         {"calls": proxy.store.calls, "failures": proxy.store.failures},
         _organisation_usages(proxy),
+        _retries_by_service(proxy),
+        {
+            f"{rank}/{cause}/{verdict}": count
+            for (rank, cause, verdict), count in (
+                proxy.forwarder.retry_allocation.count_by_decision.items()
+            )
+        },
         proxy.run_calls.counts(),
         _called_routes(proxy),
         _held_routes(proxy),
     )
 
 
+def _retries_by_service(proxy) -> dict[str, report.ServiceRetries]:
+    now = proxy.clock.monotonic()
+    budgets = proxy.balancer.retry_budgets
+    shares = proxy.forwarder.retry_allocation.rejected_share_by_service(now)
+    return {
+        service: report.ServiceRetries(
+            rejected,
+            round(budgets.usable(service, now), 2),
+            round(budgets.used(service, now), 2),
+        )
+        for service, rejected in shares.items()
+    }
+
+
 def _organisation_usages(proxy) -> tuple[report.OrganisationUsage, ...]:
     quota = proxy.rate_limiter.limiter.quota
     now = proxy.clock.monotonic()
@@ -124,6 +149,7 @@
         controller.call_reserve.reserved(
             controller.slots, proxy.clock.monotonic()
         ),
+        _room_shares(controller, proxy.clock.monotonic()),
         tuple(
             held
             for held in _held_routes(proxy)
@@ -155,6 +181,64 @@
     )
 
 
+def _room_shares(
+    controller: admission.Controller, now: float
+) -> report.RoomShares:
+    usage, tickets = controller.queue.usage, controller.queue.tickets
+    waiting = collections.Counter(ticket.organisation for ticket in tickets)
+    count = MAX_LISTED_ORGANISATIONS
+    return report.RoomShares(
+        controller.queue.is_fair(),
+        _by_text(usage.starts_by_priority),
+        _by_text(usage.refusals_by_priority),
+        _by_text(collections.Counter(ticket.priority for ticket in tickets)),
+        room_usage.busiest(waiting, count),
+        usage.displaced,
+        {
+            name: round(number, 2)
+            for name, number in usage.displaced_by_organisation.busiest(
+                count, now
+            ).items()
+        },
+        {
+            name: round(seconds / room_usage.RECENT_SECONDS, 4)
+            for name, seconds in usage.work_by_organisation.busiest(
+                count, now
+            ).items()
+        },
+    )
+
+
+def work_by_organisation(proxy) -> dict[str, float]:
+    """Seconds of work started per second on the targets of a process.
+
+    Returns:
+        Work of the busiest organisations by name, and the sum of the others.
+    """
+    now = proxy.clock.monotonic()
+    work: collections.Counter[str] = collections.Counter()
+    for local_target in proxy.local_targets.by_name.values():
+        usage = local_target.controller.queue.usage
+        work.update(
+            usage.work_by_organisation.busiest(
+                room_usage.MAX_ORGANISATIONS, now
+            )
+        )
+    return {
+        name: seconds / room_usage.RECENT_SECONDS
+        for name, seconds in room_usage.busiest(
+            work, MAX_LISTED_ORGANISATIONS
+        ).items()
+    }
+
+
+def _by_text(count_by_priority: dict[int, int]) -> dict[str, int]:
+    return {
+        str(priority): count
+        for priority, count in sorted(count_by_priority.items())
+    }
+
+
 def _ejection_changes(
     proxy, local_target: local_targets.LocalTarget
 ) -> tuple[report.EjectionChange, ...]:
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -13,6 +13,7 @@
 from forklift import invalid_input
 from forklift import invariants
 from forklift.shell import logs
+from forklift.shell import reports
 
 # The value of a metric and its labels.
 Sample = tuple[float, dict[str, str]]
@@ -36,7 +37,9 @@
         self._meter = self._provider.get_meter("forklift")
         self._add_request_metrics(proxy)
         self._add_target_metrics(proxy)
+        self._add_retry_metrics(proxy)
         self._add_call_metrics(proxy)
+        self._add_room_metrics(proxy)
         self._add_process_metrics(proxy)
 
     def render(self) -> bytes:
@@ -167,6 +170,37 @@
             ],
         )
 
+    def _add_retry_metrics(self, proxy) -> None:
+        allocation = proxy.forwarder.retry_allocation
+        self.add_counter(
+            "forklift.retries.decisions",
+            "Retries asked for under overload control, by priority, cause and "
+            "decision",
+            lambda: [
+                (
+                    count,
+                    {
+                        "rank": str(rank),
+                        "cause": str(cause),
+                        "verdict": str(verdict),
+                    },
+                )
+                for (rank, cause, verdict), count in (
+                    allocation.count_by_decision.items()
+                )
+            ],
+        )
+        self.add_gauge(
+            "forklift.retries.rejected",
+            "Share of recent sends that targets rejected, by service",
+            lambda: [
+                (share, {"service": service})
+                for service, share in allocation.rejected_share_by_service(
+                    proxy.clock.monotonic()
+                ).items()
+            ],
+        )
+
     def _add_call_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.calls",
@@ -242,6 +276,50 @@
             ],
         )
 
+    def _add_room_metrics(self, proxy) -> None:
+        """Adds metrics on who gets the room of the local targets.
+
+        Their labels are bounded: see `room_usage`.
+        """
+        local_targets = proxy.local_targets.by_name
+        self.add_counter(
+            "forklift.room.starts",
+            "Requests that were started on targets beside, by priority",
+            lambda: [
+                (count, {"target": name, "priority": str(priority)})
+                for name, target in local_targets.items()
+                for priority, count in (
+                    target.controller.queue.usage.starts_by_priority.items()
+                )
+            ],
+        )
+        self.add_counter(
+            "forklift.room.refusals",
+            "Requests that were refused at targets beside, by priority",
+            lambda: [
+                (count, {"target": name, "priority": str(priority)})
+                for name, target in local_targets.items()
+                for priority, count in (
+                    target.controller.queue.usage.refusals_by_priority.items()
+                )
+            ],
+        )
+        self.add_counter(
+            "forklift.room.displaced",
+            "Queued requests that were refused in favour of others",
+            lambda: [
+                (target.controller.queue.usage.displaced, {"target": name})
+                for name, target in local_targets.items()
+            ],
+        )
+        self.add_gauge(
+            "forklift.room.work",
+            "Seconds of work started a second, by the busiest organisations",
+            lambda: _labelled_samples(
+                reports.work_by_organisation(proxy), "organisation"
+            ),
+        )
+
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.store.calls",
