--- a/forklift/report.py
+++ b/forklift/report.py
@@ -49,6 +49,20 @@
     rejected: float
 
 
+class HeldRoute(_Report):
+    """Runs that are held back as the calls of others found no room.
+
+    Attributes:
+        route: Route of the runs.
+        share: Share of the runs that is started at present, 0 to 1.
+        held: Number of runs that were held back so far.
+    """
+
+    route: str
+    share: float
+    held: int
+
+
 class RoomShares(_Report):
     """Who gets the room of a target, and who waits or was refused.
 
@@ -101,6 +115,7 @@
         called_routes: What the runs of its routes call.
         reserved: Number of slots that only calls of runs get at present.
         room: Who gets the room of the target; None from an older process.
+        held_routes: Runs that are held back.
     """
 
     target: str
@@ -121,6 +136,7 @@
     called_routes: tuple[CalledRoute, ...] = ()
     reserved: int = 0
     room: RoomShares | None = None
+    held_routes: tuple[HeldRoute, ...] = ()
 
 
 class Target(_Report):
@@ -287,6 +303,7 @@
             others.
         admission: Services with the most requests refused at once for lack of
             room; empty while overload control is off.
+        held_routes: Runs of local targets that are held back.
     """
 
     status: Status
@@ -306,6 +323,7 @@
     called_routes: tuple[CalledRoute, ...] = ()
     limit_refusals: tuple[LimitRefusals, ...] = ()
     admission: tuple[AdmissionLevel, ...] = ()
+    held_routes: tuple[HeldRoute, ...] = ()
 
 
 class TargetAnnouncement(_Report):
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -74,6 +74,7 @@
             for name, tally in proxy.rate_limiter.limiter.quota.refusals.items()
         ),
         _admission_levels(proxy),
+        _held_routes(proxy),
     )
 
 
@@ -177,6 +178,19 @@
             controller.slots, proxy.clock.monotonic()
         ),
         _room_shares(controller, proxy.clock.monotonic()),
+        tuple(
+            held
+            for held in _held_routes(proxy)
+            if controller.latencies.get(held.route) is not None
+        ),
+    )
+
+
+def _held_routes(proxy) -> tuple[report.HeldRoute, ...]:
+    now = proxy.clock.monotonic()
+    return tuple(
+        report.HeldRoute(held.route, held.share, held.held)
+        for held in proxy.run_calls.held_routes(now)
     )
 
 
