Expect the wait of a long flow by its share of recent starts

Cause: a request of a flooding organisation was queued as if nobody else sent any more.

Change: fair_queueing keeps the share of the recent starts that each waiting flow (organisation and priority) had. A new request is expected to wait until those of its flow before it have started at that rate, and is refused at once if that is too late.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -368,6 +368,7 @@
     def _expected_room(self, now: float) -> request_queue.Room:
         """When the slots and the rate limit are expected to admit requests."""
         return request_queue.Room(
+            self.slots,
             MAX_QUEUED_PER_SLOT * self.slots,
             lambda: self._slot_times(
                 lambda run: self._remaining_time(run, now)
--- a/forklift/fair_queueing.py
+++ b/forklift/fair_queueing.py
@@ -34,6 +34,14 @@
 # Maximum number of priorities whose credit is kept, so that unusual priorities
 # in the requests of peers do not use up memory.
 MAX_PRIORITIES = 16
+# Weight of the latest start in the share of a flow. The share then reflects the
+# last 16 starts or so: a second or two of a target with a few slots.
+SHARE_GAIN = 1 / 16
+# Lower bound on the share that is assumed of a flow, so that its expected wait
+# stays finite.
+MIN_SHARE = 0.02
+# Maximum number of flows without waiting requests whose shares are kept.
+MAX_IDLE_SHARES = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +140,18 @@
         # negative after it has started more than its share.
         self._credit_by_priority: dict[int, float] = {}
         self._flow_by_running_id: dict[object, tuple[int, str]] = {}
+        self._share_by_flow: dict[tuple[int, str], float] = {}
+
+    def share(self, ticket) -> float:
+        """Share of the recent starts that the flow of a request had.
+
+        Flows are the requests of one priority and organisation. Only starts
+        for which the flow had to wait count, so it is 1 without competition.
+        Requests that arrive later may start earlier, so the queue alone does
+        not tell how long the last request of a long flow will wait.
+        """
+        share = self._share_by_flow.get((ticket.priority, ticket.organisation))
+        return 1.0 if share is None else max(MIN_SHARE, share)
 
     def order(self, candidates: Sequence[Candidate]) -> Iterator[Candidate]:
         """Yields requests in the order in which they would start.
@@ -164,25 +184,27 @@
             yield from stream
 
     def record_start(
-        self, ticket, seconds: float, waiting_priorities: Iterable[int] = ()
+        self, ticket, seconds: float, waiting: Sequence = ()
     ) -> None:
         """Charges a request that starts to its organisation and priority.
 
         Args:
             ticket: The request.
             seconds: Expected seconds of work.
-            waiting_priorities: Priorities of the requests that wait, this one
-                included; empty if the request did not have to wait.
+            waiting: The requests that wait, this one included; empty if the
+                request did not have to wait.
         """
-        waiting = sorted(set(waiting_priorities))
         if waiting:
+            priorities = sorted({other.priority for other in waiting})
             self._account(
-                self._credit_by_priority, waiting, ticket.priority, seconds
+                self._credit_by_priority, priorities, ticket.priority, seconds
             )
-            self._limit_credits(waiting)
+            self._limit_credits(priorities)
+            self._update_shares(ticket, waiting)
         else:
             # Nothing waits, so no priority is kept from starting.
             self._credit_by_priority.clear()
+            self._share_by_flow.clear()
         if not ticket.organisation:
             return
         priority, organisation = ticket.priority, ticket.organisation
@@ -229,6 +251,7 @@
         self._class_by_priority.clear()
         self._credit_by_priority.clear()
         self._flow_by_running_id.clear()
+        self._share_by_flow.clear()
 
     @property
     def flow_count(self) -> int:
@@ -349,6 +372,18 @@
             for priority in set(credits) - set(waiting):
                 del credits[priority]
 
+    def _update_shares(self, ticket, waiting: Sequence) -> None:
+        """Updates the shares of the flows that wait."""
+        shares = self._share_by_flow
+        flows = {(other.priority, other.organisation) for other in waiting}
+        started = ticket.priority, ticket.organisation
+        for flow in flows:
+            share = shares.get(flow, 1.0)
+            shares[flow] = share + SHARE_GAIN * ((flow == started) - share)
+        if len(shares) > len(flows) + MAX_IDLE_SHARES:
+            for flow in set(shares) - flows:
+                del shares[flow]
+
     def _weight(self, organisation: str) -> float:
         weight = self._rules.weight(organisation)
         usable = weight > 0 and math.isfinite(weight)
--- a/forklift/request_queue.py
+++ b/forklift/request_queue.py
@@ -48,6 +48,7 @@
     """What a target is expected to have free.
 
     Attributes:
+        slots: Number of slots.
         capacity: Maximum number of queued requests.
         usual: Returns when slots are free, if running requests take their usual
             time from now on.
@@ -57,6 +58,7 @@
             start, from the number of requests before it and its priority.
     """
 
+    slots: int
     capacity: int
     usual: Callable[[], SlotTimes]
     earliest: Callable[[], SlotTimes]
@@ -227,9 +229,7 @@
             return
         seconds = self._distribution(ticket, now).mean
         self.usage.record_work(ticket.organisation, seconds, now)
-        self._fair.record_start(
-            ticket, seconds, {other.priority for _, other in waiting}
-        )
+        self._fair.record_start(ticket, seconds, [one for _, one in waiting])
 
     def record_end(self, ticket) -> None:
         """Records the end of a started request."""
@@ -269,7 +269,10 @@
         request in the order is refused. A queued request is judged by the
         earliest times at which slots may become free: those by which new
         requests are refused do not shrink while running requests go on, so
-        they would refuse queued requests that do start in time.
+        they would refuse queued requests that do start in time. The new request
+        itself is expected to wait until those of its own flow before it have
+        started at the rate at which the flow was served lately: requests of
+        others that arrive later may go first.
         """
         entries = list(self._entries)
         bisect.insort(
@@ -278,6 +281,8 @@
             key=lambda entry: entry[0],
         )
         usual, earliest = room.usual(), room.earliest()
+        slot_seconds = room.slots * self._fair.share(ticket)
+        flow_wait = usual.wait()
         own_wait = math.inf
         displaced: list[Displaced] = []
         kept: list[Displaced] = []
@@ -286,11 +291,15 @@
             limit_wait = room.limit_wait(len(kept), other.priority)
             wait = max(earliest.wait(other.exclusive), limit_wait)
             if other is ticket:
-                own_wait = max(usual.wait(ticket.exclusive), limit_wait)
+                own_wait = max(
+                    usual.wait(ticket.exclusive), limit_wait, flow_wait
+                )
             elif math.isfinite(own_wait) and now + wait > other.latest_start:
                 displaced.append(Displaced(other, wait))
                 continue
             kept.append(Displaced(other, wait))
+            if _are_one_flow(other, ticket):
+                flow_wait += candidate.seconds / slot_seconds
             usual.take(candidate.seconds)
             earliest.take(candidate.seconds)
         if len(kept) <= room.capacity:
@@ -299,3 +308,10 @@
         if last.ticket is ticket:
             return Placement(own_wait, False)
         return Placement(own_wait, True, (*displaced, last))
+
+
+def _are_one_flow(one, other) -> bool:
+    return (
+        one.priority == other.priority
+        and one.organisation == other.organisation
+    )
--- a/test/test_fair_queueing.py
+++ b/test/test_fair_queueing.py
@@ -54,8 +54,7 @@
 
     def start(self) -> Ticket:
         first = self.order()[0]
-        priorities = {one.priority for one in self.waiting}
-        self.scheduler.record_start(first, first.seconds, priorities)
+        self.scheduler.record_start(first, first.seconds, self.waiting)
         self.waiting.remove(first)
         self.started.append(first)
         return first
@@ -283,6 +282,31 @@
     assert target.scheduler.flow_count == 0
 
 
+def test_share_of_a_flow_follows_its_recent_starts():
+    """Guards against queued requests that can only be refused later."""
+    target = Target(a=3.0)
+    assert target.scheduler.share(Ticket("a")) == 1.0
+    target.serve(200.0, {"organisation": "a"}, {"organisation": "b"})
+    assert target.scheduler.share(Ticket("a")) == pytest.approx(0.75, abs=0.1)
+    assert target.scheduler.share(Ticket("b")) == pytest.approx(0.25, abs=0.1)
+    # Nobody else waits any more.
+    for one in [one for one in target.waiting if one.organisation == "b"]:
+        target.cancel(one)
+    target.serve(80.0, {"organisation": "a"})
+    assert target.scheduler.share(Ticket("a")) > 0.95
+
+
+def test_shares_of_idle_flows_are_bounded():
+    """Guards against memory that grows while the queue is never empty."""
+    target = Target()
+    target.add(Ticket("z", priority=9))
+    for number in range(500):
+        target.add(Ticket(f"o{number}"))
+        target.end(target.start())
+    bound = fair_queueing.MAX_IDLE_SHARES + 3
+    assert len(target.scheduler._share_by_flow) <= bound
+
+
 _tickets = strategies.lists(
     strategies.builds(
         Ticket,
--- a/test/test_overload_replay.py
+++ b/test/test_overload_replay.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import statistics
 
 import pytest
 
@@ -28,14 +29,23 @@
 SECONDS = 20.0
 # Requests until then are not counted, as the queues fill.
 WARM_UP = 3.0
+# Bound of the page.
+MAX_REFUSAL_MEDIAN = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
 class Served:
-    """Requests that arrived and that were served, after the queues filled."""
+    """What became of requests, after the queues filled.
+
+    Attributes:
+        arrived: Number of requests.
+        served: Number of those that were served.
+        refusal_median: Median seconds until a refusal, of all kinds together.
+    """
 
     arrived: int
     served: int
+    refusal_median: float
 
     @property
     def share(self) -> float:
@@ -94,10 +104,16 @@
         for outcome in simulation.outcomes
         if WARM_UP <= outcome.arrived_at < SECONDS
     ]
+    refusal_median = statistics.median(
+        outcome.ended_at - outcome.arrived_at
+        for outcome in counted
+        if not outcome.served
+    )
     return {
         one: Served(
             sum(outcome.kind is one for outcome in counted),
             sum(outcome.kind is one and outcome.served for outcome in counted),
+            refusal_median,
         )
         for one in rate_by_kind
     }
@@ -119,6 +135,7 @@
     assert min(found[name].share for name in USUAL) > 0.95
     left = CAPACITY - sum(found[name].rate for name in USUAL)
     assert found[FLOOD].rate > 0.95 * left
+    assert found[FLOOD].refusal_median < MAX_REFUSAL_MEDIAN
 
 
 def test_load_of_the_page_takes_room_of_others_without_fair_queueing():
@@ -133,6 +150,7 @@
     assert min(found[name].share for name in USUAL[:3]) > 0.95
     ratio = found["heavy"].rate / found["light"].rate
     assert ratio == pytest.approx(2.0, rel=0.1)
+    assert found["light"].refusal_median < MAX_REFUSAL_MEDIAN
 
 
 def test_less_urgent_requests_keep_their_floor():
--- a/test/test_request_queue.py
+++ b/test/test_request_queue.py
@@ -142,6 +142,35 @@
     assert waiting(controller, 0.35) == "ba"
 
 
+def test_long_flow_that_gets_a_small_share_is_refused_at_once():
+    """Guards against requests that wait only to give way to later ones.
+
+    The queue never holds more than one request of the others, so it alone does
+    not tell that half of the time is theirs.
+    """
+    controller = make_controller(Mode())
+    running, now = ticket("a"), 0.0
+    controller.admit(running, now)
+    for _ in range(60):
+        while waiting(controller, now).count("a") < 3:
+            controller.admit(ticket("a"), now)
+        if "b" not in waiting(controller, now):
+            controller.admit(ticket("b"), now)
+        now += WORK
+        (decision,) = controller.finish(running, Signal.SUCCESS, now)
+        running = decision.ticket
+    while "b" in waiting(controller, now):
+        now += WORK
+        (decision,) = controller.finish(running, Signal.SUCCESS, now)
+        running = decision.ticket
+    ahead = waiting(controller, now).count("a")
+    alone = (ahead + 1) * WORK
+    one = ticket("a", start_by=now + 1.3 * alone)
+    assert controller.admit(one, now).reason is Reason.BUSY
+    later = ticket("a", start_by=now + 3.0 * alone)
+    assert isinstance(controller.admit(later, now), admission.Queued)
+
+
 def test_request_cancelled_while_queued_costs_its_organisation_nothing():
     """Guards against callers that give up and then wait behind others."""
     controller = make_controller(Mode())
