--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -352,6 +352,7 @@
     def _expected_room(self, ticket: Ticket, now: float) -> request_queue.Room:
         """When the slots and the rate limit are expected to admit requests."""
         return request_queue.Room(
+            self.slots,
             MAX_QUEUED_PER_SLOT * self.slots,
             lambda: self._slots_in_use.usual_times(ticket, now),
             lambda: self._slots_in_use.earliest_times(ticket, now),
