Keep bulk requests from being trial requests

Cause: since downloads are idempotent they were used as trial requests of ejected targets, and targets with a doubt cost them little. Change: bulk requests are no trial requests, and a failure costs them as much as others that can't be repeated. They are still retried and hedged.

--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -79,6 +79,10 @@
             idle target to keep it in use.
         wait: Whether the request may go to a target without a free slot.
         kilobytes: Estimated size of the request and its response.
+        bulk: Whether the response is large. One that breaks after its start
+            can't be replaced by a retry, so the request is never a trial
+            request, and a failure costs as much as that of a request that is
+            not idempotent.
     """
 
     service: str
@@ -87,6 +91,7 @@
     allows_trial: bool = True
     wait: bool = False
     kilobytes: float = 0.0
+    bulk: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -297,6 +302,7 @@
             view is None
             and requirements.idempotent
             and requirements.allows_trial
+            and not requirements.bulk
         ):
             view = self._select_for_trial(healthy, ejected, now)
         if view is None:
@@ -513,7 +519,7 @@
             )
         loss = (
             IDEMPOTENT_FAILURE_COST
-            if requirements.idempotent
+            if requirements.idempotent and not requirements.bulk
             else health.UNHEALTHY_FAILURE_RATE
         )
         return balancing_algorithms.Candidate(
--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -100,6 +100,7 @@
             recognized.
         organisation: Name of the calling organisation; empty if the route
             allows anonymous callers and the request has no key.
+        bulk: Whether the response is large.
         call: The run of a local target that makes the request, and what the
             request takes from it; None if it is not known to be a call.
     """
@@ -121,6 +122,7 @@
     max_attempts: int = 3
     fingerprint: bytes = b""
     organisation: str = ""
+    bulk: bool = False
     call: run_calls.Call | None = None
 
     @property
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -371,6 +371,7 @@
             allows_trial=retry_state.attempts == 0,
             wait=retry_state.wait,
             kilobytes=self._kilobytes,
+            bulk=self._request.bulk,
         )
         tried, refused = (
             frozenset(retry_state.tried),
@@ -533,7 +534,11 @@
             return None
         service, now = self._request.service, self._now()
         requirements = load_balancer.Requirements(
-            service, True, allows_trial=False, kilobytes=self._kilobytes
+            service,
+            True,
+            allows_trial=False,
+            kilobytes=self._kilobytes,
+            bulk=self._request.bulk,
         )
         excluded = frozenset(self._retry_state.tried | {first.target})
         refused = frozenset(self._retry_state.refused)
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -485,6 +485,7 @@
             max_attempts=route.max_attempts,
             fingerprint=self._fingerprint(event, headers, body, caller),
             organisation=caller,
+            bulk=route.bulk,
             call=call,
         )
         return request, None
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -349,6 +349,15 @@
     ) == {"b"}
 
 
+def test_bulk_request_is_never_a_trial_request():
+    """Guards against large responses that break where no retry can help."""
+    balancer = new_balancer("a", "b")
+    balancer.update_load("a", load(State.SUSPECT), 10.0)
+    assert selected_targets(
+        balancer, requirements(idempotent=True, bulk=True)
+    ) == {"b"}
+
+
 def test_target_that_sheds_load_is_used_only_without_a_healthy_one():
     balancer = new_balancer("a", "b")
     balancer.update_load("a", load(State.SHEDDING), 10.0)
