--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -12,9 +12,8 @@
 from forklift import expressions
 from forklift import invalid_input
 from forklift import invariants
-from forklift import limit_refusals
 from forklift.shell import logs
-from forklift.shell import reports
+from forklift.shell import overload_metrics
 
 # The value of a metric and its labels.
 Sample = tuple[float, dict[str, str]]
@@ -38,12 +37,8 @@
         self._meter = self._provider.get_meter("forklift")
         self._add_request_metrics(proxy)
         self._add_target_metrics(proxy)
-        self._add_retry_metrics(proxy)
-        self._add_call_metrics(proxy)
-        self._add_room_metrics(proxy)
-        self._add_admission_metrics(proxy)
         self._add_process_metrics(proxy)
-        self._add_limit_metrics(proxy.rate_limiter.limiter.quota.refusals)
+        overload_metrics.add_all(self, proxy)
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
@@ -173,201 +168,6 @@
             ],
         )
 
-    def _add_retry_metrics(self, proxy) -> None:
-        allocation = proxy.forwarder.retry_allocation
-        self.add_counter(
-            "forklift.retries.decisions",
-            "Retries asked for under overload control, by priority, cause and "
-            "decision",
-            lambda: [
-                (
-                    count,
-                    {
-                        "rank": str(rank),
-                        "cause": str(cause),
-                        "verdict": str(verdict),
-                    },
-                )
-                for (rank, cause, verdict), count in (
-                    allocation.count_by_decision.items()
-                )
-            ],
-        )
-        self.add_gauge(
-            "forklift.retries.rejected",
-            "Share of recent sends that targets rejected, by service",
-            lambda: [
-                (share, {"service": service})
-                for service, share in allocation.rejected_share_by_service(
-                    proxy.clock.monotonic()
-                ).items()
-            ],
-        )
-
-    def _add_call_metrics(self, proxy) -> None:
-        self.add_counter(
-            "forklift.calls",
-            "Requests that may be calls of targets beside, by match",
-            lambda: _labelled_samples(proxy.run_calls.counts(), "match"),
-        )
-        self.add_counter(
-            "forklift.runs.held",
-            "Runs that were held back as calls found no room, by route",
-            lambda: [
-                (held.held, {"route": held.route})
-                for held in proxy.run_calls.held_routes(proxy.clock.monotonic())
-            ],
-        )
-        self.add_gauge(
-            "forklift.runs.started.share",
-            "Part of the runs that is started, of routes that were held back",
-            lambda: [
-                (held.share, {"route": held.route})
-                for held in proxy.run_calls.held_routes(proxy.clock.monotonic())
-            ],
-        )
-        self.add_gauge(
-            "forklift.targets.reserved",
-            "Slots of targets beside that only calls get at present",
-            lambda: [
-                (
-                    target.controller.call_reserve.reserved(
-                        target.controller.slots, proxy.clock.monotonic()
-                    ),
-                    {"target": name},
-                )
-                for name, target in proxy.local_targets.by_name.items()
-            ],
-        )
-        self._add_called_route_gauge(
-            proxy, "calls_per_run", "Calls of the usual run, by called route"
-        )
-        self._add_called_route_gauge(
-            proxy, "seconds", "Seconds of the usual call, by called route"
-        )
-        self._add_called_route_gauge(
-            proxy,
-            "rejected",
-            "Part of the calls that found no room, by called route",
-        )
-
-    def _add_called_route_gauge(
-        self, proxy, attribute: str, description: str
-    ) -> None:
-        """Adds a gauge of what the runs of local targets call.
-
-        Args:
-            proxy: The process.
-            attribute: Attribute of a `call_profile.CalledRoute`.
-            description: Description of the gauge.
-        """
-        self.add_gauge(
-            f"forklift.called.{attribute.replace('_', '.')}",
-            description,
-            lambda: [
-                (
-                    getattr(called, attribute),
-                    {
-                        "route": called.route,
-                        "called": called.called_route,
-                        "service": called.service,
-                    },
-                )
-                for called in proxy.run_calls.profile.called_routes(
-                    proxy.clock.monotonic()
-                )
-            ],
-        )
-
-    def _add_room_metrics(self, proxy) -> None:
-        """Adds metrics on who gets the room of the local targets.
-
-        Their labels are bounded: see `room_usage`.
-        """
-        local_targets = proxy.local_targets.by_name
-        self.add_counter(
-            "forklift.room.starts",
-            "Requests that were started on targets beside, by priority",
-            lambda: [
-                (count, {"target": name, "priority": str(priority)})
-                for name, target in local_targets.items()
-                for priority, count in (
-                    target.controller.queue.usage.starts_by_priority.items()
-                )
-            ],
-        )
-        self.add_counter(
-            "forklift.room.refusals",
-            "Requests that were refused at targets beside, by priority",
-            lambda: [
-                (count, {"target": name, "priority": str(priority)})
-                for name, target in local_targets.items()
-                for priority, count in (
-                    target.controller.queue.usage.refusals_by_priority.items()
-                )
-            ],
-        )
-        self.add_counter(
-            "forklift.room.displaced",
-            "Queued requests that were refused in favour of others",
-            lambda: [
-                (target.controller.queue.usage.displaced, {"target": name})
-                for name, target in local_targets.items()
-            ],
-        )
-        self.add_gauge(
-            "forklift.room.work",
-            "Seconds of work started a second, by the busiest organisations",
-            lambda: _labelled_samples(
-                reports.work_by_organisation(proxy), "organisation"
-            ),
-        )
-
-    def _add_limit_metrics(
-        self, refusals: limit_refusals.RefusalCounts
-    ) -> None:
-        """Adds metrics of rate limits; the others have an empty name."""
-        self.add_counter(
-            "forklift.limits.refused",
-            "Requests refused by rate limits of organisations, by cause",
-            lambda: [
-                (count, {"organisation": name, "cause": str(cause)})
-                for name, tally in refusals.items()
-                for cause, count in tally.count_by_cause.items()
-            ],
-        )
-        self.add_counter(
-            "forklift.limits.refused.within",
-            "Estimate of those of them that were within the limit",
-            lambda: [
-                (tally.within, {"organisation": name})
-                for name, tally in refusals.items()
-            ],
-        )
-
-    def _add_admission_metrics(self, proxy) -> None:
-        self.add_counter(
-            "forklift.admission.requests",
-            "Requests that this entry admitted or refused at once for room",
-            lambda: [
-                (count, {"service": s, "priority": str(p), "decision": name})
-                for s, level in proxy.forwarder.ingress_admission.read().items()
-                for name, count_by_priority in (
-                    ("admitted", level.admitted_by_priority),
-                    ("refused", level.refused_by_priority),
-                )
-                for p, count in count_by_priority.items()
-            ],
-        )
-        self.add_gauge(
-            "forklift.admission.level",
-            "Share of requests that this entry admits, by service",
-            lambda: [
-                (level.level, {"service": s})
-                for s, level in proxy.forwarder.ingress_admission.read().items()
-            ],
-        )
-
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.store.calls",
@@ -401,21 +201,23 @@
         self.add_counter(
             "forklift.invariants.broken",
             "Broken promises",
-            lambda: _labelled_samples(
+            lambda: overload_metrics.labelled_samples(
                 invariants.violations_by_invariant, "promise"
             ),
         )
         self.add_counter(
             "forklift.expressions.failed",
             "Policy expressions that fell back to their default",
-            lambda: _labelled_samples(
+            lambda: overload_metrics.labelled_samples(
                 expressions.failures_by_expression, "expression"
             ),
         )
         self.add_counter(
             "forklift.unreadable",
             "What came from outside and could not be used, by source",
-            lambda: _labelled_samples(invalid_input.count_by_source, "source"),
+            lambda: overload_metrics.labelled_samples(
+                invalid_input.count_by_source, "source"
+            ),
         )
         self.add_gauge(
             "forklift.config.version",
@@ -434,10 +236,6 @@
         )
 
 
-def _labelled_samples(value_by_key: dict, label: str) -> list[Sample]:
-    return [(count, {label: str(key)}) for key, count in value_by_key.items()]
-
-
 def _make_callback(read: ReadSamples):
     def observe(options: metrics.CallbackOptions):
         for value, labels in read():
