--- a/forklift/local_quota.py
+++ b/forklift/local_quota.py
@@ -14,6 +14,7 @@
 
 from forklift import allocator
 from forklift import limit_messages as messages
+from forklift import limit_refusals
 from forklift import rate_limits
 from forklift import rates
 from forklift import rendezvous
@@ -135,9 +136,15 @@
         # time, monotonic seconds. It expects a token at retry_at.
         self.exhausted_until = -math.inf
         self.retry_at = -math.inf
+        # Rate and burst of the limit of which the allocator has no tokens left,
+        # if it says so of the whole limit; None if it may change any time.
+        self.exhausted_limit: tuple[float, float] | None = None
         self.tokens_wanted = 0
         self.admitted = 0
         self.refused = 0
+        # What the allocator told last, and the cause of the last refusal.
+        self.supply = limit_refusals.UNKNOWN_SUPPLY
+        self.refusal_cause: limit_refusals.Cause | None = None
 
     def rate(self, now: float) -> float:
         """Recent arrival rate, requests per second."""
@@ -159,6 +166,7 @@
         find_organisation: allocator.FindOrganisation,
         own_share: Callable[[], float],
         has_ended: Callable[[str, int], bool] = lambda name, boot: False,
+        overload_control: Callable[[], bool] = lambda: False,
     ):
         """Creates a quota without leases.
 
@@ -170,14 +178,17 @@
                 delegate; 0 if it is not known.
             has_ended: Whether a run of a process, given by name and boot, has
                 certainly ended.
+            overload_control: Whether overload control is in force.
         """
         self.bounds = bounds
         self._own = own
         self._find_organisation = find_organisation
         self._own_share = own_share
         self._has_ended = has_ended
+        self._overload_control = overload_control
         self._shards = [_Shard() for _ in range(SHARD_COUNT)]
         self.usage_by_organisation: dict[str, _Usage] = {}
+        self.refusals = limit_refusals.RefusalCounts()
 
     # Requests.
 
@@ -198,8 +209,11 @@
         if usage.bucket.try_take():
             usage.admitted += 1
             return AdmissionResult(Decision.ADMIT)
-        if now < usage.exhausted_until:
-            usage.refused += 1
+        if now < usage.exhausted_until and usage.exhausted_limit in (
+            None,
+            (limit.rate, limit.burst),
+        ):
+            self._record_refusal(organisation, usage, True, now)
             retry_at = max(usage.exhausted_until, usage.retry_at)
             return AdmissionResult(Decision.REJECT, retry_at - now)
         return AdmissionResult(Decision.ASK_ALLOCATOR)
@@ -210,13 +224,50 @@
         if usage is not None:
             usage.tokens_wanted = count
 
-    def record_outcome(self, organisation: str, granted: bool) -> None:
-        """Counts a request that waited for the allocator's decision."""
+    def record_outcome(
+        self, organisation: str, granted: bool, answered: bool, now: float
+    ) -> None:
+        """Counts a request that waited for the allocator's decision.
+
+        Args:
+            organisation: Name of the organisation that sent the request.
+            granted: Whether the request is admitted.
+            answered: Whether the allocator answered in time.
+            now: Monotonic seconds.
+        """
         usage = self.usage_by_organisation.get(organisation)
         if usage is None:
             return
-        usage.admitted += granted
-        usage.refused += not granted
+        if granted:
+            usage.admitted += 1
+        else:
+            self._record_refusal(organisation, usage, answered, now)
+
+    def refusal_cause(self, organisation: str) -> limit_refusals.Cause | None:
+        """Cause of the last refusal of an organisation; None if not known."""
+        usage = self.usage_by_organisation.get(organisation)
+        return usage.refusal_cause if usage is not None else None
+
+    def _record_refusal(
+        self, organisation: str, usage: _Usage, answered: bool, now: float
+    ) -> None:
+        usage.refused += 1
+        usage.refusal_cause = self._cause(organisation, usage, answered)
+        self.refusals.record(
+            organisation, usage.refusal_cause, usage.supply, now
+        )
+
+    def _cause(
+        self, organisation: str, usage: _Usage, answered: bool
+    ) -> limit_refusals.Cause:
+        if answered:
+            if usage.supply.granted < allocator.COMPLETE_SHARE:
+                return limit_refusals.Cause.NOT_GRANTED
+            return limit_refusals.Cause.BEYOND
+        state = self._shards[shard_of(organisation)]
+        if state.allocation_at is None:
+            return limit_refusals.Cause.NO_ALLOCATOR
+        return limit_refusals.Cause.NO_ANSWER
 
     def refund(self, organisation: str, now: float) -> None:
         """Returns the token of an admitted request that will not run."""
@@ -394,7 +445,7 @@
         }
         state.leases_by_allocator[key] = _LeaseSet(expires_at, shares)
         for one in allocation.token_grants:
-            self._record_exhausted(one, now)
+            self._record_grant(one, now)
         return allocation.token_grants
 
     def delegation_confirmed(self, shard: int) -> bool:
@@ -403,16 +454,38 @@
         exchange = state.exchange_by_name.get(state.allocator)
         return exchange is not None and exchange.echoed
 
-    def _record_exhausted(self, grant: messages.TokenGrant, now: float) -> None:
+    def _record_grant(self, grant: messages.TokenGrant, now: float) -> None:
         usage = self.usage_by_organisation.get(grant.organisation)
-        if usage is not None and grant.retry_after > 0:
-            wait = min(
-                MAX_EXHAUSTED_SECONDS,
-                max(MIN_EXHAUSTED_SECONDS, grant.retry_after),
-            )
+        if usage is None:
+            return
+        usage.supply = limit_refusals.Supply(
+            grant.granted_share, grant.load or usage.supply.load
+        )
+        if grant.retry_after > 0:
+            wait = max(MIN_EXHAUSTED_SECONDS, grant.retry_after)
+            usage.exhausted_limit = self._exhausted_limit(grant)
+            if usage.exhausted_limit is None:
+                wait = min(MAX_EXHAUSTED_SECONDS, wait)
             usage.exhausted_until = now + wait
             usage.retry_at = now + grant.retry_after
 
+    def _exhausted_limit(
+        self, grant: messages.TokenGrant
+    ) -> tuple[float, float] | None:
+        """Limit for which an allocator's word holds as long as it says.
+
+        Returns:
+            Rate and burst; None if tokens may become available earlier.
+        """
+        limit = self._find_organisation(grant.organisation)
+        if (
+            limit is None
+            or grant.granted_share < allocator.COMPLETE_SHARE
+            or not self._overload_control()
+        ):
+            return None
+        return limit.rate, limit.burst
+
     def tick(self, now: float) -> None:
         """Forgets organisations without recent requests."""
         for name, usage in list(self.usage_by_organisation.items()):
--- a/forklift/report.py
+++ b/forklift/report.py
@@ -240,6 +240,39 @@
     used: float
 
 
+class LimitRefusals(_Report):
+    """Requests of an organisation that this process refused with status 429.
+
+    The counts never decrease; see `limit_refusals`.
+
+    Attributes:
+        name: Name of the organisation; empty for the sum of those not listed.
+        refused: Number of refused requests, by cause.
+        within: Estimated number of these that were within the limit.
+    """
+
+    name: str
+    refused: dict[str, int]
+    within: float
+
+
+class AdmissionLevel(_Report):
+    """Admission level of a service at one process.
+
+    Attributes:
+        service: Name of the service.
+        level: Share of the requests that is admitted now, 0 to 1.
+        admitted: Number of admitted requests, by priority.
+        refused: Number of requests refused at once for lack of room, by
+            priority.
+    """
+
+    service: str
+    level: float
+    admitted: dict[int, int]
+    refused: dict[int, int]
+
+
 class StateDump(_Report):
     """Complete state dump of a process.
 
@@ -265,6 +298,11 @@
         calls: Number of requests that may have been calls of local targets:
             `matched` to a run, of these `ambiguous`, and `unmatched`.
         called_routes: What the runs of local targets call.
+        limit_refusals: Requests refused by rate limits since the start of the
+            process, for the organisations with most of them and the sum of the
+            others.
+        admission: Services with the most requests refused at once for lack of
+            room; empty while overload control is off.
         held_routes: Runs of local targets that are held back.
     """
 
@@ -283,6 +321,8 @@
     retry_decisions: dict[str, int] = {}
     calls: dict[str, int] = {}
     called_routes: tuple[CalledRoute, ...] = ()
+    limit_refusals: tuple[LimitRefusals, ...] = ()
+    admission: tuple[AdmissionLevel, ...] = ()
     held_routes: tuple[HeldRoute, ...] = ()
 
 
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -210,6 +210,7 @@
             self.control_channel.send,
             self.clock,
             self._rng,
+            self.overload_control,
         )
         self.follower = store_follower.StoreFollower(
             self.store,
@@ -239,6 +240,11 @@
             self._header_names,
             self.overload_control,
         )
+        self.forwarder.ingress_admission.connect(
+            self.overload_control,
+            lambda: self.settings.overload.floor,
+            self.active_catalog,
+        )
         self.ingress = ingress.Ingress(
             ingress.Hooks(
                 header_names=self._header_names,
@@ -379,10 +385,7 @@
 
         A peer connection counts once, however many requests it carries.
         """
-        from_peers = sum(
-            1 for connection in self.server_connections if connection.busy
-        )
-        return self.ingress.running + self.local_targets.running + from_peers
+        return self.ingress.running + self._running_for_others()
 
     def pending_responses(self) -> int:
         """Number of responses that callers and peers still wait for.
@@ -390,14 +393,12 @@
         Unlike `running`, this includes requests that are still being read and
         responses that are not yet in the socket buffer.
         """
-        from_peers = sum(
-            1 for connection in self.server_connections if connection.busy
-        )
-        return (
-            self.ingress.pending_connections
-            + self.local_targets.running
-            + from_peers
-        )
+        return self.ingress.pending_connections + self._running_for_others()
+
+    def _running_for_others(self) -> int:
+        connections = self.server_connections
+        from_peers = sum(1 for connection in connections if connection.busy)
+        return self.local_targets.running + from_peers
 
     def ready(self) -> bool:
         """Whether the platform should send callers to this process."""
@@ -458,9 +459,7 @@
         self.ticker.wake()
         wait = await self.rate_limiter.admit(request.organisation)
         if wait is not None:
-            self.rate_limiter.log_rejection(
-                request.id, request.organisation, wait
-            )
+            self.rate_limiter.log_rejection(request, wait)
             return exchange.not_run(Reason.LIMITED, wait)
         result = await self.forwarder.run(request, sink)
         if result.ending.outcome is messages.Outcome.NOT_RUN:
--- a/forklift/shell/reports.py
+++ b/forklift/shell/reports.py
@@ -12,6 +12,8 @@
 # Maximum number of organisations that a state dump lists by name. The others,
 # which have the fewest requests, are summed up without a name.
 MAX_LISTED_ORGANISATIONS = 20
+# Maximum number of services whose admission level a state dump lists.
+MAX_LISTED_LEVELS = 20
 
 
 def build_status(proxy) -> report.Status:
@@ -60,6 +62,18 @@
         },
         proxy.run_calls.counts(),
         _called_routes(proxy),
+        tuple(
+            report.LimitRefusals(
+                name,
+                {
+                    str(key): count
+                    for key, count in tally.count_by_cause.items()
+                },
+                round(tally.within, 1),
+            )
+            for name, tally in proxy.rate_limiter.limiter.quota.refusals.items()
+        ),
+        _admission_levels(proxy),
         _held_routes(proxy),
     )
 
@@ -105,6 +119,20 @@
     return tuple(usages)
 
 
+def _admission_levels(proxy) -> tuple[report.AdmissionLevel, ...]:
+    levels = [
+        report.AdmissionLevel(
+            service,
+            level.level,
+            level.admitted_by_priority,
+            level.refused_by_priority,
+        )
+        for service, level in proxy.forwarder.ingress_admission.read().items()
+    ]
+    levels.sort(key=lambda level: (-sum(level.refused.values()), level.service))
+    return tuple(levels[:MAX_LISTED_LEVELS])
+
+
 def _quarantine_seconds_by_fingerprint(proxy) -> dict[str, float]:
     now = proxy.clock.monotonic()
     return {
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -12,6 +12,7 @@
 from forklift import expressions
 from forklift import invalid_input
 from forklift import invariants
+from forklift import limit_refusals
 from forklift.shell import logs
 from forklift.shell import reports
 
@@ -40,7 +41,9 @@
         self._add_retry_metrics(proxy)
         self._add_call_metrics(proxy)
         self._add_room_metrics(proxy)
+        self._add_admission_metrics(proxy)
         self._add_process_metrics(proxy)
+        self._add_limit_metrics(proxy.rate_limiter.limiter.quota.refusals)
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
@@ -320,6 +323,51 @@
             ),
         )
 
+    def _add_limit_metrics(
+        self, refusals: limit_refusals.RefusalCounts
+    ) -> None:
+        """Adds metrics of rate limits; the others have an empty name."""
+        self.add_counter(
+            "forklift.limits.refused",
+            "Requests refused by rate limits of organisations, by cause",
+            lambda: [
+                (count, {"organisation": name, "cause": str(cause)})
+                for name, tally in refusals.items()
+                for cause, count in tally.count_by_cause.items()
+            ],
+        )
+        self.add_counter(
+            "forklift.limits.refused.within",
+            "Estimate of those of them that were within the limit",
+            lambda: [
+                (tally.within, {"organisation": name})
+                for name, tally in refusals.items()
+            ],
+        )
+
+    def _add_admission_metrics(self, proxy) -> None:
+        self.add_counter(
+            "forklift.admission.requests",
+            "Requests that this entry admitted or refused at once for room",
+            lambda: [
+                (count, {"service": s, "priority": str(p), "decision": name})
+                for s, level in proxy.forwarder.ingress_admission.read().items()
+                for name, count_by_priority in (
+                    ("admitted", level.admitted_by_priority),
+                    ("refused", level.refused_by_priority),
+                )
+                for p, count in count_by_priority.items()
+            ],
+        )
+        self.add_gauge(
+            "forklift.admission.level",
+            "Share of requests that this entry admits, by service",
+            lambda: [
+                (level.level, {"service": s})
+                for s, level in proxy.forwarder.ingress_admission.read().items()
+            ],
+        )
+
     def _add_process_metrics(self, proxy) -> None:
         self.add_counter(
             "forklift.store.calls",
