Soak: seeds from 50000 on switch overload control on

Cause: the soak played none of the new parts. Change: processes of these seeds are told [overload] mode = on; earlier seeds stay as they were.

--- a/forklift_lab/play.py
+++ b/forklift_lab/play.py
@@ -20,7 +20,8 @@
     heartbeat_ms = programs.HEARTBEAT_MS
     if seed >= soaks.RETURNS_FROM:
         heartbeat_ms = soaks.HEARTBEAT_MS
-    async with programs.Programs(True, heartbeat_ms) as running:
+    overload = "on" if seed >= soaks.OVERLOAD_FROM else "auto"
+    async with programs.Programs(True, heartbeat_ms, overload) as running:
         soak = soaks.Soak(seed, running)
         soak.breaches = await soak.run()
         for breach in soak.breaches:
--- a/forklift_lab/programs.py
+++ b/forklift_lab/programs.py
@@ -54,6 +54,9 @@
 ratio = 0.2
 window = 10
 reserve = 50
+
+[overload]
+mode = {overload}
 """
 
 
@@ -154,10 +157,17 @@
         relayed: Whether a relay stands on each way of each process.
         heartbeat_ms: Milliseconds between two heartbeats, as processes are
             told.
+        overload: Mode of overload control of the processes.
     """
 
-    def __init__(self, relayed: bool = False, heartbeat_ms: int = HEARTBEAT_MS):
+    def __init__(
+        self,
+        relayed: bool = False,
+        heartbeat_ms: int = HEARTBEAT_MS,
+        overload: str = "auto",
+    ):
         self._heartbeat_ms = heartbeat_ms
+        self._overload = overload
         self.store = store.Store()
         self._relayed = relayed
         self.relays_by_name: dict[str, Relays] = {}
@@ -240,6 +250,7 @@
                 control_public=relays.control.address if relays else "",
                 grace=GRACE,
                 heartbeat_ms=self._heartbeat_ms,
+                overload=self._overload,
             )
         )
         log = (self.folder / f"{found.name}.log").open("ab")
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -83,6 +83,8 @@
 # Seeds from this one on also let targets name limits, and say in their answers
 # that they leave.
 NOTICES_FROM = 40_000
+# Seeds from this one on also switch overload control on.
+OVERLOAD_FROM = 50_000
 # Seconds in which the requests of a limited target are counted, and what it may
 # get in these: a multiple of its limit, and a number. Answers bind a process
 # from so many seconds on.
