Test calls of routes with a short timeout, and what their retries are charged

Cause: no test covered that a call is matched by the deadline that it names, not by the one limited to the timeout of its route, and that the retry budget keeps to the objective of the route. Each request also drew a random number for holding back while overload control is off.

Change: tests of both; the number is drawn only while overload control is on.

--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -260,7 +260,8 @@
         sink: exchange.Sink,
     ) -> exchange.Result:
         now = self._clock.monotonic()
-        held_back_for = self._calls.held_back_for(ticket, self._draw(), now)
+        draw = self._draw() if self._calls.is_enabled() else 0.0
+        held_back_for = self._calls.held_back_for(ticket, draw, now)
         if held_back_for and not local_target.controller.closed:
             load = self._current_load(local_target, request.route)
             return exchange.not_run(Reason.BUSY, held_back_for, load)
--- a/test/test_run_calls.py
+++ b/test/test_run_calls.py
@@ -1,6 +1,7 @@
 """Matches calls to runs, and what a matched call takes from its run."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -8,6 +9,7 @@
 from forklift import admission
 from forklift import overload
 from forklift import run_calls
+from forklift.shell import exchange
 from test import calling_fleet
 from test import helper
 
@@ -184,6 +186,38 @@
     play(work, [["calling"], ["hold"]], first=calling_fleet.record())
 
 
+def test_call_matches_although_its_route_has_a_shorter_timeout():
+    """Guards against deadlines that are compared after they are limited.
+
+    The run has 30 s left, the called route a timeout of 3 s.
+    """
+
+    async def work(fleet):
+        assert (await fleet.send("/outer/")).status == 200
+        assert fleet.proxies[0].run_calls.matched == 1
+
+    first = calling_fleet.record()
+    first["routes"]["called"]["timeout-ms"] = 3000
+    play(work, [["calling"], []], first=first)
+
+
+def test_retries_of_a_call_are_charged_by_the_objective_of_its_route():
+    """The budget derives from it which services a retried call may call.
+
+    Guards against calls of late runs whose own calls would not be charged.
+    """
+    call = calls_of(ticket(soft_deadline=900.0)).match("", DEADLINE, 950.0)
+    request = exchange.Request(
+        *("id", 1, "s", "r", b"GET", b"/", (), 0, exchange.Body(), 990.0, True),
+        soft_deadline=call.soft_deadline,
+        call=call,
+    )
+    assert request.soft_deadline == 900.0
+    assert request.route_soft_deadline == 950.0
+    direct = dataclasses.replace(request, call=None)
+    assert direct.route_soft_deadline == 900.0
+
+
 def test_call_keeps_its_place_while_overload_control_is_off():
     async def work(fleet):
         for process in fleet.proxies:
