Let the successor of a failed allocator grant up to 2.5 s earlier

Cause: an allocator may grant a share for 5 s from when it sent the allocation that is echoed. The delegator counted 5 s from its last delegation. Requests for tokens are delegations, also where nobody answers, so a shard whose allocator ended or was cut off had no tokens for up to 7.4 s.

Change, while overload control is on: the delegator counts from when the echoed allocation arrived. That is after it was sent, so the delegator still counts for longer than the allocator, and the sum rule is untouched. What it counted before overload control came into force stays. An allocator that does not tell what it could grant (an older version) is no longer taken for one that has the whole limit.

--- a/forklift/limit_messages.py
+++ b/forklift/limit_messages.py
@@ -56,7 +56,7 @@
         retry_after: Seconds until more are available; 0 if all were granted.
         usable_in: Seconds until all of the granted tokens may be used.
         granted_share: Fraction of the limit that the allocator could grant
-            recently, 0 to 1.
+            recently, 0 to 1; None from an older version, which doesn't tell.
         load: Demand of all processes as a multiple of the limit's rate; 0 if it
             is not known.
     """
@@ -65,7 +65,7 @@
     count: int
     retry_after: float
     usable_in: float = 0.0
-    granted_share: float = 1.0
+    granted_share: float | None = None
     load: float = 0.0
 
 
--- a/forklift/local_quota.py
+++ b/forklift/local_quota.py
@@ -82,6 +82,8 @@
         last_received: Sequence number of the last allocation.
         echo: Sequence number of the allocation that the next delegation echoes;
             0 if none arrived since this process selected the allocator.
+        echo_received_at: Time at which that allocation arrived, monotonic
+            seconds.
         echoed: Whether a delegation has echoed an allocation. Only then may the
             allocator grant the share of this process.
         sent_at: Times at which recent delegations were sent, by sequence
@@ -92,6 +94,7 @@
     last_sent: int = 0
     last_received: int = 0
     echo: int = 0
+    echo_received_at: float = -math.inf
     echoed: bool = False
     sent_at: collections.OrderedDict[int, float] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -340,11 +343,12 @@
         share = self._own_share()
         if exchange.echo:
             exchange.echoed = True
-            state.delegated_until = dict(previous)
+            delegated_until = dict(previous)
             if share:
-                state.delegated_until[current] = (
-                    now + allocator.DELEGATION_SECONDS
+                delegated_until[current] = self._delegated_until(
+                    state, exchange, current, now
                 )
+            state.delegated_until = delegated_until
         exclusive_in = max(
             (until - now for until in previous.values()), default=0.0
         )
@@ -361,6 +365,26 @@
             tuple(self._demands(state, now)),
         )
 
+    def _delegated_until(
+        self,
+        state: _Shard,
+        exchange: _Exchange,
+        current: tuple[str, int],
+        now: float,
+    ) -> float:
+        """Time until which the current allocator may grant the share.
+
+        The allocator counts the delegation from when it sent the allocation
+        that is echoed, which was before that allocation arrived. With overload
+        control the time is therefore not extended by delegations that the
+        allocator does not answer.
+        """
+        if not self._overload_control():
+            return now + allocator.DELEGATION_SECONDS
+        until = exchange.echo_received_at + allocator.DELEGATION_SECONDS
+        # It may have been extended before overload control was in force.
+        return max(until, state.delegated_until.get(current, -math.inf))
+
     def _select(self, state: _Shard, name: str, exchange: _Exchange) -> None:
         """Turns to another allocator of a shard.
 
@@ -433,6 +457,7 @@
             self._refill(name, self.usage_by_organisation[name], now)
         exchange.last_received, state.allocation_at = allocation.sequence, now
         exchange.echo = allocation.sequence
+        exchange.echo_received_at = now
         if allocation.sender.name == state.allocator:
             state.unanswered_since = None
         expires_at = exchange.sent_at[allocation.echo] + allocation.valid_for
@@ -458,8 +483,9 @@
         usage = self.usage_by_organisation.get(grant.organisation)
         if usage is None:
             return
+        granted = 1.0 if grant.granted_share is None else grant.granted_share
         usage.supply = limit_refusals.Supply(
-            grant.granted_share, grant.load or usage.supply.load
+            granted, grant.load or usage.supply.load
         )
         if grant.retry_after > 0:
             wait = max(MIN_EXHAUSTED_SECONDS, grant.retry_after)
@@ -480,6 +506,7 @@
         limit = self._find_organisation(grant.organisation)
         if (
             limit is None
+            or grant.granted_share is None
             or grant.granted_share < allocator.COMPLETE_SHARE
             or not self._overload_control()
         ):
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -127,10 +127,10 @@
     found.at(5, lambda: setattr(found, "loses", 0.0))
 
 
-def run_random_faults(seed: int) -> limit_model.Model:
+def run_random_faults(seed: int, **changes) -> limit_model.Model:
     """Runs a fleet with random faults and overloads."""
     rng = random.Random(seed)
-    found = loaded_fleet(seed)
+    found = loaded_fleet(seed, **changes)
     for _ in range(rng.randint(1, 4)):
         name = rng.choice(sorted(fault_by_name))
         at = rng.uniform(0, 0.7 * SECONDS)
@@ -149,6 +149,17 @@
     assert {name: part for name, part in over.items() if part > 1.0} == {}
 
 
+@pytest.mark.parametrize("seed", range(20, 32))
+def test_limits_hold_with_overload_control(seed):
+    """Overload control is in force at all processes, or at every second one."""
+    one_in = 1 + seed % 2
+    found = run_random_faults(
+        seed, overload_control=lambda name: int(name[1:]) % one_in == 0
+    )
+    over = {name: found.worst(name) for name in found.limits}
+    assert {name: part for name, part in over.items() if part > 1.0} == {}
+
+
 @pytest.mark.parametrize("name", sorted(fault_by_name))
 @pytest.mark.parametrize("seed", range(2))
 def test_admitted_requests_stay_within_the_limit_under_each_fault(name, seed):
@@ -771,6 +782,86 @@
     )
 
 
+@pytest.mark.parametrize("controlled", [False, True])
+def test_unanswered_delegations_don_t_delay_the_next_allocator(controlled):
+    """Guards against refusals for 7 s after an allocator ended.
+
+    The requests for tokens that it no longer answers are delegations, too.
+    """
+    found = local_quota_of_process(controlled)
+    shard = local_quota.shard_of("o")
+    found.receive(allocation(found, 0.0), 0.0)
+    for now in (0.1, 1.1, 2.1):
+        found.delegate(shard, "a", now)
+    left = found.delegate(shard, "b", 2.2).exclusive_in
+    last = 0.0 if controlled else 2.1
+    assert left == pytest.approx(last + DELEGATION_SECONDS - 2.2)
+
+
+def test_delegation_lasts_as_before_until_overload_control_was_on_for_long():
+    """Guards against two allocators that grant a share while the mode changes.
+
+    The allocator counts what it was delegated before the change.
+    """
+    mode = [False]
+    found = local_quota.LocalQuota(
+        lambda: limit_messages.ProcessRun("p", "p", 7),
+        BOUNDS,
+        {"o": LIMIT}.get,
+        lambda: 1.0,
+        overload_control=lambda: mode[0],
+    )
+    shard = local_quota.shard_of("o")
+    found.receive(allocation(found, 0.0), 0.0)
+    found.delegate(shard, "a", 1.0)
+    mode[0] = True
+    found.delegate(shard, "a", 1.1)
+    other = found.delegate(shard, "b", 1.2)
+    assert other.exclusive_in == pytest.approx(DELEGATION_SECONDS - 0.2)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_delegator_counts_its_share_as_lent_for_as_long_as_the_allocator(seed):
+    """Guards against a share that two allocators may grant at once.
+
+    Messages are late, overtake each other or are lost, and overload control is
+    switched at random.
+    """
+    rng = random.Random(seed)
+    mode = [True]
+    quota = local_quota.LocalQuota(
+        lambda: limit_messages.ProcessRun("p", "p", 7),
+        BOUNDS,
+        {"o": LIMIT}.get,
+        lambda: 1.0,
+        overload_control=lambda: mode[0],
+    )
+    lender = single_allocator()
+    due: list[tuple[float, int, object]] = []
+    for number in range(400):
+        now = 0.1 * number
+        mode[0] = mode[0] != (rng.random() < 0.02)
+        for entry in sorted(due):
+            if entry[0] > now:
+                continue
+            due.remove(entry)
+            if isinstance(entry[2], limit_messages.Allocation):
+                quota.receive(entry[2], now)
+                continue
+            answer = lender.receive_delegation(entry[2], now)
+            if answer is not None and rng.random() < 0.8:
+                due.append((now + rng.expovariate(2.0), number, answer))
+        if rng.random() < 0.3:
+            sent = quota.delegate(0, "a", now)
+            if rng.random() < 0.8:
+                due.append((now + rng.expovariate(2.0), number, sent))
+        delegator = lender._delegator_by_name.get("p")
+        if delegator is None or delegator.expires_at <= now:
+            continue
+        lent = quota._shards[0].delegated_until[("a", OWN.boot)]
+        assert delegator.expires_at <= lent + 1e-9
+
+
 def test_delegation_to_an_ended_allocator_expires_with_its_leases():
     ended = set()
     found = local_quota.LocalQuota(
@@ -816,6 +907,8 @@
         (True, 1.0, 3.0),
         # A part of the limit may grow any time.
         (True, 0.5, local_quota.MAX_EXHAUSTED_SECONDS),
+        # An allocator of an older version does not tell.
+        (True, None, local_quota.MAX_EXHAUSTED_SECONDS),
         (False, 1.0, local_quota.MAX_EXHAUSTED_SECONDS),
     ],
 )
--- a/test/test_limits_overload.py
+++ b/test/test_limits_overload.py
@@ -167,3 +167,34 @@
     found.at(FAILURE_AFTER + 4.0, found.cut.clear)
     found.run(SECONDS)
     assert found.figures().worst <= 1.0
+
+
+@pytest.mark.parametrize("failure", [kill, cut_off])
+@pytest.mark.parametrize("controlled", [False, True])
+def test_shard_has_tokens_again_once_the_last_answer_is_too_old(
+    failure, controlled
+):
+    """Guards against a successor that waits for delegations sent in vain.
+
+    The failed allocator counts the delegations from its last answers, the first
+    of which was sent at most 1 s before it failed. Its successor may grant 5 s
+    after them; without overload control it waits for up to 2.5 s longer.
+    """
+    changes = {"overload_control": overload_control} if controlled else {}
+    found = surging_fleet(24, 1, **changes)
+    failure(found)
+    failed_at = found.now + FAILURE_AFTER
+    found.run(SECONDS)
+    since = failed_at + allocator.DELEGATION_SECONDS + 0.5
+    shard = local_quota.shard_of("o0")
+    late = [
+        let_in
+        for name in found.limits
+        if local_quota.shard_of(name) == shard
+        for came, _, let_in in found.ends[name]
+        if since <= came < since + 1.5
+    ]
+    assert len(late) > 50
+    served = sum(late) / len(late)
+    assert served > 0.8 if controlled else served < 0.5
+    assert found.figures().worst <= 1.0
