Keep retries for others only while targets reject many requests

Change: while the ratio of the budget covers the retries that the share of rejected sends needs, every retry that the budget allows is granted. Result: a test that fails before and passes now; test_retry_allocation and test_request_retries passed with their bounds unchanged.

--- a/forklift/retry_allocation.py
+++ b/forklift/retry_allocation.py
@@ -365,11 +365,14 @@
         needed = state.needed(now, self._window)
         room = retry.share * usable - used
         kept = 0.0
+        plenty = (
+            used + 1 <= PLENTY_SHARE * usable
+            or usable - used >= sum(needed.values())
+            or self._covers(rejected, retry.request.max_attempts)
+        )
         if room < 1:
             verdict = Verdict.EXHAUSTED
-        elif used + 1 <= PLENTY_SHARE * usable or usable - used >= sum(
-            needed.values()
-        ):
+        elif plenty:
             verdict = Verdict.GRANTED
         elif MAX_SENDS_PER_RESPONSE * (1 - rejected) < 1:
             verdict = Verdict.REJECTING
@@ -461,6 +464,15 @@
             for service, state in self._state_by_service.items()
         }
 
+    def _covers(self, rejected: float, attempts: int) -> bool:
+        """Whether the ratio alone covers the retries after rejections.
+
+        Without mass rejections nothing is kept: hedges and retries after
+        failures would be refused for a need that does not come.
+        """
+        ratio = self._budgets.limits.ratio
+        return _mean_retries(rejected, attempts) <= ratio
+
     @property
     def _window(self) -> float:
         return self._budgets.limits.window
--- a/test/test_retry_allocation.py
+++ b/test/test_retry_allocation.py
@@ -27,9 +27,11 @@
 class Process:
     """One process whose budget has a given number of usable retries."""
 
-    def __init__(self, usable: float, is_enabled: bool = True):
+    def __init__(
+        self, usable: float, is_enabled: bool = True, ratio: float = 0.0
+    ):
         self.budgets = retry_budgets.RetryBudgets(
-            retry_budgets.Limits(0.0, WINDOW, usable / 0.9, 0.0), lambda: 1
+            retry_budgets.Limits(ratio, WINDOW, usable / 0.9, 0.0), lambda: 1
         )
         self.allocation = retry_allocation.RetryAllocation(
             self.budgets, lambda: is_enabled
@@ -123,6 +125,20 @@
     assert process.spend(CHARGE, count=8) == 6
 
 
+@pytest.mark.parametrize(("rejected", "granted"), [(0, 7), (2, 7), (16, 2)])
+def test_hedges_get_the_budget_unless_targets_reject_many(rejected, granted):
+    """Guards against hedges that are refused for a need that does not come.
+
+    Half of the sends fail, so retries after failures alone would need more
+    than the budget.
+    """
+    process = Process(8.0, ratio=0.2)
+    process.send(LOOKUP, 20 - rejected, rejected)
+    for _ in range(10):
+        process.allocation.record_failure(LOOKUP, 0.0)
+    assert process.spend(LOOKUP, Cause.HEDGE, count=7) == granted
+
+
 def test_budget_that_more_urgent_requests_do_not_need_is_granted():
     """A fixed share for each rank would leave a part of the budget unused."""
     process = Process(8.0)
