Replay the admission level with fair queueing

Cause: both parts decide who gets the room, so what callers get has to be measured with both.

Change: the simulation applies what a queued request displaces, and may order queues by fair queueing.

--- a/test/level_simulation.py
+++ b/test/level_simulation.py
@@ -15,6 +15,7 @@
 
 from forklift import admission
 from forklift import admission_level
+from forklift import fair_queueing
 from forklift import health
 from forklift import load_balancer
 from forklift import messages
@@ -119,7 +120,9 @@
         is_on: Whether the admission level is asked.
         message_work: Seconds that a process needs for each message.
         seed: Seed of all random numbers.
-        floor: Lowest probability of admission.
+        floor: Lowest probability of admission; also the share of a target's
+            work that each waiting priority keeps.
+        is_fair: Whether targets order their queues by fair queueing.
 
     Attributes:
         sends: All requests, repeats included.
@@ -137,10 +140,14 @@
         message_work: float = 0.0,
         seed: int = 1,
         floor: float = 0.1,
+        is_fair: bool = False,
     ):
         self.sends: list[Send] = []
+        rules = fair_queueing.Rules(
+            lambda: is_fair, lambda organisation: 1.0, lambda: floor
+        )
         self.controller_by_target = {
-            f"t{n}": admission.Controller(f"t{n}", SERVICE, slots)
+            f"t{n}": admission.Controller(f"t{n}", SERVICE, slots, rules)
             for n in range(targets)
         }
         self.reports_lost = False
@@ -317,6 +324,7 @@
     def _apply(self, decisions: list[admission.Decision], now: float) -> None:
         for decision in decisions:
             if isinstance(decision, admission.Queued):
+                self._apply(list(decision.displaced), now)
                 continue
             self._pending_by_id.pop(decision.ticket.id)(decision, now)
 
--- a/test/test_admission_level_load.py
+++ b/test/test_admission_level_load.py
@@ -31,9 +31,12 @@
     work: float = MESSAGE_WORK,
     waiting_share: float = 0.5,
     fault: str = "",
+    is_fair: bool = False,
 ) -> list[level_simulation.Send]:
     """Returns all requests of a surge; half of the callers repeat at once."""
-    simulation = level_simulation.Simulation(20, 5, 3, ROUTES, is_on, work, 3)
+    simulation = level_simulation.Simulation(
+        20, 5, 3, ROUTES, is_on, work, seed=3, is_fair=is_fair
+    )
     for rate, begin, end in (
         (USUAL_RATE, 0.0, SURGE_BEGIN),
         (factor * USUAL_RATE, SURGE_BEGIN, SURGE_END),
@@ -110,6 +113,17 @@
     assert urgent_in_time(play(True)) >= urgent_in_time(play(False))
 
 
+def test_with_fair_queueing_the_least_urgent_keep_their_floor():
+    """Guards against a level that takes the room which the queue leaves."""
+    before, after = play(False, is_fair=True), play(True, is_fair=True)
+    assert goodput(after) >= goodput(before)
+    assert urgent_in_time(after) >= urgent_in_time(before)
+    counts = level_simulation.count_in_time(after, SURGE_BEGIN, SURGE_END)
+    seconds = {r.priority: r.seconds * counts[r.priority] for r in ROUTES}
+    # The default of [overload] floor.
+    assert seconds[2] >= 0.1 * sum(seconds.values())
+
+
 @pytest.mark.parametrize("waiting_share", [0.5, 1.0])
 def test_without_costs_of_messages_as_much_work_is_done(waiting_share):
     """Guards against refusals that leave slots idle."""
