Expect slots by the age of running requests in fair queueing

A priority that had been served in full kept credit and went before more urgent requests, and free slots were expected as if running requests had just started. Queued requests of less urgent priorities gave way late: the median of refusals was 0.12 to 0.2 s.

Change: a priority earns credit only while it waits behind more urgent ones; else it pays off what it started beyond its floor. Slots are expected by the age of running requests. The wait behind requests of the same priority counts its share of recent starts, as within an organisation.

Tests of the touched modules pass.

--- a/forklift/fair_queueing.py
+++ b/forklift/fair_queueing.py
@@ -140,18 +140,24 @@
         # negative after it has started more than its share.
         self._credit_by_priority: dict[int, float] = {}
         self._flow_by_running_id: dict[object, tuple[int, str]] = {}
-        self._share_by_flow: dict[tuple[int, str], float] = {}
+        # By priority and organisation; None is for the whole priority.
+        self._share_by_flow: dict[tuple[int, str | None], float] = {}
 
-    def share(self, ticket) -> float:
-        """Share of the recent starts that the flow of a request had.
+    def share(self, priority: int, organisation: str | None = None) -> float:
+        """Share of the recent starts that a flow had.
 
-        Flows are the requests of one priority and organisation. Only starts
-        for which the flow had to wait count, so it is 1 without competition.
-        Requests that arrive later may start earlier, so the queue alone does
-        not tell how long the last request of a long flow will wait.
+        A flow is the requests of one priority, or of one organisation within
+        it. Only starts for which the flow had to wait count, so the share is 1
+        without competition. Requests that arrive later may start earlier, so
+        the queue alone does not tell how long the last request of a long flow
+        will wait.
+
+        Args:
+            priority: The priority.
+            organisation: The organisation; None for the whole priority.
         """
-        share = self._share_by_flow.get((ticket.priority, ticket.organisation))
-        return 1.0 if share is None else max(MIN_SHARE, share)
+        share = self._share_by_flow.get((priority, organisation), 1.0)
+        return max(MIN_SHARE, share)
 
     def order(self, candidates: Sequence[Candidate]) -> Iterator[Candidate]:
         """Yields requests in the order in which they would start.
@@ -343,9 +349,11 @@
     ) -> None:
         """Updates what the priorities may start.
 
-        A priority that had to wait goes on to earn its floor while none of its
-        requests wait, up to one request. Otherwise the next one would be
-        refused because of its long wait, and the wait would never end.
+        A priority that has started more than its share makes up for it also
+        while none of its requests wait. Otherwise its next request would be
+        refused because of its long wait, and the wait would never end. Beyond
+        that, it earns nothing then, or it would delay more urgent requests
+        without having waited for them.
 
         Args:
             credit_by_priority: Seconds of work by priority; updated.
@@ -359,7 +367,7 @@
         )
         for priority in set(credit_by_priority) - set(less_urgent):
             credit = credit_by_priority[priority] + floor * seconds
-            credit_by_priority[priority] = min(credit, seconds)
+            credit_by_priority[priority] = min(credit, 0.0)
         for priority in less_urgent:
             credit = credit_by_priority.get(priority, 0.0)
             credit_by_priority[priority] = credit + floor * seconds
@@ -376,10 +384,14 @@
         """Updates the shares of the flows that wait."""
         shares = self._share_by_flow
         flows = {(other.priority, other.organisation) for other in waiting}
-        started = ticket.priority, ticket.organisation
+        flows |= {(other.priority, None) for other in waiting}
+        started = (
+            (ticket.priority, ticket.organisation),
+            (ticket.priority, None),
+        )
         for flow in flows:
             share = shares.get(flow, 1.0)
-            shares[flow] = share + SHARE_GAIN * ((flow == started) - share)
+            shares[flow] = share + SHARE_GAIN * ((flow in started) - share)
         if len(shares) > len(flows) + MAX_IDLE_SHARES:
             for flow in set(shares) - flows:
                 del shares[flow]
--- a/forklift/request_queue.py
+++ b/forklift/request_queue.py
@@ -266,13 +266,13 @@
 
         A queued request is refused in its favour if it comes later in the order
         and can't start in time any more. If the queue is full even so, the last
-        request in the order is refused. A queued request is judged by the
-        earliest times at which slots may become free: those by which new
-        requests are refused do not shrink while running requests go on, so
-        they would refuse queued requests that do start in time. The new request
-        itself is expected to wait until those of its own flow before it have
-        started at the rate at which the flow was served lately: requests of
-        others that arrive later may go first.
+        request in the order is refused. Slots are expected to become free at
+        the earliest times: the usual ones do not shrink while running requests
+        go on, so they would refuse queued requests, and urgent ones with a
+        short objective, that do start in time. The new request is expected to
+        wait until those of its priority and organisation before it have started
+        at the rate at which these were served lately: requests of others that
+        arrive later may go first.
         """
         entries = list(self._entries)
         bisect.insort(
@@ -280,38 +280,36 @@
             (self._position(ticket), ticket),
             key=lambda entry: entry[0],
         )
-        usual, earliest = room.usual(), room.earliest()
-        slot_seconds = room.slots * self._fair.share(ticket)
-        flow_wait = usual.wait()
+        slots = room.earliest()
+        priority, organisation = ticket.priority, ticket.organisation
+        class_share = self._fair.share(priority)
+        flow_share = self._fair.share(priority, organisation)
+        class_seconds = flow_seconds = 0.0
+        first_wait = slots.wait()
         own_wait = math.inf
         displaced: list[Displaced] = []
         kept: list[Displaced] = []
         for candidate in self._fair_order(entries, now):
             other = candidate.ticket
             limit_wait = room.limit_wait(len(kept), other.priority)
-            wait = max(earliest.wait(other.exclusive), limit_wait)
+            wait = max(slots.wait(other.exclusive), limit_wait)
             if other is ticket:
-                own_wait = max(
-                    usual.wait(ticket.exclusive), limit_wait, flow_wait
+                share_wait = max(
+                    class_seconds / class_share, flow_seconds / flow_share
                 )
+                own_wait = max(wait, first_wait + share_wait / room.slots)
             elif math.isfinite(own_wait) and now + wait > other.latest_start:
                 displaced.append(Displaced(other, wait))
                 continue
             kept.append(Displaced(other, wait))
-            if _are_one_flow(other, ticket):
-                flow_wait += candidate.seconds / slot_seconds
-            usual.take(candidate.seconds)
-            earliest.take(candidate.seconds)
+            if other.priority == priority:
+                class_seconds += candidate.seconds
+                if other.organisation == organisation:
+                    flow_seconds += candidate.seconds
+            slots.take(candidate.seconds)
         if len(kept) <= room.capacity:
             return Placement(own_wait, True, tuple(displaced))
         last = kept[-1]
         if last.ticket is ticket:
             return Placement(own_wait, False)
         return Placement(own_wait, True, (*displaced, last))
-
-
-def _are_one_flow(one, other) -> bool:
-    return (
-        one.priority == other.priority
-        and one.organisation == other.organisation
-    )
--- a/test/test_fair_queueing.py
+++ b/test/test_fair_queueing.py
@@ -231,6 +231,16 @@
     assert less_urgent == pytest.approx(20, abs=1)
 
 
+def test_priority_that_was_the_most_urgent_has_no_claim_on_more_urgent_ones():
+    """Guards against urgent requests behind those that were served in full."""
+    target = Target(0.1)
+    target.serve(50.0, {"priority": 1}, {"priority": 2})
+    target.add(Ticket(priority=0))
+    order = [one.priority for one in target.order()]
+    # Only the least urgent priority may have credit.
+    assert next(priority for priority in order if priority < 2) == 0
+
+
 def test_changed_weight_applies_without_a_burst():
     """Guards against tags that were computed by an earlier weight."""
     target = Target(a=0.001)
@@ -285,15 +295,16 @@
 def test_share_of_a_flow_follows_its_recent_starts():
     """Guards against queued requests that can only be refused later."""
     target = Target(a=3.0)
-    assert target.scheduler.share(Ticket("a")) == 1.0
+    assert target.scheduler.share(1, "a") == 1.0
     target.serve(200.0, {"organisation": "a"}, {"organisation": "b"})
-    assert target.scheduler.share(Ticket("a")) == pytest.approx(0.75, abs=0.1)
-    assert target.scheduler.share(Ticket("b")) == pytest.approx(0.25, abs=0.1)
+    assert target.scheduler.share(1, "a") == pytest.approx(0.75, abs=0.1)
+    assert target.scheduler.share(1, "b") == pytest.approx(0.25, abs=0.1)
+    assert target.scheduler.share(1) == 1.0
     # Nobody else waits any more.
     for one in [one for one in target.waiting if one.organisation == "b"]:
         target.cancel(one)
     target.serve(80.0, {"organisation": "a"})
-    assert target.scheduler.share(Ticket("a")) > 0.95
+    assert target.scheduler.share(1, "a") > 0.95
 
 
 def test_shares_of_idle_flows_are_bounded():
--- a/test/test_fair_queueing_wiring.py
+++ b/test/test_fair_queueing_wiring.py
@@ -1,8 +1,11 @@
 """Fair queueing in whole processes: order, reports, modes, lost callers."""
 
 import asyncio
+import dataclasses
 
 from forklift import header_fields
+from forklift import overload
+from forklift import settings
 from forklift.shell import client
 from forklift.shell import reports
 from forklift.shell import telemetry
@@ -143,3 +146,24 @@
         assert served(fleet)[-1] == "b"
 
     play(work)
+
+
+def test_mode_and_floor_take_effect_on_reload():
+    """Guards against settings that need a restart."""
+
+    async def work(fleet: processes.Fleet, callers: Callers) -> None:
+        await callers.send("a" * SLOTS + "ab")
+        process = fleet.proxies[0]
+        for mode in (overload.Mode.OFF, overload.Mode.ON):
+            section = settings.Overload(mode=mode, floor=0.3)
+            process.reload(
+                dataclasses.replace(process.settings, overload=section)
+            )
+            room = reports.explain_target(process, "t0").room
+            assert room.fair == (mode is overload.Mode.ON)
+            assert room.waiting_by_organisation == {"a": 1, "b": 1}
+        assert process.target_registry._queueing_rules.floor() == 0.3
+        fleet.targets[0].release.set()
+        assert await asyncio.gather(*callers.tasks) == [200] * (SLOTS + 2)
+
+    play(work)
