Test limits of whole processes with overload control

Cause: the mode reaches the rate limiter as a callable; no test showed that it follows a reload, nor limits of whole processes with it.

Change: one test of the mode after reloads; the two tests of limits over whole processes run with overload control as well.

--- a/test/test_organisations.py
+++ b/test/test_organisations.py
@@ -1,6 +1,7 @@
 """Tests authentication by key, organisation names and rate limits."""
 
 import asyncio
+import dataclasses
 
 import msgspec
 import pytest
@@ -9,6 +10,7 @@
 from forklift import header_fields
 from forklift import limit_refusals
 from forklift import organisations
+from forklift import overload
 from forklift.platform import configuration
 from forklift.shell import admin
 from forklift.shell import client
@@ -274,6 +276,30 @@
     return data
 
 
+def set_overload_mode(fleet, mode: overload.Mode) -> None:
+    for process in fleet.proxies:
+        changed = dataclasses.replace(process.settings.overload, mode=mode)
+        process.reload(dataclasses.replace(process.settings, overload=changed))
+
+
+def test_rate_limiter_follows_the_mode_of_overload_control():
+    """Guards against decisions by the mode that a process started with."""
+
+    async def work(fleet):
+        limiter = fleet.proxies[0].rate_limiter
+        for mode in (overload.Mode.ON, overload.Mode.OFF, overload.Mode.ON):
+            set_overload_mode(fleet, mode)
+            expected = mode is overload.Mode.ON
+            assert limiter._overload_control() is expected
+            assert limiter.limiter._overload_control() is expected
+            assert limiter.limiter.quota._overload_control() is expected
+
+    processes.play(work, [[]], first=limited(5))
+
+
+MODES = pytest.mark.parametrize("mode", [overload.Mode.AUTO, overload.Mode.ON])
+
+
 async def request_until_admitted(fleet, *fields):
     """Sends requests until one is not rejected by the rate limit.
 
@@ -285,8 +311,10 @@
             return answer
 
 
-def test_requests_beyond_the_limit_get_429_with_retry_after():
+@MODES
+def test_requests_beyond_the_limit_get_429_with_retry_after(mode):
     async def work(fleet):
+        set_overload_mode(fleet, mode)
         assert (await request_until_admitted(fleet)).status == 200
         with structlog.testing.capture_logs() as logs:
             answers = await asyncio.gather(
@@ -324,8 +352,10 @@
     processes.play(work, [[], [], []], first=limited(5))
 
 
-def test_organisation_within_its_limit_is_served_by_all_processes():
+@MODES
+def test_organisation_within_its_limit_is_served_by_all_processes(mode):
     async def work(fleet):
+        set_overload_mode(fleet, mode)
         await request_until_admitted(fleet)
         for number in range(30):
             answer = await ask(fleet, (FIELD, KEY), number=number % 3)
