Log targets that get no request, with what their process knew

Change: the lines target_idle and target_used, the metrics forklift.targets.idle, forklift.idle.announcements and forklift.idle.requests. Announcing moves into a class with the phases of idleness in a module of its own. What is announced, when and to whom stays as it was.

--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -118,11 +118,12 @@
 
 
 class _ServiceState:
-    """Targets and failure rate of one service."""
+    """Targets, requests and failure rate of one service."""
 
     def __init__(self):
         self.view_by_target: dict[str, TargetView] = {}
         self.failure_rate = rates.FailureRate()
+        self.request_count = 0
         self.subset: list[str] | None = None
 
 
@@ -138,6 +139,8 @@
             domains, as a fraction of the value of a request.
         process_count: Number of known processes including this one; 0 until
             the first contact.
+        idle_selections: Number of requests sent to an idle target, by how
+            this process knew of it: "local" or "announced".
     """
 
     def __init__(
@@ -165,6 +168,7 @@
         self._state_by_service: dict[str, _ServiceState] = {}
         self._targets_by_process: dict[str, dict[str, str]] = {}
         self.process_count = 0
+        self.idle_selections: collections.Counter[str] = collections.Counter()
 
     # Known targets.
 
@@ -385,9 +389,20 @@
         """Returns the percentage of our requests to a service that fail."""
         return round(100 * self._service_state(service).failure_rate.local(now))
 
+    def known_failure_percent(self, service: str, now: float) -> int:
+        """Returns the percentage of failed requests by all that is known."""
+        rate = self._service_state(service).failure_rate.combined(now)
+        return round(100 * rate)
+
+    def request_count(self, service: str) -> int:
+        """Returns the number of requests of callers to a service so far."""
+        return self._service_state(service).request_count
+
     def record_request(self, service: str, now: float) -> None:
         """Records a request of a caller, which adds to the retry budget."""
-        self._service_state(service).failure_rate.requests.record(now)
+        service_state = self._service_state(service)
+        service_state.failure_rate.requests.record(now)
+        service_state.request_count += 1
         self.retry_budgets.for_service(service).record_request(now)
 
     def _service_state(self, service: str) -> _ServiceState:
@@ -444,10 +459,14 @@
             max_idle = self._max_idle_seconds(service_state, now)
         for view in healthy:
             if view.process == self._name and view.idle_seconds(now) > max_idle:
-                return view if _accepts_request(view, now) else None
+                if not _accepts_request(view, now):
+                    return None
+                self.idle_selections["local"] += 1
+                return view
         for view in healthy if requirements.idempotent else ():
             if view.wants_work and _accepts_request(view, now):
                 view.wants_work = False
+                self.idle_selections["announced"] += 1
                 return view
         return None
 
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -202,6 +202,11 @@
             self.notices,
         )
         self.directory = self.control_protocols.directory
+        self.idle_targets = idle_targets.IdleTargets(
+            self.local_targets,
+            self.balancer,
+            self.control_protocols.announce_idle_target,
+        )
         self.rate_limiter = rate_limiting.AsyncLimiter(
             self.directory,
             _rate_limit_bounds(self.settings),
@@ -664,8 +669,7 @@
             self.target_registry.expire(now)
             self.control_protocols.update_own_targets()
             if self.active_catalog.loaded:
-                send = self.control_protocols.announce_idle_target
-                idle_targets.announce(self.local_targets, send, now)
+                self.idle_targets.tick(now)
             self.quarantine_store.tick()
         self.control_protocols.tick(now)
         self.rate_limiter.tick(now)
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -155,6 +155,30 @@
                 for name, target in local_targets.items()
             ],
         )
+        self.add_gauge(
+            "forklift.targets.idle",
+            "Seconds since targets beside last started a request",
+            lambda: [
+                (
+                    target.controller.load(proxy.clock.monotonic()).idle,
+                    {"target": name},
+                )
+                for name, target in local_targets.items()
+            ],
+        )
+        self.add_counter(
+            "forklift.idle.announcements",
+            "Announcements of idle targets beside to other processes",
+            lambda: [(proxy.idle_targets.announcements, {})],
+        )
+        self.add_counter(
+            "forklift.idle.requests",
+            "Requests sent to idle targets, by how they were known",
+            lambda: [
+                (count, {"known": known})
+                for known, count in proxy.balancer.idle_selections.items()
+            ],
+        )
         self.add_counter(
             "forklift.connections",
             "Connections to targets beside",
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -841,12 +841,14 @@
         one = fleet.proxies[0]
         announced = []
 
+        observer = idle_targets.IdleTargets(
+            one.local_targets,
+            one.balancer,
+            lambda *said: announced.append(said),
+        )
+
         def announce():
-            idle_targets.announce(
-                one.local_targets,
-                lambda *said: announced.append(said),
-                one.clock.monotonic(),
-            )
+            observer.tick(one.clock.monotonic())
 
         announce()
         assert [name for name, _ in announced] == ["t0"]
