--- a/test/level_simulation.py
+++ b/test/level_simulation.py
@@ -13,6 +13,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from forklift import admission
 from forklift import admission_level
 from forklift import fair_queueing
@@ -123,6 +125,8 @@
         floor: Lowest probability of admission; also the share of a target's
             work that each waiting priority keeps.
         is_fair: Whether targets order their queues by fair queueing.
+        domains: Number of failure domains; process n is in n modulo this.
+        is_hanging: Returns whether a target hangs on what it starts at a time.
 
     Attributes:
         sends: All requests, repeats included.
@@ -141,6 +145,8 @@
         seed: int = 1,
         floor: float = 0.1,
         is_fair: bool = False,
+        domains: int = 1,
+        is_hanging: Callable[[str, float], bool] = lambda target, now: False,
     ):
         self.sends: list[Send] = []
         rules = fair_queueing.Rules(
@@ -154,6 +160,7 @@
         self._routes = routes
         self._is_on = is_on
         self._floor = floor
+        self._is_hanging = is_hanging
         self._message_work = message_work
         self._rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
@@ -164,21 +171,27 @@
         self._infos = [
             helper.info(
                 f"p{n}",
-                targets=(helper.target_info(f"t{n}", slots=slots),)
+                domain=f"d{n % domains}",
+                targets=(
+                    helper.target_info(
+                        f"t{n}", slots=slots, domain=f"d{n % domains}"
+                    ),
+                )
                 if n < targets
                 else (),
             )
             for n in range(processes)
         ]
         self.process_by_name = {
-            info.name: self._new_process(info.name) for info in self._infos
+            info.name: self._new_process(info) for info in self._infos
         }
 
-    def _new_process(self, name: str) -> _Process:
+    def _new_process(self, own: messages.ProcessInfo) -> _Process:
+        name = own.name
         rng = random.Random(f"{name} {self._rng.random()}")
         balancer = load_balancer.LoadBalancer(
             name,
-            "d",
+            own.domain,
             rng,
             policy.BUILT_IN.service_policy,
             load_balancer.RetryBudgetLimits(0.2, 10.0, 50.0),
@@ -190,7 +203,8 @@
 
     def restart(self, name: str) -> None:
         """Replaces a process by one that has just started."""
-        self.process_by_name[name] = self._new_process(name)
+        own = next(info for info in self._infos if info.name == name)
+        self.process_by_name[name] = self._new_process(own)
 
     def remove_target(self, name: str, now: float) -> None:
         """Ends a target without notice; its process rejects all requests."""
@@ -273,6 +287,14 @@
         process.busy_until = max(now, process.busy_until) + self._message_work
         self.at(process.busy_until, callback)
 
+    def _load(self, target: str, route: str, now: float) -> messages.Load:
+        """Returns the load report of a target, as its process sends it."""
+        balancer = self.process_by_name[f"p{target[1:]}"].balancer
+        return msgspec.structs.replace(
+            self.controller_by_target[target].load(now, route),
+            failure_percent=balancer.failure_percent(SERVICE, now),
+        )
+
     # Requests at an ingress process.
 
     def _handle(self, name: str, send: Send, now: float) -> None:
@@ -394,7 +416,7 @@
             send.route.idempotent,
             send.route.priority,
             state.deadline,
-            state.required_health(now),
+            max(state.required_health(now), selection.required_health),
             self._soft_deadline,
             send.route.name,
             state.wait,
@@ -406,7 +428,7 @@
             if isinstance(decision, admission.Started):
                 self._start(selection, controller, ticket, at)
                 return
-            load = controller.load(at, send.route.name)
+            load = simulation._load(selection.target, send.route.name, at)
             self._answer(
                 owner,
                 at,
@@ -427,13 +449,15 @@
         seconds = send.route.seconds * simulation._rng.lognormvariate(
             -0.06, 0.35
         )
+        if simulation._is_hanging(selection.target, now):
+            seconds = math.inf
         ends_at = min(now + seconds, ticket.deadline)
         succeeds = now + seconds <= ticket.deadline
 
         def finish(at: float) -> None:
             signal = Signal.SUCCESS if succeeds else None
             simulation._apply(controller.finish(ticket, signal, at), at)
-            load = controller.load(at, send.route.name)
+            load = simulation._load(selection.target, send.route.name, at)
             self._answer(
                 f"p{selection.target[1:]}",
                 at,
@@ -477,6 +501,8 @@
         now: float,
     ) -> None:
         self._finish_attempt(selection, load, now)
+        if not succeeds:
+            self._process.balancer.record_failure(SERVICE, now)
         self._end(succeeds, now)
 
     def _finish_attempt(
