Count the failures that requests lead to expect, before they time out

Cause: only while a tenth of the requests are known to fail does a request that is not idempotent go to an idle target. A request that hangs is known to have failed at its timeout, and one whose calls hang after seconds. So no process knows of any failure in the first seconds of the load, or of a change.

Change: each request adds the probability that the chosen target is unhealthy when it is sent; the failure rate is the higher of what is known and what is expected. What a target refuses is taken back.

Why it works: at the start targets are expected to fail a fifth of what is sent to them, by the prior of their health; requests that end well lower it.

--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -109,12 +109,15 @@
         required_health: Required health to pass to the admission controller.
         rate_limit: Rate limit of the target, as far as known, in requests per
             second; None if there is none.
+        expected_failure: Probability that the target fails the request; None
+            for retries, hedges and requests for idle targets.
     """
 
     target: str
     process: str
     required_health: admission.RequiredHealth = admission.RequiredHealth.PROVEN
     rate_limit: float | None = None
+    expected_failure: float | None = None
 
 
 class _ServiceState:
@@ -314,6 +317,7 @@
             and not requirements.bulk
         ):
             view = self._select_for_trial(healthy, ejected, now)
+        expected_failure = None
         if view is None:
             pool = healthy or shedding
             accepts_ejected = (
@@ -334,6 +338,9 @@
             if not pool:
                 return None
             view = self._balance(requirements, pool, now)
+            expected_failure = self._expect_failure(
+                requirements, service_state, view, now
+            )
         if view.state(now) is State.SUSPECT:
             view.next_trial_at = now + TRIAL_INTERVAL_SECONDS
         view.record_selection(now)
@@ -342,8 +349,42 @@
             view.process,
             required_health,
             self._notices.rate_limit(view.name, now),
+            expected_failure,
         )
 
+    def _expect_failure(
+        self,
+        requirements: Requirements,
+        service_state: _ServiceState,
+        view: TargetView,
+        now: float,
+    ) -> float | None:
+        """Records and returns the probability that a request fails.
+
+        An idempotent request fails if two targets are unhealthy, the second of
+        which is known as little. Retries and hedges are not counted again, and
+        requests for idle targets not at all: the more of them there were, the
+        more would be sent.
+        """
+        if not requirements.allows_trial:
+            return None
+        failure = health.UNHEALTHY_FAILURE_RATE * view.unhealthy_probability(
+            now
+        )
+        if requirements.idempotent:
+            failure *= failure
+        service_state.failure_rate.record_sent(failure, now)
+        return failure
+
+    def record_not_run(
+        self, service: str, selection: Selection, now: float
+    ) -> None:
+        """Records that an attempt did not run, so it can't fail there."""
+        if selection.expected_failure is not None:
+            self._service_state(service).failure_rate.record_not_run(
+                selection.expected_failure, now
+            )
+
     def finish_attempt(
         self,
         service: str,
--- a/forklift/rates.py
+++ b/forklift/rates.py
@@ -54,12 +54,23 @@
     """Failure rate of a service, from local requests and remote reports.
 
     A single process of a large fleet sees too few requests for a reliable
-    rate, so the rates that other processes report count as well.
+    rate, so the rates that other processes report count as well. A request that
+    hangs fails only at its timeout, so the failures that are expected when
+    requests are sent count, too.
+
+    Attributes:
+        requests: Requests of callers.
+        failures: Requests that failed.
+        sent: Requests sent to targets.
+        expected_failures: Sum of the probabilities, at the time of sending,
+            that these requests fail because their targets are unhealthy.
     """
 
     def __init__(self):
         self.requests = DecayingCounter(FAILURE_RATE_DECAY_SECONDS)
         self.failures = DecayingCounter(FAILURE_RATE_DECAY_SECONDS)
+        self.sent = DecayingCounter(FAILURE_RATE_DECAY_SECONDS)
+        self.expected_failures = DecayingCounter(FAILURE_RATE_DECAY_SECONDS)
         self._remote_rate = 0.0
         self._remote_at = -math.inf
 
@@ -70,6 +81,26 @@
         self._remote_rate += gain * (rate - self._remote_rate)
         self._remote_at = now
 
+    def record_sent(self, expected_failure: float, now: float) -> None:
+        """Records a request that is sent to a target.
+
+        Args:
+            expected_failure: Probability that the target fails the request.
+            now: Monotonic seconds.
+        """
+        self.sent.record(now)
+        self.expected_failures.record(now, expected_failure)
+
+    def record_not_run(self, expected_failure: float, now: float) -> None:
+        """Records that a request which was sent to a target did not run.
+
+        Args:
+            expected_failure: The probability given to `record_sent`.
+            now: Monotonic seconds.
+        """
+        self.sent.record(now, -1.0)
+        self.expected_failures.record(now, -expected_failure)
+
     def local(self, now: float) -> float:
         """Failure rate of the requests of this process, 0 to 1."""
         requests = self.requests.count(now)
@@ -82,7 +113,9 @@
         remote_weight = REMOTE_WEIGHT * math.exp(
             -age / FAILURE_RATE_DECAY_SECONDS
         )
+        requests = self.requests.count(now)
         failures = self.failures.count(now) + remote_weight * self._remote_rate
-        return min(
-            1.0, failures / max(1.0, self.requests.count(now) + remote_weight)
-        )
+        known = failures / max(1.0, requests + remote_weight)
+        sent = max(1.0, self.sent.count(now))
+        expected = self.expected_failures.count(now) / sent
+        return min(1.0, max(known, expected))
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -399,6 +399,9 @@
         ending, target = attempt.result.ending, attempt.selection.target
         self._retries.record_result(ending.outcome, ending.reason, self._now())
         if ending.outcome is Outcome.NOT_RUN:
+            self._balancer.record_not_run(
+                self._request.service, attempt.selection, self._now()
+            )
             self._retry_state.record_not_run(target, ending.reason)
             return self._can_resend and not self._retry_state.exhausted
         self._retry_state.record_run(target, ending.reason)
--- a/test/level_simulation.py
+++ b/test/level_simulation.py
@@ -287,6 +287,11 @@
         process.busy_until = max(now, process.busy_until) + self._message_work
         self.at(process.busy_until, callback)
 
+    def _record_arrival(
+        self, target: str, process: str, idempotent: bool, now: float
+    ) -> None:
+        """Records a request that arrives at the process of a target."""
+
     def _load(self, target: str, route: str, now: float) -> messages.Load:
         """Returns the load report of a target, as its process sends it."""
         balancer = self.process_by_name[f"p{target[1:]}"].balancer
@@ -411,6 +416,9 @@
     ) -> None:
         state, send, simulation = self._state, self._send, self._simulation
         controller = simulation.controller_by_target[selection.target]
+        simulation._record_arrival(
+            selection.target, self._process.name, send.route.idempotent, now
+        )
         ticket = admission.Ticket(
             (1, next(simulation._ids)),
             send.route.idempotent,
@@ -488,6 +496,7 @@
         self._finish_attempt(selection, load, now)
         self._reason, self._retry_after = decision.reason, decision.retry_after
         self._state.record_not_run(selection.target, decision.reason)
+        self._process.balancer.record_not_run(SERVICE, selection, now)
         if self._state.exhausted:
             self._end(False, now)
         else:
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -240,6 +240,43 @@
     return watched / (now - 10.0), len(used) / count
 
 
+def requests_without_an_end(balancer, refused: bool) -> None:
+    """Sends requests to others of unknown health; none ends in this time."""
+    for step in range(20):
+        now = 8.0 + step * 0.1
+        balancer.record_request("s", now)
+        selection = balancer.select(requirements(), frozenset({"local"}), now)
+        if refused:
+            balancer.finish_attempt("s", selection, None, now)
+            balancer.record_not_run("s", selection, now)
+
+
+def balancer_with_idle_local_target(refused: bool):
+    others = "abcdefg"
+    balancer = new_balancer(*others, "local", process="p-local")
+    balancer.update_load("local", load(), 8.0)
+    requests_without_an_end(balancer, refused)
+    idle = load(idle=1.9, unhealthy_probability=health.UNHEALTHY_PRIOR)
+    balancer.update_load("local", idle, 9.9)
+    for name in others:
+        balancer.update_load(name, load(), 10.0)
+    return balancer
+
+
+def test_failures_count_before_hanging_requests_time_out():
+    """Else idle targets get nothing until the first requests time out."""
+    balancer = balancer_with_idle_local_target(refused=False)
+    selection = balancer.select(requirements(), frozenset(), 10.0)
+    assert selection.target == "local"
+    assert selection.expected_failure is None
+
+
+def test_requests_that_targets_refused_are_not_expected_to_fail():
+    balancer = balancer_with_idle_local_target(refused=True)
+    selection = balancer.select(requirements(), frozenset(), 10.0)
+    assert selection.target != "local"
+
+
 def test_target_that_asks_for_work_gets_the_next_idempotent_request():
     """Else a healthy target whose process has no callers stays unused."""
     balancer = new_balancer("a", "b", "c")
