Announce idle targets to as many processes as the floor's window needs

Cause: only the process beside a target looked after it at once, and in a fleet of 78 it takes one request of the service a second. Others were told after 1.2 s, two at a time, and only their idempotent requests followed, one in six there. An announcement never ended, and all who had it sent to the first target by name.

Change: announcements begin after 0.8 s and go to 2, 4, 8 and 8 processes within 0.9 s, half of them recent senders, then to 2 each 0.5 s as before. They hold for 0.6 s, and one of the announced targets is drawn. Requests that are not idempotent follow while many requests fail, or if the target was never used. A domain of fewer than four other processes announces to all.

Why it works: of the 22 that are asked within the window, at one request a second each, 10 requests are expected in time; 3 suffice in 19 of 20 cases.

Two tests of announcements take the further arguments of the callback, and the constant from its new module; their checks are unchanged.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -186,6 +186,10 @@
         """Whether the target announced that it leaves, or has left."""
         return self.state in (State.DRAINING, State.LEFT)
 
+    def idle_seconds(self, now: float) -> float:
+        """Seconds since the last start, at most `UNUSED_IDLE_SECONDS`."""
+        return round(min(UNUSED_IDLE_SECONDS, now - self._last_start), 2)
+
     def load(self, now: float, route: str = "") -> messages.Load:
         """Load and state of the target, for load balancers.
 
@@ -207,7 +211,7 @@
             state,
             self.version,
             round(distribution.median, 4) if distribution else 0.0,
-            round(min(UNUSED_IDLE_SECONDS, now - self._last_start), 2),
+            self.idle_seconds(now),
             round(self.health.unhealthy_probability(now), 2),
             round(distribution.spread, 2) if distribution else 0.0,
             rate_limit=self.rate_limit.status(now, self.waiting),
--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -50,6 +50,9 @@
 # then receive one in time; an ingress process of a large fleet receives about
 # one request a second.
 EXPECTED_REQUESTS_LEFT = 1.6
+# Seconds for which an announcement of an idle target holds. It must exceed the
+# time between two announcements.
+WORK_REQUEST_SECONDS = 0.6
 # Reported idle time above which a target has never received a request.
 MIN_UNUSED_IDLE_SECONDS = admission.UNUSED_IDLE_SECONDS - 10.0
 # Minimum seconds between two trial requests of this process to a target.
@@ -269,7 +272,7 @@
         for service_state in self._state_by_service.values():
             view = service_state.view_by_target.get(target)
             if view is not None:
-                view.wants_work = True
+                view.work_requested_until = now + WORK_REQUEST_SECONDS
 
     # Selection.
 
@@ -480,6 +483,12 @@
                 healthy.append(view)
         return healthy, shedding, ejected
 
+    def _count_idle_selection(self, view: TargetView, now: float) -> None:
+        """Counts a request for an idle target, which asked for a single one."""
+        view.work_requested_until = now
+        known = "local" if view.process == self._name else "announced"
+        self.idle_selections[known] += 1
+
     def _select_idle(
         self,
         requirements: Requirements,
@@ -502,14 +511,42 @@
             if view.process == self._name and view.idle_seconds(now) > max_idle:
                 if not _accepts_request(view, now):
                     return None
-                self.idle_selections["local"] += 1
-                return view
-        for view in healthy if requirements.idempotent else ():
-            if view.wants_work and _accepts_request(view, now):
-                view.wants_work = False
-                self.idle_selections["announced"] += 1
+                self._count_idle_selection(view, now)
                 return view
-        return None
+        return self._select_announced(requirements, healthy, service_state, now)
+
+    def _select_announced(
+        self,
+        requirements: Requirements,
+        usable: list[TargetView],
+        service_state: _ServiceState,
+        now: float,
+    ) -> TargetView | None:
+        """Returns a target that another process announced as idle, if any.
+
+        An idempotent request can be retried if the target turns out to be
+        unhealthy. Any other goes there only while requests fail anyway, or if
+        the target has never received one.
+        """
+        announced = [
+            view
+            for view in usable
+            if view.wants_work(now) and _accepts_request(view, now)
+        ]
+        if announced and not requirements.idempotent:
+            rate = service_state.failure_rate.combined(now)
+            if rate < HIGH_FAILURE_SHARE:
+                announced = [
+                    view
+                    for view in announced
+                    if view.idle_seconds(now) > MIN_UNUSED_IDLE_SECONDS
+                ]
+        if not announced:
+            return None
+        # Several processes know of the same targets.
+        view = self._rng.choice(announced)
+        self._count_idle_selection(view, now)
+        return view
 
     def _max_idle_seconds(
         self, service_state: _ServiceState, now: float
--- a/forklift/shell/control_protocols.py
+++ b/forklift/shell/control_protocols.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 
 import structlog
 
@@ -15,6 +16,7 @@
 from forklift import compression
 from forklift import dissemination
 from forklift import gossip
+from forklift import idle_phases
 from forklift import interfaces
 from forklift import invalid_input
 from forklift import load_balancer
@@ -36,9 +38,11 @@
 JOIN_PEER_COUNT = 3
 # Maximum size in bytes of a configuration record that a peer offers.
 MAX_RECORD_BYTES = 1 << 25
-# Number of processes to which an idle target is announced at a time. One of
-# them may have no callers either.
-IDLE_ANNOUNCEMENT_FANOUT = 2
+# Minimum number of other processes in a failure domain for idle targets to be
+# announced only there. Between domains, messages are expensive.
+MIN_NEAR_PEERS = 4
+# Seconds for which the list of these processes is used.
+NEAR_PEERS_SECONDS = 1.0
 
 
 class ControlProtocols:
@@ -124,6 +128,9 @@
         self._notices = notices or notice_memory.NoticeMemory(clock.wall)
         # Targets that were leaving when their process restarted.
         self._leaving_targets_by_process: dict[str, tuple[str, ...]] = {}
+        # Processes to which idle targets are announced, and since when.
+        self._control_by_near_peer: dict[str, str] = {}
+        self._near_peers_at = float("-inf")
 
     @property
     def size_known(self) -> bool:
@@ -174,26 +181,54 @@
             self.quarantine_sync.request_evidence(self._clock.monotonic())
         )
 
-    def announce_idle_target(self, target: str, load: messages.Load) -> None:
-        """Announces an idle target to some processes of this failure domain.
+    def announce_idle_target(
+        self,
+        target: str,
+        load: messages.Load,
+        count: int,
+        preferred: Collection[str] = (),
+    ) -> None:
+        """Announces an idle target to some processes, near ones if possible.
 
         Args:
             target: Name of the target.
             load: Its current load.
+            count: Number of processes to ask.
+            preferred: Names of processes that are known to have callers. Half
+                of the announcements are sent to them.
         """
-        candidates = [
-            member.info.control
-            for member in self.directory.member_by_name.values()
-            if member.liveness is messages.Liveness.ALIVE
-            and member.info.domain == self.directory.own.domain
-        ]
+        address_by_name = self._near_peers()
+        names = idle_phases.choose_peers(
+            address_by_name, preferred, count, self._rng
+        )
         sender = messages.sender_of(self.directory.own)
-        chosen = self._rng.sample(
-            candidates, min(IDLE_ANNOUNCEMENT_FANOUT, len(candidates))
+        message = messages.IdleTarget(sender, target, load)
+        self._send(
+            [gossip.Send(address_by_name[name], message) for name in names]
         )
-        for address in chosen:
-            message = messages.IdleTarget(sender, target, load)
-            self._send([gossip.Send(address, message)])
+
+    def _near_peers(self) -> dict[str, str]:
+        """Returns control addresses by process: of this failure domain, or all.
+
+        In a domain of few processes none may have callers. The directory may
+        hold thousands of processes, so the result is used for a while.
+        """
+        now = self._clock.monotonic()
+        if now - self._near_peers_at < NEAR_PEERS_SECONDS:
+            return self._control_by_near_peer
+        own = self.directory.own
+        infos = [
+            member.info
+            for name, member in self.directory.member_by_name.items()
+            if member.liveness is messages.Liveness.ALIVE and name != own.name
+        ]
+        near = [info for info in infos if info.domain == own.domain]
+        chosen = near if len(near) >= MIN_NEAR_PEERS else infos
+        self._control_by_near_peer = {
+            info.name: info.control for info in chosen
+        }
+        self._near_peers_at = now
+        return self._control_by_near_peer
 
     def leave(self) -> None:
         """Announces to peers that this process is leaving."""
--- a/forklift/shell/idle_targets.py
+++ b/forklift/shell/idle_targets.py
@@ -1,6 +1,7 @@
 """Announces and logs local targets that receive no requests."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import structlog
 
@@ -11,10 +12,6 @@
 
 _log = structlog.get_logger(__name__)
 
-# Seconds without a request after which a target is announced as idle. Must
-# exceed the time within which an ingress process that has callers sends to an
-# idle target anyway.
-IDLE_TARGET_SECONDS = 1.2
 # Seconds without a request after which a target counts as idle in the log.
 LOGGED_IDLE_SECONDS = load_balancer.CAPACITY_FLOOR_SECONDS
 
@@ -34,38 +31,70 @@
         self,
         targets: local_targets.LocalTargets,
         balancer: load_balancer.LoadBalancer,
-        send: Callable[[str, messages.Load], None],
+        send: Callable[[str, messages.Load, int, list[str]], None],
     ):
         """Creates an observer of the local targets.
 
         Args:
             targets: The local targets.
             balancer: Knows the requests that this process receives.
-            send: Sends the name and the load of an idle target.
+            send: Sends the name and the load of an idle target to a number of
+                processes, preferably to the named ones.
         """
         self._targets = targets
         self._balancer = balancer
         self._send = send
         self._phases = idle_phases.IdlePhases()
+        self._senders_by_target: dict[str, idle_phases.RecentSenders] = {}
         self.announcements = 0
 
     def tick(self, now: float) -> None:
         """Announces and logs the targets that are idle now."""
-        self._phases.retain(self._targets.by_name)
+        self._retain(self._targets.by_name)
         for name, local_target in self._targets.by_name.items():
-            service = local_target.controller.service
-            load = local_target.controller.load(now)
+            controller = local_target.controller
+            if controller.idle_seconds(now) <= idle_phases.IDLE_TARGET_SECONDS:
+                self._end_phase(name)
+                continue
+            load = controller.load(now)
             if not idle_phases.is_usable(load):
                 self._phases.end(name)
-            elif load.idle <= IDLE_TARGET_SECONDS:
-                self._end_phase(name)
-            else:
-                requests = self._balancer.request_count(service)
-                phase = self._phases.observe(name, requests)
-                phase.announcements += 1
-                self.announcements += 1
-                self._send(name, load)
-                self._log_phase(service, name, load, phase, now)
+                continue
+            requests = self._balancer.request_count(controller.service)
+            phase = self._phases.observe(name, requests)
+            self._announce(name, load, phase, now)
+            self._log_phase(controller.service, name, load, phase, now)
+
+    def record_sender(
+        self, target: str, process: str, idempotent: bool, now: float
+    ) -> None:
+        """Records that a process has sent a request to a local target."""
+        if target in self._targets.by_name:
+            self._senders_by_target.setdefault(
+                target, idle_phases.RecentSenders()
+            ).record(process, idempotent, now)
+
+    def _retain(self, targets: Iterable[str]) -> None:
+        """Forgets all other targets."""
+        self._phases.retain(targets)
+        for name in self._senders_by_target.keys() - set(targets):
+            del self._senders_by_target[name]
+
+    def _announce(
+        self,
+        name: str,
+        load: messages.Load,
+        phase: idle_phases.IdlePhase,
+        now: float,
+    ) -> None:
+        """Announces an idle target if an announcement is due."""
+        fanout = phase.next_fanout(now)
+        if not fanout:
+            return
+        senders = self._senders_by_target.get(name)
+        names = senders.names(load.state, now) if senders is not None else []
+        self.announcements += 1
+        self._send(name, load, fanout, names)
 
     def _log_phase(
         self,
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -537,6 +537,10 @@
         ticket = peer_requests.to_ticket(start, connection.peer_hello.boot, now)
         if start.rate_limit is not None:
             self.local_targets.adopt_rate_limit(start.target, start.rate_limit)
+        sender = connection.peer_hello.name
+        self.idle_targets.record_sender(
+            start.target, sender, start.idempotent, now
+        )
         return await self.local_targets.run(start.target, ticket, request, sink)
 
     def _handle_fence(self, fence: messages.FenceRequest) -> bool:
@@ -659,6 +663,8 @@
         self.local_targets.tick(now)
         self.peer_connections.tick()
         self._update_local_loads(now)
+        if self.active_catalog.loaded:
+            self.idle_targets.tick(now)
         if now >= self._next_keepalive:
             self._next_keepalive = now + KEEPALIVE_INTERVAL
             for connection in list(self.server_connections):
@@ -668,8 +674,6 @@
             self.ingress.tick(now)
             self.target_registry.expire(now)
             self.control_protocols.update_own_targets()
-            if self.active_catalog.loaded:
-                self.idle_targets.tick(now)
             self.quarantine_store.tick()
         self.control_protocols.tick(now)
         self.rate_limiter.tick(now)
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -160,7 +160,7 @@
             "Seconds since targets beside last started a request",
             lambda: [
                 (
-                    target.controller.load(proxy.clock.monotonic()).idle,
+                    target.controller.idle_seconds(proxy.clock.monotonic()),
                     {"target": name},
                 )
                 for name, target in local_targets.items()
--- a/forklift/target_view.py
+++ b/forklift/target_view.py
@@ -34,7 +34,8 @@
         pick_count: Number of times that this process selected the target.
         next_trial_at: Monotonic seconds from which a trial request may be sent
             while the target is ejected.
-        wants_work: Whether the target's process asked for a request.
+        work_requested_until: Monotonic seconds until which an announcement
+            holds that the target is idle.
         version: Version of the last load report.
         rate_limit: Rate limit of the target as last reported; None if there
             is none.
@@ -56,7 +57,7 @@
         self.in_flight = 0
         self.pick_count = 0
         self.next_trial_at = 0.0
-        self.wants_work = False
+        self.work_requested_until = float("-inf")
         self._state = info.state
         self.version = 0
         self.rate_limit: messages.RateLimitStatus | None = None
@@ -101,6 +102,10 @@
         interval = min(1 / rate, MAX_LIMITED_SECONDS)
         self.room_at = max(now, self.room_at) + interval
 
+    def wants_work(self, now: float) -> bool:
+        """Whether its process has announced lately that the target is idle."""
+        return now < self.work_requested_until
+
     def has_room(self, now: float) -> bool:
         """Whether its rate limit is expected to let a request start."""
         return now >= self.room_at
--- a/test/test_control_protocols.py
+++ b/test/test_control_protocols.py
@@ -176,3 +176,23 @@
             for message in rig.sent
             if isinstance(message, messages.LeavingTargets)
         ] == reminders
+
+
+def announced_to(processes: int) -> set[str]:
+    """Processes to which p0 announces an idle target, by their addresses."""
+    simulated = fleet.SimulatedFleet(processes)
+    asked = set()
+    simulated.send = lambda sender, receiver, message, new_connection: (
+        asked.add(receiver)
+    )
+    load = messages.Load(0, 0, 4, messages.TargetState.IN_SERVICE, 1, 0.0)
+    node = simulated.node_by_name["p0"]
+    node.control_protocols.announce_idle_target("t0", load, 100)
+    return asked
+
+
+def test_idle_target_is_announced_near_or_to_all_if_few_are_near():
+    """In a domain of few processes none may have callers."""
+    assert announced_to(6) == {"p1", "p2", "p3", "p4", "p5"}
+    near = announced_to(30)
+    assert near == {f"p{n}" for n in range(fleet.DOMAIN_COUNT, 30, 3)}
--- a/test/test_idle_targets.py
+++ b/test/test_idle_targets.py
@@ -21,7 +21,9 @@
             by_name={"a": types.SimpleNamespace(controller=self.controller)}
         )
         self.observer = idle_targets.IdleTargets(
-            targets, self.balancer, lambda *said: self.announced.append(said)
+            targets,
+            self.balancer,
+            lambda name, load, *_: self.announced.append((name, load)),
         )
 
     def start_request(self, now: float) -> None:
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -294,6 +294,61 @@
     assert "c" not in selected_targets(balancer, idempotent)
 
 
+def announce_idle(balancer, target: str, idle: float, now: float) -> None:
+    """Announces a target of unknown health to a process that uses others."""
+    announced = load(idle=idle, unhealthy_probability=health.UNHEALTHY_PRIOR)
+    balancer.record_work_request(target, announced, now)
+
+
+def test_announced_target_gets_any_request_while_many_fail():
+    """Else it stays unused in a service with few idempotent requests."""
+    balancer = new_balancer("a", "b", "c")
+    for name in ("a", "b"):
+        balancer.update_load(name, load(unhealthy_probability=0.03), 10.0)
+    announce_idle(balancer, "c", 1.3, 10.0)
+    assert "c" not in selected_targets(balancer, requirements())
+    for _ in range(3):
+        balancer.record_failure("s", 10.0)
+    selection = balancer.select(requirements(), frozenset(), 10.0)
+    assert selection.target == "c"
+    # An unproven target would refuse it otherwise.
+    assert selection.required_health is admission.RequiredHealth.SOUND
+    assert "c" not in selected_targets(balancer, requirements())
+
+
+def test_announced_target_that_was_never_used_gets_any_request():
+    """At startup, the health of the other targets is unknown, too."""
+    balancer = new_balancer("a", "b", "c")
+    for name in ("a", "b"):
+        balancer.update_load(name, load(unhealthy_probability=0.03), 10.0)
+    announce_idle(balancer, "c", admission.UNUSED_IDLE_SECONDS, 10.0)
+    selection = balancer.select(requirements(), frozenset(), 10.0)
+    assert selection.target == "c"
+
+
+def test_announcement_of_an_idle_target_ends():
+    """Else the first requests after a pause all go to targets in use again."""
+    balancer = new_balancer("a", "c")
+    balancer.update_load("a", load(unhealthy_probability=0.03), 10.0)
+    announce_idle(balancer, "c", 1.3, 10.0)
+    later = 10.0 + load_balancer.WORK_REQUEST_SECONDS
+    asked = requirements(idempotent=True)
+    assert selected_targets(balancer, asked, now=later) == {"a"}
+
+
+def test_processes_send_to_different_announced_targets():
+    """Else all requests for idle targets go to the first one by name."""
+    selected = set()
+    for seed in range(20):
+        balancer = new_balancer(*"abcdef")
+        balancer._rng.seed(seed)
+        for name in "abcdef":
+            announce_idle(balancer, name, 1.3, 10.0)
+        asked = requirements(idempotent=True)
+        selected.add(balancer.select(asked, frozenset(), 10.0).target)
+    assert len(selected) > 3
+
+
 def test_work_request_of_a_full_or_unknown_target_is_ignored():
     balancer = new_balancer("a", "c")
     full = load(running=4, idle=1.3)
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -10,6 +10,7 @@
 
 from forklift import header_fields
 from forklift import heartbeats
+from forklift import idle_phases
 from forklift import load_balancer
 from forklift import messages
 from forklift import policy
@@ -819,7 +820,7 @@
 
         def record_announcement(target, load, now):
             announced.append(
-                (target, load.idle > idle_targets.IDLE_TARGET_SECONDS)
+                (target, load.idle > idle_phases.IDLE_TARGET_SECONDS)
             )
             record_work_request(target, load, now)
 
@@ -844,7 +845,7 @@
         observer = idle_targets.IdleTargets(
             one.local_targets,
             one.balancer,
-            lambda *said: announced.append(said),
+            lambda name, load, *_: announced.append((name, load)),
         )
 
         def announce():
