Let an ejected target that was announced have the next trial request

An ejected target that had announced itself as idle was not preferred, and idempotent requests for idle targets that any request can serve came first. So targets stayed ejected for seconds after they had recovered.

Change: an idempotent request goes first to an ejected target that was announced, or that stands beside this process and was idle for 0.7 s. The process of the target still refuses trials that come too fast.

Why it works: the senders of idempotent requests are asked by name, so the trial comes within the announcement; most targets need one success.

Tests: test_capacity_floor.py, a fleet of 78 processes with 40 targets, whose bound is that of the floor.

--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -307,33 +307,20 @@
             [view for view in views if view.name not in refused]
             for views in groups
         )
-        view = self._select_idle(requirements, healthy, service_state, now)
-        required_health = (
-            admission.RequiredHealth.PROVEN
-            if view is None
-            else admission.RequiredHealth.SOUND
-        )
-        if (
-            view is None
-            and requirements.idempotent
-            and requirements.allows_trial
-            and not requirements.bulk
-        ):
+        required_health = admission.RequiredHealth.PROVEN
+        # Only these requests may run on an ejected target, so it goes first.
+        view = self._select_ejected_idle(requirements, ejected, now)
+        if view is None:
+            view = self._select_idle(requirements, healthy, service_state, now)
+            if view is not None:
+                required_health = admission.RequiredHealth.SOUND
+        if view is None and _is_possible_trial(requirements):
             view = self._select_for_trial(healthy, ejected, now)
         expected_failure = None
         if view is None:
             pool = healthy or shedding
-            accepts_ejected = (
-                requirements.idempotent
-                and requirements.required_health is admission.RequiredHealth.ANY
-            )
-            if not pool and accepts_ejected:
-                promising = [
-                    v
-                    for v in ejected
-                    if v.unhealthy_probability(now) <= MAX_UNHEALTHY_PROBABILITY
-                ]
-                pool = ejected if none_usable else promising
+            if not pool and _accepts_ejected(requirements):
+                pool = ejected if none_usable else _promising(ejected, now)
             if requirements.wait:
                 pool = _with_earliest_room(pool, now)
             else:
@@ -483,6 +470,33 @@
                 healthy.append(view)
         return healthy, shedding, ejected
 
+    def _select_ejected_idle(
+        self,
+        requirements: Requirements,
+        ejected: list[TargetView],
+        now: float,
+    ) -> TargetView | None:
+        """Returns an ejected target that waits long for a trial, if any."""
+        if not _is_possible_trial(requirements):
+            return None
+        waiting = [
+            view
+            for view in ejected
+            if now >= view.next_trial_at
+            and view.has_room(now)
+            and self._waits_for_trial(view, now)
+        ]
+        if not waiting:
+            return None
+        view = self._rng.choice(waiting)
+        self._count_idle_selection(view, now)
+        return view
+
+    def _waits_for_trial(self, view: TargetView, now: float) -> bool:
+        is_local = view.process == self._name
+        is_idle = view.idle_seconds(now) > MAX_LOCAL_IDLE_SECONDS
+        return view.wants_work(now) or (is_local and is_idle)
+
     def _count_idle_selection(self, view: TargetView, now: float) -> None:
         """Counts a request for an idle target, which asked for a single one."""
         view.work_requested_until = now
@@ -680,6 +694,32 @@
     )
 
 
+def _is_possible_trial(requirements: Requirements) -> bool:
+    """Whether a request may be a trial request for an ejected target."""
+    return (
+        requirements.idempotent
+        and requirements.allows_trial
+        and not requirements.bulk
+    )
+
+
+def _accepts_ejected(requirements: Requirements) -> bool:
+    """Whether a request may run on an ejected target."""
+    return (
+        requirements.idempotent
+        and requirements.required_health is admission.RequiredHealth.ANY
+    )
+
+
+def _promising(ejected: list[TargetView], now: float) -> list[TargetView]:
+    """Returns the ejected targets that are probably healthy."""
+    return [
+        view
+        for view in ejected
+        if view.unhealthy_probability(now) <= MAX_UNHEALTHY_PROBABILITY
+    ]
+
+
 def _accepts_request(view: TargetView, now: float) -> bool:
     """Whether a target probably has a free slot, and room in its limit."""
     return view.load(now) < view.slots and view.has_room(now)
--- /dev/null
+++ b/test/test_capacity_floor.py
@@ -0,0 +1,62 @@
+"""Sound targets stay in use while others fail, with many processes."""
+
+import pytest
+
+from test import floor_simulation
+from test import level_simulation
+
+SECONDS = 14.0
+# Few idempotent requests: one in six.
+FEW_IDEMPOTENT = floor_simulation.Load(
+    (
+        level_simulation.Route("book", 0.78, 3.0, 1, 0.83, idempotent=False),
+        level_simulation.Route("fare", 0.2, 0.8, 1, 0.17),
+    ),
+    rate=97.0,
+    processes=78,
+    targets=40,
+    slots=10,
+)
+# Few targets at many processes, each of which sends one request a second.
+FEW_TARGETS = floor_simulation.Load(
+    (
+        level_simulation.Route("post", 0.29, 1.2, 0, 0.46, idempotent=False),
+        level_simulation.Route("look", 0.15, 0.6, 1, 0.54),
+    ),
+    rate=80.0,
+    processes=79,
+    targets=19,
+    slots=8,
+    failing=0.85,
+)
+SMALL_FLEET = floor_simulation.Load(
+    (
+        level_simulation.Route("book", 0.4, 1.5, 1, 0.82, idempotent=False),
+        level_simulation.Route("fare", 0.1, 0.4, 1, 0.18),
+    ),
+    rate=58.0,
+    processes=30,
+    targets=12,
+    slots=5,
+)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+@pytest.mark.parametrize(
+    "load",
+    [FEW_IDEMPOTENT, FEW_TARGETS, SMALL_FLEET],
+    ids=["few-idempotent", "few-targets", "small-fleet"],
+)
+def test_sound_targets_get_requests_while_others_fail(load, seed):
+    """Guards against a fleet that uses only the targets that it knows well."""
+    simulation = floor_simulation.FloorSimulation(load, seed)
+    assert simulation.play(SECONDS) == []
+
+
+def test_simulated_load_has_windows_in_which_the_floor_counts():
+    """Else the test above would show nothing."""
+    simulation = floor_simulation.FloorSimulation(FEW_IDEMPOTENT, 1)
+    simulation.play(SECONDS)
+    windows = simulation.windows(SECONDS)
+    counted = [window for window in windows if window.counts]
+    assert len(counted) > len(windows) / 2
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -349,6 +349,32 @@
     assert len(selected) > 3
 
 
+def test_announced_ejected_target_gets_the_next_idempotent_request():
+    """Else few trial requests leave it ejected long after it recovered."""
+    balancer = new_balancer("a", "b", "c")
+    balancer.update_load("a", load(unhealthy_probability=0.03), 10.0)
+    for name in ("b", "c"):
+        balancer.update_load(name, load(State.SUSPECT), 10.0)
+    announced = load(State.SUSPECT, idle=1.3)
+    for step in range(10):
+        now = 10.0 + step
+        balancer.record_work_request("c", announced, now)
+        assert selected_targets(balancer, requirements(), 1, now) == {"a"}
+        selection = balancer.select(
+            requirements(idempotent=True), frozenset(), now
+        )
+        assert selection.target == "c"
+        balancer.finish_attempt("s", selection, None, now)
+
+
+def test_idle_ejected_local_target_gets_the_next_idempotent_request():
+    balancer = new_balancer("a", "b", process="p-b")
+    balancer.update_load("a", load(unhealthy_probability=0.03), 10.0)
+    balancer.update_load("b", load(State.SUSPECT, idle=1.0), 10.0)
+    asked = requirements(idempotent=True)
+    assert balancer.select(asked, frozenset(), 10.0).target == "b"
+
+
 def test_work_request_of_a_full_or_unknown_target_is_ignored():
     balancer = new_balancer("a", "c")
     full = load(running=4, idle=1.3)
