Move the selection of idle targets out of the load balancer

Cause: load_balancer.py had grown to 730 lines, with the constants of idle targets among those of balancing.

Change: idle_selection.py holds them; whether a target probably accepts a request is asked of its view. Nothing is decided differently.

--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -13,6 +13,7 @@
 from forklift import admission
 from forklift import balancing_algorithms
 from forklift import health
+from forklift import idle_selection
 from forklift import latency
 from forklift import messages
 from forklift import notice_memory
@@ -33,28 +34,6 @@
 # Probability that an idempotent request becomes a trial request while a trial
 # is due.
 TRIAL_PROBABILITY = 0.4
-# Seconds within which every healthy target must receive a request while the
-# failure rate is high.
-CAPACITY_FLOOR_SECONDS = 2.0
-# Share of failed requests from which the failure rate counts as high. The floor
-# on capacity applies while a tenth or more fail.
-HIGH_FAILURE_SHARE = 0.08
-# Seconds without a request after which the local target receives the next
-# idempotent request.
-MAX_LOCAL_IDLE_SECONDS = 0.7
-# Minimum seconds without a request before the local target receives the next
-# request of any kind. This applies while the failure rate is high.
-MIN_LOCAL_IDLE_SECONDS = 0.3
-# Number of requests expected in the rest of `CAPACITY_FLOOR_SECONDS` at which
-# the local target receives the next request of any kind. Four of five targets
-# then receive one in time; an ingress process of a large fleet receives about
-# one request a second.
-EXPECTED_REQUESTS_LEFT = 1.6
-# Seconds for which an announcement of an idle target holds. It must exceed the
-# time between two announcements.
-WORK_REQUEST_SECONDS = 0.6
-# Reported idle time above which a target has never received a request.
-MIN_UNUSED_IDLE_SECONDS = admission.UNUSED_IDLE_SECONDS - 10.0
 # Minimum seconds between two trial requests of this process to a target.
 TRIAL_INTERVAL_SECONDS = 0.25
 # Unhealthy probability up to which an ejected target is preferred to a longer
@@ -145,8 +124,7 @@
             domains, as a fraction of the value of a request.
         process_count: Number of known processes including this one; 0 until
             the first contact.
-        idle_selections: Number of requests sent to an idle target, by how
-            this process knew of it: "local" or "announced".
+        idle_selection: Selects targets that were idle for too long.
     """
 
     def __init__(
@@ -174,7 +152,7 @@
         self._state_by_service: dict[str, _ServiceState] = {}
         self._targets_by_process: dict[str, dict[str, str]] = {}
         self.process_count = 0
-        self.idle_selections: collections.Counter[str] = collections.Counter()
+        self.idle_selection = idle_selection.IdleSelection(name, rng)
 
     # Known targets.
 
@@ -272,7 +250,9 @@
         for service_state in self._state_by_service.values():
             view = service_state.view_by_target.get(target)
             if view is not None:
-                view.work_requested_until = now + WORK_REQUEST_SECONDS
+                view.work_requested_until = (
+                    now + idle_selection.WORK_REQUEST_SECONDS
+                )
 
     # Selection.
 
@@ -308,10 +288,17 @@
             for views in groups
         )
         required_health = admission.RequiredHealth.PROVEN
-        # Only these requests may run on an ejected target, so it goes first.
-        view = self._select_ejected_idle(requirements, ejected, now)
-        if view is None:
-            view = self._select_idle(requirements, healthy, service_state, now)
+        view = None
+        if _is_possible_trial(requirements):
+            # No other request may run on an ejected target, so it goes first.
+            view = self.idle_selection.select_ejected(ejected, now)
+        if view is None and requirements.allows_trial:
+            view = self.idle_selection.select_healthy(
+                requirements.idempotent,
+                healthy,
+                service_state.failure_rate,
+                now,
+            )
             if view is not None:
                 required_health = admission.RequiredHealth.SOUND
         if view is None and _is_possible_trial(requirements):
@@ -470,114 +457,6 @@
                 healthy.append(view)
         return healthy, shedding, ejected
 
-    def _select_ejected_idle(
-        self,
-        requirements: Requirements,
-        ejected: list[TargetView],
-        now: float,
-    ) -> TargetView | None:
-        """Returns an ejected target that waits long for a trial, if any."""
-        if not _is_possible_trial(requirements):
-            return None
-        waiting = [
-            view
-            for view in ejected
-            if now >= view.next_trial_at
-            and view.has_room(now)
-            and self._waits_for_trial(view, now)
-        ]
-        if not waiting:
-            return None
-        view = self._rng.choice(waiting)
-        self._count_idle_selection(view, now)
-        return view
-
-    def _waits_for_trial(self, view: TargetView, now: float) -> bool:
-        is_local = view.process == self._name
-        is_idle = view.idle_seconds(now) > MAX_LOCAL_IDLE_SECONDS
-        return view.wants_work(now) or (is_local and is_idle)
-
-    def _count_idle_selection(self, view: TargetView, now: float) -> None:
-        """Counts a request for an idle target, which asked for a single one."""
-        view.work_requested_until = now
-        known = "local" if view.process == self._name else "announced"
-        self.idle_selections[known] += 1
-
-    def _select_idle(
-        self,
-        requirements: Requirements,
-        healthy: list[TargetView],
-        service_state: _ServiceState,
-        now: float,
-    ) -> TargetView | None:
-        """Returns a healthy target that was idle for too long, if any.
-
-        Each process keeps its local target in use, independently of how other
-        processes spread their load. A target whose own process has no callers
-        asks other processes for a request.
-        """
-        if not requirements.allows_trial:
-            return None
-        max_idle = MAX_LOCAL_IDLE_SECONDS
-        if not requirements.idempotent:
-            max_idle = self._max_idle_seconds(service_state, now)
-        for view in healthy:
-            if view.process == self._name and view.idle_seconds(now) > max_idle:
-                if not _accepts_request(view, now):
-                    return None
-                self._count_idle_selection(view, now)
-                return view
-        return self._select_announced(requirements, healthy, service_state, now)
-
-    def _select_announced(
-        self,
-        requirements: Requirements,
-        usable: list[TargetView],
-        service_state: _ServiceState,
-        now: float,
-    ) -> TargetView | None:
-        """Returns a target that another process announced as idle, if any.
-
-        An idempotent request can be retried if the target turns out to be
-        unhealthy. Any other goes there only while requests fail anyway, or if
-        the target has never received one.
-        """
-        announced = [
-            view
-            for view in usable
-            if view.wants_work(now) and _accepts_request(view, now)
-        ]
-        if announced and not requirements.idempotent:
-            rate = service_state.failure_rate.combined(now)
-            if rate < HIGH_FAILURE_SHARE:
-                announced = [
-                    view
-                    for view in announced
-                    if view.idle_seconds(now) > MIN_UNUSED_IDLE_SECONDS
-                ]
-        if not announced:
-            return None
-        # Several processes know of the same targets.
-        view = self._rng.choice(announced)
-        self._count_idle_selection(view, now)
-        return view
-
-    def _max_idle_seconds(
-        self, service_state: _ServiceState, now: float
-    ) -> float:
-        """Returns the idle time after which a target gets the next request.
-
-        While the failure rate is low, only a target that has never received a
-        request gets it. At startup, the health of the others is unknown, too.
-        """
-        if service_state.failure_rate.combined(now) < HIGH_FAILURE_SHARE:
-            return MIN_UNUSED_IDLE_SECONDS
-        lead_time = (
-            EXPECTED_REQUESTS_LEFT
-            * service_state.failure_rate.requests.mean_interval(now)
-        )
-        return max(MIN_LOCAL_IDLE_SECONDS, CAPACITY_FLOOR_SECONDS - lead_time)
-
     def _select_for_trial(
         self,
         healthy: list[TargetView],
@@ -593,7 +472,7 @@
         if not due:
             return None
         # While all healthy targets are full, a trial request delays nothing.
-        full = not any(_accepts_request(view, now) for view in healthy)
+        full = not any(view.probably_accepts(now) for view in healthy)
         if full or self._rng.random() < TRIAL_PROBABILITY:
             return self._rng.choice(due)
         return None
@@ -720,11 +599,6 @@
     ]
 
 
-def _accepts_request(view: TargetView, now: float) -> bool:
-    """Whether a target probably has a free slot, and room in its limit."""
-    return view.load(now) < view.slots and view.has_room(now)
-
-
 def _with_earliest_room(pool: list[TargetView], now: float) -> list[TargetView]:
     """Returns the targets whose rate limits let a request start first."""
     if not pool:
--- a/forklift/shell/idle_targets.py
+++ b/forklift/shell/idle_targets.py
@@ -6,6 +6,7 @@
 import structlog
 
 from forklift import idle_phases
+from forklift import idle_selection
 from forklift import load_balancer
 from forklift import messages
 from forklift.shell import local_targets
@@ -13,7 +14,7 @@
 _log = structlog.get_logger(__name__)
 
 # Seconds without a request after which a target counts as idle in the log.
-LOGGED_IDLE_SECONDS = load_balancer.CAPACITY_FLOOR_SECONDS
+LOGGED_IDLE_SECONDS = idle_selection.CAPACITY_FLOOR_SECONDS
 
 
 class IdleTargets:
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -175,8 +175,10 @@
             "forklift.idle.requests",
             "Requests sent to idle targets, by how they were known",
             lambda: [
-                (count, {"known": known})
-                for known, count in proxy.balancer.idle_selections.items()
+                (count, {"source": source})
+                for source, count in (
+                    proxy.balancer.idle_selection.count_by_source.items()
+                )
             ],
         )
         self.add_counter(
--- a/forklift/target_view.py
+++ b/forklift/target_view.py
@@ -106,6 +106,10 @@
         """Whether its process has announced lately that the target is idle."""
         return now < self.work_requested_until
 
+    def probably_accepts(self, now: float) -> bool:
+        """Whether there is probably a free slot, and room in the rate limit."""
+        return self.load(now) < self.slots and self.has_room(now)
+
     def has_room(self, now: float) -> bool:
         """Whether its rate limit is expected to let a request start."""
         return now >= self.room_at
--- a/test/floor_simulation.py
+++ b/test/floor_simulation.py
@@ -14,12 +14,12 @@
 
 from forklift import admission
 from forklift import idle_phases
-from forklift import load_balancer
+from forklift import idle_selection
 from forklift import messages
 from forklift.shell import idle_targets
 from test import level_simulation
 
-WINDOW_SECONDS = load_balancer.CAPACITY_FLOOR_SECONDS
+WINDOW_SECONDS = idle_selection.CAPACITY_FLOOR_SECONDS
 # Seconds for which a target must not have failed to count as sound.
 SOUND_AFTER_SECONDS = 2.0
 # The capacity floor holds while a share of requests between these fails.
@@ -99,6 +99,7 @@
 
     def __init__(self, load: Load, seed: int):
         self._load_of_service = load
+        self._now = 0.0
         self._noise = random.Random(f"noise {seed}")
         self._phase_by_target = {
             f"t{n}": self._noise.uniform(0.0, load.cycle)
@@ -176,7 +177,7 @@
         )
         for name in names:
             self.at(
-                self.now + level_simulation.MESSAGE_SECONDS,
+                self._now + level_simulation.MESSAGE_SECONDS,
                 lambda at, name=name: self.process_by_name[
                     name
                 ].balancer.record_work_request(target, load, at),
@@ -201,7 +202,7 @@
 
     def _tick(self, now: float) -> None:
         super()._tick(now)
-        self.now = now
+        self._now = now
         for observer in self._idle_targets.values():
             observer.tick(now)
 
--- a/test/test_idle_phases.py
+++ b/test/test_idle_phases.py
@@ -3,7 +3,7 @@
 import random
 
 from forklift import idle_phases
-from forklift import load_balancer
+from forklift import idle_selection
 from forklift import messages
 
 State = messages.TargetState
@@ -17,10 +17,10 @@
     phase = idle_phases.IdlePhase(0)
     expected_requests = 0.0
     now = idle_phases.IDLE_TARGET_SECONDS
-    while now < load_balancer.CAPACITY_FLOOR_SECONDS:
-        left = load_balancer.CAPACITY_FLOOR_SECONDS - now
+    while now < idle_selection.CAPACITY_FLOOR_SECONDS:
+        left = idle_selection.CAPACITY_FLOOR_SECONDS - now
         expected_requests += phase.next_fanout(now) * min(
-            left, load_balancer.WORK_REQUEST_SECONDS
+            left, idle_selection.WORK_REQUEST_SECONDS
         )
         now += 0.1
     assert expected_requests >= 3.0
@@ -38,7 +38,7 @@
     longest = max(
         idle_phases.FIRST_INTERVAL_SECONDS, idle_phases.LATER_INTERVAL_SECONDS
     )
-    assert longest < load_balancer.WORK_REQUEST_SECONDS
+    assert longest < idle_selection.WORK_REQUEST_SECONDS
 
 
 def test_half_of_the_asked_processes_are_recent_senders():
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -8,6 +8,7 @@
 
 from forklift import admission
 from forklift import health
+from forklift import idle_selection
 from forklift import load_balancer
 from forklift import messages
 from forklift import policy
@@ -235,7 +236,7 @@
             balancer.record_failure("s", now)
     spans = itertools.pairwise([*used, now])
     watched = sum(
-        min(load_balancer.CAPACITY_FLOOR_SECONDS, b - a) for a, b in spans
+        min(idle_selection.CAPACITY_FLOOR_SECONDS, b - a) for a, b in spans
     )
     return watched / (now - 10.0), len(used) / count
 
@@ -331,7 +332,7 @@
     balancer = new_balancer("a", "c")
     balancer.update_load("a", load(unhealthy_probability=0.03), 10.0)
     announce_idle(balancer, "c", 1.3, 10.0)
-    later = 10.0 + load_balancer.WORK_REQUEST_SECONDS
+    later = 10.0 + idle_selection.WORK_REQUEST_SECONDS
     asked = requirements(idempotent=True)
     assert selected_targets(balancer, asked, now=later) == {"a"}
 
