Keep local and announced targets of large services in use

Cause: a process sends to 64 targets of a service, drawn among all. In a service of 178 targets 64 in 100 processes leave out the target beside them, and as many of those that an idle target asks ignore its announcement.

Change: the subset holds the local targets, 64 others, and a target that was announced while the announcement holds. It moved to a module of its own.

Why it works: an idle target is looked after by its own process in a service of any size, and each process that it asks can follow.

Tests: two of test_load_balancer.py failed before; two others guard the size of the subset and removed targets.

--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -20,17 +20,15 @@
 from forklift import policy
 from forklift import rates
 from forklift import reachability
-from forklift import rendezvous
 from forklift import response_sizes
 from forklift import retry_budgets
+from forklift import target_subset
 from forklift import target_view
 
 State = messages.TargetState
 TargetView = target_view.TargetView
 RetryBudgetLimits = retry_budgets.Limits
 
-# Maximum number of targets of a service that this process sends to.
-SUBSET_SIZE = 64
 # Probability that an idempotent request becomes a trial request while a trial
 # is due.
 TRIAL_PROBABILITY = 0.4
@@ -105,11 +103,11 @@
 class _ServiceState:
     """Targets, requests and failure rate of one service."""
 
-    def __init__(self):
+    def __init__(self, process: str):
         self.view_by_target: dict[str, TargetView] = {}
         self.failure_rate = rates.FailureRate()
         self.request_count = 0
-        self.subset: list[str] | None = None
+        self.subset = target_subset.TargetSubset(process)
 
 
 class LoadBalancer:
@@ -253,6 +251,7 @@
                 view.work_requested_until = (
                     now + idle_selection.WORK_REQUEST_SECONDS
                 )
+                service_state.subset.announce(target)
 
     # Selection.
 
@@ -426,7 +425,8 @@
     def _service_state(self, service: str) -> _ServiceState:
         service_state = self._state_by_service.get(service)
         if service_state is None:
-            service_state = self._state_by_service[service] = _ServiceState()
+            service_state = _ServiceState(self._name)
+            self._state_by_service[service] = service_state
             # Calls of retries are charged to every service that is known.
             self.retry_budgets.for_service(service)
         return service_state
@@ -442,8 +442,9 @@
         healthy: list[TargetView] = []
         shedding: list[TargetView] = []
         ejected: list[TargetView] = []
-        for name in self._target_subset(service_state):
-            view = service_state.view_by_target[name]
+        view_by_target = service_state.view_by_target
+        for name in service_state.subset.names(view_by_target, now):
+            view = view_by_target[name]
             state = view.state(now)
             if name in tried or state in target_view.OUT_OF_SERVICE:
                 continue
@@ -547,23 +548,14 @@
         if self._notices.is_leaving(target.name):
             view.mark_draining()
         service_state.view_by_target[target.name] = view
-        service_state.subset = None
+        service_state.subset.invalidate()
 
     def _remove_target(self, service: str, name: str, process: str) -> None:
         service_state = self._state_by_service.get(service)
         view = service_state.view_by_target.get(name) if service_state else None
         if view is not None and view.process == process:
             del service_state.view_by_target[name]
-            service_state.subset = None
-
-    def _target_subset(self, service_state: _ServiceState) -> list[str]:
-        """Returns the targets to send to; recomputed if the targets change."""
-        if service_state.subset is None:
-            names = sorted(service_state.view_by_target)
-            if len(names) > SUBSET_SIZE:
-                names = rendezvous.select(self._name, names, SUBSET_SIZE)
-            service_state.subset = names
-        return service_state.subset
+            service_state.subset.invalidate()
 
 
 def _is_free(view: TargetView, now: float) -> bool:
--- a/test/test_load_balancer.py
+++ b/test/test_load_balancer.py
@@ -12,9 +12,11 @@
 from forklift import load_balancer
 from forklift import messages
 from forklift import policy
+from forklift import target_subset
 from test import helper
 
 State = messages.TargetState
+LARGE_SERVICE = [f"t{n}" for n in range(4 * target_subset.SUBSET_SIZE)]
 
 
 def new_balancer(
@@ -376,6 +378,48 @@
     assert balancer.select(asked, frozenset(), 10.0).target == "b"
 
 
+def balancer_of_large_service(process: str) -> load_balancer.LoadBalancer:
+    """Knows several times as many targets as a process sends to."""
+    return new_balancer(*LARGE_SERVICE, process=process)
+
+
+def test_local_target_in_a_large_service_gets_the_first_request():
+    """Else most targets are not kept in use by the process beside them."""
+    for name in LARGE_SERVICE[:10]:
+        balancer = balancer_of_large_service(f"p-{name}")
+        selection = balancer.select(requirements(), frozenset(), 10.0)
+        assert selection.target == name
+
+
+def test_announced_target_in_a_large_service_gets_a_request_from_any_process():
+    """Else most of the processes that are asked ignore the announcement."""
+    balancer = balancer_of_large_service("p")
+    for name in LARGE_SERVICE[:10]:
+        announce_idle(balancer, name, 1.3, 10.0)
+        selection = balancer.select(
+            requirements(idempotent=True), frozenset(), 10.0
+        )
+        assert selection.target == name
+
+
+def test_process_of_a_large_service_sends_to_few_targets():
+    """Else each process needs a connection to each other process."""
+    balancer = balancer_of_large_service("p")
+    for name in LARGE_SERVICE:
+        announce_idle(balancer, name, 1.3, 10.0)
+    later = 10.0 + idle_selection.WORK_REQUEST_SECONDS
+    used = selected_targets(balancer, requirements(), 500, later)
+    assert len(used) <= target_subset.SUBSET_SIZE
+
+
+def test_removed_target_of_a_large_service_is_not_selected():
+    balancer = balancer_of_large_service("p")
+    for name in LARGE_SERVICE:
+        announce_idle(balancer, name, 1.3, 10.0)
+        balancer.remove_process(f"p-{name}")
+    assert not selected_targets(balancer, requirements(idempotent=True))
+
+
 def test_work_request_of_a_full_or_unknown_target_is_ignored():
     balancer = new_balancer("a", "c")
     full = load(running=4, idle=1.3)
