Reinstate targets that no trial request has reached when probably healthy

Cause: an ejected target is reinstated by trial requests, which only idempotent requests can be. Without any, its unhealthy probability decays from 0.97 to the threshold of 0.3 in some 8 s after its last request, while most unhealthy phases last 2 to 4 s. The fewer targets are left, the more requests find no room.

Change: a target that has received no trial since its ejection is reinstated at 0.45, some 4 s after its last request. One whose trials fail stays out until 0.3. No request that is not idempotent goes to an ejected target, as before.

Why it works: the estimate is right by then in more than half of the cases, and the next request that fails ejects the target again.

--- a/forklift/health.py
+++ b/forklift/health.py
@@ -62,6 +62,10 @@
 EJECTION_THRESHOLD = 0.5
 # Unhealthy probability below which an ejected target is reinstated.
 REINSTATEMENT_THRESHOLD = 0.3
+# The same if the target has received no trial request since its ejection, as in
+# a service without idempotent requests. Without evidence, it takes longer to
+# reach the other threshold than most unhealthy phases last.
+UNTRIED_REINSTATEMENT_THRESHOLD = 0.45
 # Age up to which a failure counts as fast, such as a refused connection.
 FAST_FAILURE_SECONDS = 0.02
 # Initial share of failures that are slow. It is learned, as a target mostly
@@ -154,6 +158,8 @@
         self._probability_at = float("-inf")
         self._shed_request_at = float("-inf")
         self._next_trial_at = float("-inf")
+        # Whether a trial request was sent since the last ejection.
+        self._tried = False
 
     @property
     def ejected(self) -> bool:
@@ -179,6 +185,7 @@
         self._requests.append(record)
         if self.ejected:
             self._next_trial_at = now + TRIAL_INTERVAL_SECONDS
+            self._tried = True
 
     def record_end(
         self, request: object, signal: Signal | None, now: float
@@ -236,10 +243,14 @@
         unhealthy_probability = self.unhealthy_probability(now)
         if not self.ejected and unhealthy_probability > EJECTION_THRESHOLD:
             self.ejected_since = now
+            self._tried = False
             failed = signal not in (None, Signal.SUCCESS, Signal.SHED)
             self.signal = signal if failed else Signal.OVERDUE
             self._next_trial_at = now + TRIAL_INTERVAL_SECONDS
-        elif self.ejected and unhealthy_probability < REINSTATEMENT_THRESHOLD:
+        elif (
+            self.ejected
+            and unhealthy_probability < self._reinstatement_threshold
+        ):
             self.ejected_since = None
         else:
             return False
@@ -261,6 +272,14 @@
         for record in self._request_by_id.values():
             record.started += seconds
 
+    @property
+    def _reinstatement_threshold(self) -> float:
+        return (
+            REINSTATEMENT_THRESHOLD
+            if self._tried
+            else UNTRIED_REINSTATEMENT_THRESHOLD
+        )
+
     def _trial_pending(self, now: float) -> bool:
         """Whether a trial request is in flight that is not late yet."""
         since = self.ejected_since if self.ejected_since is not None else now
--- a/test/test_capacity_floor.py
+++ b/test/test_capacity_floor.py
@@ -1,5 +1,7 @@
 """Sound targets stay in use while others fail, with many processes."""
 
+import dataclasses
+
 import pytest
 
 from test import floor_simulation
@@ -17,6 +19,13 @@
     targets=40,
     slots=10,
 )
+# An ejected target gets no trial requests.
+NO_IDEMPOTENT = dataclasses.replace(
+    FEW_IDEMPOTENT,
+    routes=(
+        level_simulation.Route("book", 0.78, 3.0, 1, 1.0, idempotent=False),
+    ),
+)
 # Few targets at many processes, each of which sends one request a second.
 FEW_TARGETS = floor_simulation.Load(
     (
@@ -44,8 +53,8 @@
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
 @pytest.mark.parametrize(
     "load",
-    [FEW_IDEMPOTENT, FEW_TARGETS, SMALL_FLEET],
-    ids=["few-idempotent", "few-targets", "small-fleet"],
+    [FEW_IDEMPOTENT, NO_IDEMPOTENT, FEW_TARGETS, SMALL_FLEET],
+    ids=["few-idempotent", "no-idempotent", "few-targets", "small-fleet"],
 )
 def test_sound_targets_get_requests_while_others_fail(load, seed):
     """Guards against a fleet that uses only the targets that it knows well."""
--- a/test/test_health.py
+++ b/test/test_health.py
@@ -88,6 +88,38 @@
     assert not target_health.ejected
 
 
+def seconds_until_reinstated(target_health: health.Health, now: float) -> float:
+    """Seconds until an ejected target is reinstated without evidence."""
+    step = 0.05
+    for number in range(1000):
+        if target_health.evaluate(now + number * step):
+            return number * step
+    raise AssertionError("the target is never reinstated")
+
+
+def test_target_without_trials_is_reinstated_when_most_phases_have_ended():
+    """Else a service without idempotent requests uses few of its targets."""
+    target_health = proven_health()
+    for request in range(4):
+        target_health.record_start(request, distribution(), 0.4)
+    for request in range(4):
+        target_health.record_end(request, Signal.BROKEN, 0.5)
+    seconds = seconds_until_reinstated(target_health, 0.5)
+    assert seconds > health.MEAN_UNHEALTHY_SECONDS / 2
+    assert seconds <= health.MEAN_UNHEALTHY_SECONDS
+
+
+def test_failed_trial_keeps_the_target_ejected_until_it_is_likely_healthy():
+    """Else a target that is known to fail is used again too early."""
+    target_health = proven_health()
+    record_outcome(target_health, Signal.BROKEN, 0.5)
+    record_outcome(target_health, Signal.BROKEN, 1.0)
+    assert (
+        seconds_until_reinstated(target_health, 1.0)
+        > 1.5 * health.MEAN_UNHEALTHY_SECONDS
+    )
+
+
 def test_hanging_target_is_ejected_before_any_request_ends():
     """A hanging target neither responds nor closes the connection."""
     target_health = proven_health()
