Serve organisations within their part where their requests meet by chance

What callers saw: of organisations that send less than their part while others flood the service, 3 to 7 in 100 requests were refused; 1 in 20 is allowed.

Cause: each process sees two or three requests of such an organisation in two seconds, and each target as many. At a process a chance run of them looked like more than the part, so the admission level refused some. At a target a chance run makes a queue that is too long; two further targets were asked, then the request was given up, though most queues of the organisation are empty.

Change: the level allows the square root of the part in addition, and a request of an organisation within its part asks up to six targets, not three.

Why it works: a count of random arrivals varies by its square root; the chance that six targets have a long queue of one small organisation is small. Those who flood are refused as before, and make no further attempts.

--- a/forklift/admission_level.py
+++ b/forklift/admission_level.py
@@ -205,6 +205,17 @@
             now - WINDOW_SECONDS
         )
 
+    def is_within_part(self, arrival: Arrival, now: float) -> bool:
+        """Whether an organisation sends no more than its part of scarce room.
+
+        False if room is not scarce, or if the request has no organisation.
+        """
+        if not arrival.organisation or not self.is_lacking(
+            arrival.service, now
+        ):
+            return False
+        return self._state(arrival.service).is_within_part(arrival, now)
+
     def decide(
         self,
         arrival: Arrival,
@@ -378,6 +389,11 @@
         refused = (1 - max(floor, share)) * certainty
         return max(room.free, 1 - refused)
 
+    def is_within_part(self, arrival: Arrival, now: float) -> bool:
+        """Whether the organisation of a counted request is not refused."""
+        share = self._share(arrival.rank, now)
+        return self._share_of_organisation(arrival, share, now) >= 1
+
     def overall_level(self, now: float) -> float:
         """Share of all requests that is admitted, whatever their rank."""
         lacked_at = self.lacked_at(MAX_PRIORITIES)
@@ -444,7 +460,9 @@
             part = self._part_per_weight(rank, share, now)
             self._part_by_rank[rank] = (now, part)
         counter, weight = self._arrivals_by_caller[rank, arrival.organisation]
-        return min(1.0, part * weight / counter.count(now))
+        own = part * weight
+        # The number of random arrivals varies by its square root.
+        return min(1.0, (own + math.sqrt(own)) / counter.count(now))
 
     def _part_per_weight(self, rank: int, share: float, now: float) -> float:
         """Requests that an organisation may send for each unit of weight."""
--- a/forklift/retries.py
+++ b/forklift/retries.py
@@ -43,6 +43,9 @@
 # request is given up. These are the least loaded targets, so others would
 # refuse it, too.
 MAX_QUEUE_REJECTIONS = 3
+# The same for an organisation that sends no more than its part. Its queues are
+# long only at targets where some of its requests meet.
+MAX_QUEUE_REJECTIONS_WITHIN_PART = 6
 # Standard deviations above the median latency of the route after which an
 # idempotent request is hedged. The hedge is sent earlier if it can then still
 # meet the latency objective. One in twenty-five requests to healthy targets
@@ -89,6 +92,8 @@
         process_exits_at: Monotonic seconds at which this process exits.
         start_deviations: Standard deviations above the median latency that must
             be left before the objective when the request starts.
+        max_queue_rejections: Number of targets whose queue is too long, after
+            which the request is given up.
         accepts_unproven: Whether the request accepts targets that are not
             ejected but not proven to be healthy.
         wait: Whether the request queues at a target without a free slot.
@@ -110,6 +115,7 @@
     budget_charged: bool = False
     process_exits_at: float = math.inf
     start_deviations: float = 0.0
+    max_queue_rejections: int = MAX_QUEUE_REJECTIONS
     accepts_unproven: bool = False
     wait: bool = False
     exclusive: bool = False
@@ -126,7 +132,7 @@
         """Whether no target is left that could accept the request in time."""
         return (
             self._refused_permanently
-            or self._queue_rejections >= MAX_QUEUE_REJECTIONS
+            or self._queue_rejections >= self.max_queue_rejections
         )
 
     def start_by(
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -163,6 +163,11 @@
                 if forwarder.overload_control()
                 else 0.0
             ),
+            max_queue_rejections=(
+                retries.MAX_QUEUE_REJECTIONS_WITHIN_PART
+                if forwarder.ingress_admission.is_within_part(request)
+                else retries.MAX_QUEUE_REJECTIONS
+            ),
         )
         self._stop_deadlines = forwarder.stop_deadlines
         self._timeout: asyncio.Timeout | None = None
--- a/forklift/shell/ingress_admission.py
+++ b/forklift/shell/ingress_admission.py
@@ -83,6 +83,12 @@
             messages.Reason.BUSY, round(refusal.retry_after, 2)
         )
 
+    def is_within_part(self, request: exchange.Request) -> bool:
+        """Whether the organisation of an admitted request sends its part."""
+        return self._is_enabled() and self.levels.is_within_part(
+            self._arrival(request), self._clock.monotonic()
+        )
+
     def record(
         self,
         request: exchange.Request,
--- a/test/level_simulation.py
+++ b/test/level_simulation.py
@@ -12,6 +12,7 @@
 import math
 import random
 from collections.abc import Callable
+from collections.abc import Mapping
 
 import msgspec
 
@@ -124,6 +125,7 @@
         seed: Seed of all random numbers.
         floor: Lowest probability of admission; also the share of a target's
             work that each waiting priority keeps.
+        weight_by_organisation: Weights of organisations; 1 by default.
         is_fair: Whether targets order their queues by fair queueing, and
             requests start early enough for their objective, as under overload
             control.
@@ -148,13 +150,15 @@
         message_work: float = 0.0,
         seed: int = 1,
         floor: float = 0.1,
+        weight_by_organisation: Mapping[str, float] | None = None,
         is_fair: bool = False,
         domains: int = 1,
         is_hanging: Callable[[str, float], bool] = lambda target, now: False,
     ):
         self.sends: list[Send] = []
+        self._weight_by_organisation = weight_by_organisation or {}
         rules = fair_queueing.Rules(
-            lambda: is_fair, lambda organisation: 1.0, lambda: floor
+            lambda: is_fair, self._weight, lambda: floor
         )
         self.controller_by_target = {
             f"t{n}": admission.Controller(f"t{n}", SERVICE, slots, rules)
@@ -193,6 +197,9 @@
             info.name: self._new_process(info) for info in self._infos
         }
 
+    def _weight(self, organisation: str) -> float:
+        return self._weight_by_organisation.get(organisation, 1.0)
+
     def _new_process(self, own: messages.ProcessInfo) -> _Process:
         name = own.name
         rng = random.Random(f"{name} {self._rng.random()}")
@@ -315,7 +322,10 @@
     def _admit(self, name: str, send: Send, now: float) -> None:
         process = self.process_by_name[name]
         arrival = admission_level.Arrival(
-            SERVICE, send.route.priority, send.organisation
+            SERVICE,
+            send.route.priority,
+            send.organisation,
+            self._weight(send.organisation),
         )
         if self._is_on:
             refusal = process.levels.decide(
@@ -383,6 +393,11 @@
             now,
             now + 1.5 * send.route.objective,
             start_deviations=simulation.start_deviations,
+            max_queue_rejections=(
+                retries.MAX_QUEUE_REJECTIONS_WITHIN_PART
+                if process.levels.is_within_part(arrival, now)
+                else retries.MAX_QUEUE_REJECTIONS
+            ),
         )
         self._soft_deadline = now + send.route.objective
         self._distribution = process.balancer.latencies.for_route(
--- a/test/test_admission_level.py
+++ b/test/test_admission_level.py
@@ -123,6 +123,45 @@
     assert 0.8 * 600 < admitted["flood"] < 1.5 * 600
 
 
+def test_an_organisation_at_its_part_is_seldom_refused():
+    """Guards against taking a chance run of requests for a flood."""
+    process = Process(capacity=20.0)
+    rng = random.Random(2)
+    sent, admitted, within = 0, 0, 0
+    for number in range(4000):
+        # Its part is half of the capacity; the other sends four times as much.
+        name = "usual" if rng.random() < 0.2 else "flood"
+        now = number / 50
+        refusal = process.send_to_limited(now, organisation=name)
+        if name == "usual" and now > 10.0:
+            sent += 1
+            admitted += refusal is None
+            arrival = admission_level.Arrival("s", 1, name)
+            within += process.levels.is_within_part(arrival, now)
+    assert admitted > 0.98 * sent
+    assert within > 0.9 * sent
+
+
+def test_a_flooding_organisation_is_not_within_its_part():
+    """Guards against further attempts of requests that all targets refuse."""
+    process = Process(capacity=20.0)
+    within = []
+    for number in range(2000):
+        name = "small" if number % 10 == 0 else "flood"
+        process.send_to_limited(number / 50, organisation=name)
+        arrival = admission_level.Arrival("s", 1, name)
+        within.append(process.levels.is_within_part(arrival, number / 50))
+    flood = [is_within for n, is_within in enumerate(within) if n % 10]
+    assert sum(flood[1000:]) == 0
+
+
+def test_nobody_is_within_a_part_while_there_is_room():
+    levels = admission_level.AdmissionLevels()
+    arrival = admission_level.Arrival("s", 1, "usual")
+    levels.decide(arrival, admission_level.Room(), FLOOR, 0.5, 0.0)
+    assert not levels.is_within_part(arrival, 0.0)
+
+
 def test_weights_divide_the_room_between_organisations():
     process = Process(capacity=30.0)
     admitted = dict.fromkeys(("heavy", "light"), 0)
--- a/test/test_admission_level_load.py
+++ b/test/test_admission_level_load.py
@@ -213,3 +213,45 @@
     assert any(send.early for send in simulation.sends)
     # Independent arrivals alone deviate by the square root of their number.
     assert statistics.pstdev(counts) < 2 * math.sqrt(statistics.mean(counts))
+
+
+def served_within_part(seed: int) -> list[bool]:
+    """Returns which requests of organisations within their part are served.
+
+    Twelve targets run 120 requests per second. Three organisations send 18
+    each, and two send 108, one of which has twice the weight; the part of an
+    organisation with a weight of 1 is thus 22.
+    """
+    rate_by_organisation = {"heavy": 108.0, "light": 108.0}
+    rate_by_organisation |= dict.fromkeys("abc", 18.0)
+    route = level_simulation.Route("run", 0.4, 1.6, 1, 1.0)
+    simulation = level_simulation.Simulation(
+        12,
+        12,
+        4,
+        (route,),
+        is_on=True,
+        seed=seed,
+        weight_by_organisation={"heavy": 2.0},
+        is_fair=True,
+        domains=3,
+    )
+    for organisation, rate in rate_by_organisation.items():
+        simulation.add_load(rate, 0.0, 19.0, organisation=organisation)
+    simulation.run(25.0)
+    return [
+        send.served
+        for send in simulation.sends
+        if send.organisation in "abc" and send.arrived_at >= 4.0
+    ]
+
+
+def test_organisations_within_their_part_are_served(monkeypatch):
+    """Guards against refusals by chance where few requests meet a full queue.
+
+    The share varies by a few in a hundred, so three seeds are taken together.
+    """
+    monkeypatch.setattr(level_simulation, "PATIENCE_SECONDS", 0.0)
+    served = [one for seed in (1, 2, 3) for one in served_within_part(seed)]
+    # The share that docs/OVERLOAD.md asks for.
+    assert sum(served) > 0.95 * len(served)
--- a/test/test_retries.py
+++ b/test/test_retries.py
@@ -77,6 +77,23 @@
     assert distribution.survival(left) < 0.1
 
 
+def test_request_within_its_part_asks_more_targets_before_it_is_given_up():
+    """Else it is refused wherever a few requests of its organisation meet."""
+    states = [
+        retries.RetryState(0.0, 10.0),
+        retries.RetryState(
+            0.0,
+            10.0,
+            max_queue_rejections=retries.MAX_QUEUE_REJECTIONS_WITHIN_PART,
+        ),
+    ]
+    for state in states:
+        state.wait = True
+        for number in range(retries.MAX_QUEUE_REJECTIONS):
+            state.record_not_run(f"t{number}", Reason.BUSY)
+    assert [state.exhausted for state in states] == [True, False]
+
+
 def test_request_that_misses_its_objective_does_not_queue():
     """During overload, a slot for a late request delays the next one."""
     state = new_state()
