Bind only the target that answered to the notices of an answer in the soak

Cause: of a hedged request the check bound both targets that had received it to the word in the answer, though one of them had not answered. By the users' rule the word is that of the server that answered.

Change: answers of the stand-in name their target, and the check compares it.

Test: a hedged request answered by the other target was a violation before.

--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -175,11 +175,15 @@
 def _bound_since(
     soak: soaks.Soak, target, notice: str, since: float = -math.inf
 ) -> dict[tuple, float]:
-    """When runs of processes passed on a notice of a run of a target."""
+    """When runs of processes passed on a notice of a run of a target.
+
+    A hedged request reaches two targets, but only one of them answered it.
+    """
     bound: dict[tuple, float] = {}
     for seen, _, incarnation in _traced(soak, target):
         key = (incarnation, seen.place, seen.incarnation)
-        if getattr(seen, notice) and seen.ended >= since:
+        is_own = seen.answered_by == incarnation.target
+        if is_own and getattr(seen, notice) and seen.ended >= since:
             bound[key] = min(bound.get(key, math.inf), seen.ended)
     return bound
 
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -24,6 +24,8 @@
 RESTART_MS = 1000
 # Seconds that a slow answer takes.
 SLOW = 0.05
+# Field of all answers that names the target, as a hedged request reaches two.
+ANSWERED_BY = b"x-answered-by"
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -367,7 +369,7 @@
 
     def _notices(self) -> tuple[bytes, ...]:
         """The fields that all its answers hold at present."""
-        notices = []
+        notices = [ANSWERED_BY + b": " + self.name.encode()]
         if self.rate_limit is not None:
             rate = f"{self.rate_limit:.1f}".encode()
             notices.append(self.names.rate_limit + b": " + rate)
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -145,6 +145,7 @@
             closes.
         limited: Whether the answer named a limit of its target.
         leaving: Whether the answer said that its target leaves.
+        answered_by: Name of the target that answered; empty if none did.
     """
 
     id: str
@@ -161,6 +162,7 @@
     told: bool = False
     limited: bool = False
     leaving: bool = False
+    answered_by: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -357,15 +359,17 @@
         began = self.now()
         status, own = 0, True
         limited = leaving = False
+        answered_by = ""
         try:
             answer = await asker.request(
                 method, path, b"", fields, HANGS_AFTER, host="h"
             )
             status = answer.status
             own = status != 200 or _is_own(answer, request_id)
-            names = {name.lower() for name, _ in answer.headers}
-            limited = platform_headers.PLATFORM.rate_limit in names
-            leaving = platform_headers.PLATFORM.leaving in names
+            value_by_name = dict(answer.headers)
+            limited = platform_headers.PLATFORM.rate_limit in value_by_name
+            leaving = platform_headers.PLATFORM.leaving in value_by_name
+            answered_by = value_by_name.get(scripted.ANSWERED_BY, b"").decode()
         except client.RequestFailed:
             # No answer: what that means is for the promises to say.
             status = 0
@@ -385,6 +389,7 @@
                 since,
                 limited=limited,
                 leaving=leaving,
+                answered_by=answered_by,
             )
         )
         return bool(status)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,6 +1,7 @@
 """The checks of the soak detect violations; seeded soak runs find none."""
 
 import asyncio
+import dataclasses
 import socket
 import types
 
@@ -73,7 +74,7 @@
 LEAVING_TARGET = {
     "arrivals": [("s-1", 1.5), ("s-2", 5.05)],
     "responses": [
-        soak.Seen("s-1", "p", 1.0, 2.0, 200, leaving=True),
+        soak.Seen("s-1", "p", 1.0, 2.0, 200, leaving=True, answered_by="t"),
         soak.Seen("s-2", "p", 5.0, 5.1, 200),
     ],
 }
@@ -136,7 +137,7 @@
 
 def limited_target(count: int, place: str = "p") -> dict:
     """Returns observations of so many requests after the limit was named."""
-    first = soak.Seen("s-0", "p", 1.0, 2.0, 200, limited=True)
+    first = soak.Seen("s-0", "p", 1.0, 2.0, 200, limited=True, answered_by="t")
     later = [
         soak.Seen(f"s-{n}", place, 3.0, 3.5, 200) for n in range(1, count + 1)
     ]
@@ -335,6 +336,13 @@
     assert find_violations(**{**LEAVING_TARGET, **case}) == []
 
 
+def test_notice_of_the_target_that_answered_a_hedge_is_not_of_the_other():
+    """Guards against a check that binds both targets of a hedged request."""
+    first, later = LEAVING_TARGET["responses"]
+    hedged = dataclasses.replace(first, answered_by="other")
+    assert not find_violations(LEAVING_TARGET["arrivals"], [hedged, later])
+
+
 def test_requests_within_a_named_limit_are_no_violation():
     assert find_violations(**limited_target(NAMED_ALLOWED)) == []
     # A process that passed no such answer on is not bound.
