Wait for the drop in the test of a relay that keeps dropping

Cause: it let bytes pass again as soon as the target had received the request. The answer may arrive after that, and was then passed on.

Change: the test waits until the relay has dropped bytes, and the target answers late, so that the order no longer depends on the machine. Its checks are unchanged.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -582,14 +582,17 @@
 
 def test_relay_that_dropped_bytes_keeps_dropping_on_that_connection():
     async def work():
-        target = scripted.ScriptedTarget(names=platform_headers.PLATFORM)
+        target = scripted.ScriptedTarget(
+            "slow", names=platform_headers.PLATFORM
+        )
         async with target, relay.Relay(target.address) as tcp_relay:
             caller = client.Client(tcp_relay.address)
             tcp_relay.dropping = frozenset({relay.Way.DOWN})
             waiting = asyncio.create_task(
                 caller.request("GET", "/", timeout=60)
             )
-            await helper.until(lambda: target.received)
+            # The target may take a while to answer.
+            await helper.until(lambda: {relay.Way.DOWN} in tcp_relay._dead)
             tcp_relay.dropping = frozenset()
             other = client.Client(tcp_relay.address)
             await other.request("GET", "/")
