--- a/forklift/health.py
+++ b/forklift/health.py
@@ -159,7 +159,7 @@
         self._shed_request_at = float("-inf")
         self._next_trial_at = float("-inf")
         # Whether a trial request was sent since the last ejection.
-        self._tried = False
+        self._trial_sent = False
 
     @property
     def ejected(self) -> bool:
@@ -185,7 +185,7 @@
         self._requests.append(record)
         if self.ejected:
             self._next_trial_at = now + TRIAL_INTERVAL_SECONDS
-            self._tried = True
+            self._trial_sent = True
 
     def record_end(
         self, request: object, signal: Signal | None, now: float
@@ -243,7 +243,7 @@
         unhealthy_probability = self.unhealthy_probability(now)
         if not self.ejected and unhealthy_probability > EJECTION_THRESHOLD:
             self.ejected_since = now
-            self._tried = False
+            self._trial_sent = False
             failed = signal not in (None, Signal.SUCCESS, Signal.SHED)
             self.signal = signal if failed else Signal.OVERDUE
             self._next_trial_at = now + TRIAL_INTERVAL_SECONDS
@@ -276,7 +276,7 @@
     def _reinstatement_threshold(self) -> float:
         return (
             REINSTATEMENT_THRESHOLD
-            if self._tried
+            if self._trial_sent
             else UNTRIED_REINSTATEMENT_THRESHOLD
         )
 
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -18,7 +18,7 @@
 from forklift import settings
 from forklift.platform import store as adapter
 from forklift.shell import client
-from forklift.shell import forwarding
+from forklift.shell import forwarded_request
 from forklift.shell import health_probe
 from forklift.shell import hedging
 from forklift.shell import idle_targets
@@ -336,8 +336,8 @@
         assert [response.status for response in responses] == [503] * 5
         told = {retry_after(response) for response in responses}
         assert len(told) == len(responses)
-        assert min(told) >= forwarding.RETRY_AFTER_SECONDS
-        assert max(told) <= forwarding.RETRY_AFTER_SECONDS * (
+        assert min(told) >= forwarded_request.RETRY_AFTER_SECONDS
+        assert max(told) <= forwarded_request.RETRY_AFTER_SECONDS * (
             1 + retries.RETRY_AFTER_JITTER
         )
 
