--- a/test/floor_simulation.py
+++ b/test/floor_simulation.py
@@ -46,6 +46,8 @@
         domains: Number of failure domains.
         cycle: Seconds between the begins of two failing phases of a target.
         failing: Share of requests that hang in a failing phase.
+        lost: Share of the announcements of idle targets that are lost.
+        delay: Seconds that an announcement takes.
     """
 
     routes: tuple[level_simulation.Route, ...]
@@ -56,6 +58,8 @@
     domains: int = 3
     cycle: float = 9.0
     failing: float = 0.75
+    lost: float = 0.0
+    delay: float = level_simulation.MESSAGE_SECONDS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -176,13 +180,19 @@
             self._neighbours(target), preferred, count, self._noise
         )
         for name in names:
+            if self._is_lost():
+                continue
             self.at(
-                self._now + level_simulation.MESSAGE_SECONDS,
+                self._now + self._load_of_service.delay,
                 lambda at, name=name: self.process_by_name[
                     name
                 ].balancer.record_work_request(target, load, at),
             )
 
+    def _is_lost(self) -> bool:
+        lost = self._load_of_service.lost
+        return lost > 0 and self._noise.random() < lost
+
     def _neighbours(self, target: str) -> list[str]:
         """Names of the other processes of a target's failure domain."""
         owner, load = int(target[1:]), self._load_of_service
--- a/test/test_capacity_floor.py
+++ b/test/test_capacity_floor.py
@@ -62,6 +62,17 @@
     assert simulation.play(SECONDS) == []
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    "changes", [{"lost": 0.5}, {"delay": 0.5}], ids=["lost", "delayed"]
+)
+def test_floor_holds_if_announcements_are_disturbed(changes, seed):
+    """Guards against a floor that rests on messages between processes."""
+    load = dataclasses.replace(NO_IDEMPOTENT, **changes)
+    simulation = floor_simulation.FloorSimulation(load, seed)
+    assert simulation.play(SECONDS) == []
+
+
 def test_simulated_load_has_windows_in_which_the_floor_counts():
     """Else the test above would show nothing."""
     simulation = floor_simulation.FloorSimulation(FEW_IDEMPOTENT, 1)
