--- a/test/floor_simulation.py
+++ b/test/floor_simulation.py
@@ -48,6 +48,7 @@
         failing: Share of requests that hang in a failing phase.
         lost: Share of the announcements of idle targets that are lost.
         delay: Seconds that an announcement takes.
+        disturbed: Share of the targets that fail all the time.
     """
 
     routes: tuple[level_simulation.Route, ...]
@@ -60,6 +61,7 @@
     failing: float = 0.75
     lost: float = 0.0
     delay: float = level_simulation.MESSAGE_SECONDS
+    disturbed: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -145,7 +147,10 @@
 
     def is_failing(self, target: str, now: float) -> bool:
         """Whether a target is in a failing phase."""
-        cycle = self._load_of_service.cycle
+        load = self._load_of_service
+        if int(target[1:]) < load.disturbed * load.targets:
+            return True
+        cycle = load.cycle
         position = (now + self._phase_by_target[target]) % cycle
         return position < FAILING_PHASE_SHARE * cycle
 
--- a/test/test_capacity_floor.py
+++ b/test/test_capacity_floor.py
@@ -73,6 +73,19 @@
     assert simulation.play(SECONDS) == []
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    "load",
+    [FEW_IDEMPOTENT, FEW_TARGETS],
+    ids=["few-idempotent", "few-targets"],
+)
+def test_floor_holds_if_two_thirds_of_the_targets_are_disturbed(load, seed):
+    """With a few sound targets, a single idle one breaks the floor."""
+    load = dataclasses.replace(load, disturbed=2 / 3)
+    simulation = floor_simulation.FloorSimulation(load, seed)
+    assert simulation.play(SECONDS) == []
+
+
 def test_simulated_load_has_windows_in_which_the_floor_counts():
     """Else the test above would show nothing."""
     simulation = floor_simulation.FloorSimulation(FEW_IDEMPOTENT, 1)
