Apply the start margin only while a request waits for a slot

Cause: the margin was part of the latest start of a request, which every target checks, also one with a free slot, and which ends the search for a target.

Change: the queue of a target applies it, under fair queueing. A request that would wait for longer is refused as busy and may find a free slot elsewhere; one that needs no wait starts as before, and retries have no such limit.

Why it works: only where requests wait does one that ends late take the slot of one that would end in time; a free slot is lost to nobody.

Tests: test_queued_request_starts_early_enough_to_end_in_time failed on the code without a margin, test_request_that_needs_no_wait_may_start_late guards free slots; they take the place of the test of the retry state. The test of cyclic calls showed with its controls that the reserve alone keeps slots from being blocked; the margin does so as well now, so the controls switch it off as they do with holding back, and their checks and bounds are as before.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -234,7 +234,7 @@
         wait = placement.wait
         duration = self._distribution(ticket, now).learned_median
         late = now + wait + duration > ticket.deadline
-        late = late or now + wait > ticket.start_by
+        late = late or now + wait > self.queue.latest_start(ticket, now)
         accepts_wait = ticket.wait or wait <= SHORT_WAIT_SECONDS
         if not accepts_wait or late or not placement.has_room:
             if self.rate_limit.wait(now) > 0:
@@ -448,10 +448,14 @@
         return self.queue.next(now)
 
     def _expire(self, now: float) -> list[Decision]:
-        late = self.queue.remove_if(lambda ticket: ticket.latest_start <= now)
+        late = self.queue.remove_if(
+            lambda ticket: self.queue.latest_start(ticket, now) <= now
+        )
         return [
             self._refuse(
-                ticket, Reason.DEADLINE, self._retry_delay(ticket, now)
+                ticket,
+                Reason.DEADLINE if ticket.latest_start <= now else Reason.BUSY,
+                self._retry_delay(ticket, now),
             )
             for ticket in late
         ]
--- a/forklift/request_queue.py
+++ b/forklift/request_queue.py
@@ -15,6 +15,11 @@
 from forklift import latency
 from forklift import room_usage
 
+# Standard deviations above the median latency that must be left before the
+# objective while a request waits under fair queueing. Most requests start as
+# late as they may then, so with the median alone half of them would end late.
+START_DEVIATIONS = 1.5
+
 
 class SlotTimes:
     """When the slots of a target are expected to become free.
@@ -176,6 +181,20 @@
                 return ticket
         return self._entries[0][1]
 
+    def latest_start(self, ticket, now: float) -> float:
+        """Returns until when a request may wait, in monotonic seconds.
+
+        A request that needs no wait may start later, as its slot would be idle
+        otherwise. So may one that has no time limit by its objective, such as a
+        retry.
+        """
+        if not self.is_fair() or ticket.start_by > ticket.soft_deadline:
+            return ticket.latest_start
+        left = self._distribution(ticket, now).learned_quantile(
+            START_DEVIATIONS
+        )
+        return min(ticket.latest_start, ticket.soft_deadline - left)
+
     def place(self, ticket, now: float, room: Room) -> Placement:
         """Returns the place that a new request would have.
 
@@ -302,7 +321,9 @@
                     class_seconds / class_share, flow_seconds / flow_share
                 )
                 own_wait = max(wait, first_wait + share_wait / room.slots)
-            elif math.isfinite(own_wait) and now + wait > other.latest_start:
+            elif math.isfinite(own_wait) and now + wait > self.latest_start(
+                other, now
+            ):
                 displaced.append(Displaced(other, wait))
                 continue
             kept.append(Displaced(other, wait))
--- a/forklift/retries.py
+++ b/forklift/retries.py
@@ -29,10 +29,6 @@
 # of its target. Otherwise the caller is told to retry. Requests that start
 # later mostly end unserved.
 START_DEADLINE_FRACTION = 0.8
-# Standard deviations above the median latency that must be left before the
-# objective when a request starts under overload control. Most requests start as
-# late as they may then, so with the median alone half of them would end late.
-OVERLOAD_START_DEVIATIONS = 1.5
 # Seconds for which every request may queue, even if it misses its latency
 # objective. Most bursts are over before a refused caller could be back.
 MIN_QUEUE_SECONDS = 0.15
@@ -90,8 +86,6 @@
         budget_charged: Whether the next attempt has been charged to the retry
             budget.
         process_exits_at: Monotonic seconds at which this process exits.
-        start_deviations: Standard deviations above the median latency that must
-            be left before the objective when the request starts.
         max_queue_rejections: Number of targets whose queue is too long, after
             which the request is given up.
         accepts_unproven: Whether the request accepts targets that are not
@@ -114,7 +108,6 @@
     ran_last: bool = False
     budget_charged: bool = False
     process_exits_at: float = math.inf
-    start_deviations: float = 0.0
     max_queue_rejections: int = MAX_QUEUE_REJECTIONS
     accepts_unproven: bool = False
     wait: bool = False
@@ -157,8 +150,7 @@
             self.started + START_DEADLINE_FRACTION * time_limit,
         )
         latest_for_objective = max(
-            soft_deadline
-            - distribution.learned_quantile(self.start_deviations),
+            soft_deadline - distribution.learned_median,
             self.started + MIN_QUEUE_SECONDS,
         )
         return min(latest_start, latest_for_objective)
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -35,7 +35,6 @@
         stop_deadlines: Deadlines for responding to requests while this process
             stops; infinite before that.
         ingress_admission: Refuses requests that have no chance of a slot.
-        overload_control: Returns whether overload control is in force.
     """
 
     def __init__(
@@ -56,7 +55,6 @@
         self.header_names = header_names
         self.quarantine = quarantine or quarantines.Quarantine()
         self.boot = boot
-        self.overload_control = overload_control
         self.balancer = balancer
         self.local_targets = targets
         self.find_policy = find_policy
@@ -89,8 +87,6 @@
             request.deadline,
             process_exits_at=self.stop_deadlines.reject_at,
         )
-        if self.overload_control():
-            state.start_deviations = retries.OVERLOAD_START_DEVIATIONS
         if self.ingress_admission.is_within_part(request):
             state.max_queue_rejections = (
                 retries.MAX_QUEUE_REJECTIONS_WITHIN_PART
--- a/test/level_simulation.py
+++ b/test/level_simulation.py
@@ -126,9 +126,7 @@
         floor: Lowest probability of admission; also the share of a target's
             work that each waiting priority keeps.
         weight_by_organisation: Weights of organisations; 1 by default.
-        is_fair: Whether targets order their queues by fair queueing, and
-            requests start early enough for their objective, as under overload
-            control.
+        is_fair: Whether targets order their queues by fair queueing.
         domains: Number of failure domains; process n is in n modulo this.
         is_hanging: Returns whether a target hangs on what it starts at a time.
 
@@ -136,8 +134,6 @@
         sends: All requests, repeats included.
         controller_by_target: Admission controllers by target.
         reports_lost: Whether no load report reaches a process.
-        start_deviations: Standard deviations above the median latency that
-            must be left before the objective when a request starts.
     """
 
     def __init__(
@@ -167,9 +163,6 @@
         self.reports_lost = False
         self._routes = routes
         self._is_on = is_on
-        self.start_deviations = (
-            retries.OVERLOAD_START_DEVIATIONS if is_fair else 0.0
-        )
         self._floor = floor
         self._is_hanging = is_hanging
         self._message_work = message_work
@@ -392,7 +385,6 @@
         self._state = retries.RetryState(
             now,
             now + 1.5 * send.route.objective,
-            start_deviations=simulation.start_deviations,
             max_queue_rejections=(
                 retries.MAX_QUEUE_REJECTIONS_WITHIN_PART
                 if process.levels.is_within_part(arrival, now)
--- a/test/test_call_reserve.py
+++ b/test/test_call_reserve.py
@@ -10,6 +10,7 @@
 from forklift import call_reserve
 from forklift import messages
 from forklift import overload
+from forklift import request_queue
 from forklift import run_calls
 from forklift import settings
 from forklift.shell import reports
@@ -208,10 +209,12 @@
     required = 0.9 * 15 / CYCLE_RATE
     together = _simulate_cycle(overload.Mode.ON, services)
     assert min(together.values()) > required
-    # Holding back runs also helps a service that calls itself.
+    # Both also keep slots from being blocked: holding back runs, and refusing
+    # requests early that could only start late.
     monkeypatch.setattr(
         run_calls.RunCalls, "held_back_for", lambda *arguments: 0.0
     )
+    monkeypatch.setattr(request_queue, "START_DEVIATIONS", 0.0)
     shares = _simulate_cycle(overload.Mode.ON, services)
     assert min(shares.values()) > required
     blocked = _simulate_cycle(overload.Mode.OFF, services)
--- a/test/test_request_queue.py
+++ b/test/test_request_queue.py
@@ -9,6 +9,7 @@
 from forklift import fair_queueing
 from forklift import health
 from forklift import messages
+from forklift import request_queue
 from forklift import room_usage
 from test import helper
 
@@ -121,6 +122,46 @@
     assert controller.waiting == 2
 
 
+def objective(seconds: float, now: float = 0.0) -> dict:
+    """Fields of a request whose latency objective is met until then."""
+    return {
+        "soft_deadline": now + seconds,
+        "start_by": now + seconds - WORK,
+    }
+
+
+def test_queued_request_starts_early_enough_to_end_in_time():
+    """Else half of the requests that start at the last moment end late."""
+    controller = make_controller(Mode())
+    controller.admit(ticket("a"), 0.0)
+    usual = controller.latencies.get("")
+    needed = usual.quantile(request_queue.START_DEVIATIONS)
+    assert usual.survival(needed) < 0.1
+    # The running request ends after `WORK` seconds.
+    late = controller.admit(ticket("b", **objective(WORK + needed - 0.02)), 0.0)
+    assert late.reason is Reason.BUSY
+    early = ticket("b", **objective(WORK + needed + 0.02))
+    assert isinstance(controller.admit(early, 0.0), admission.Queued)
+    # The slot became free late: the request may find another target.
+    (refused,) = controller.tick(WORK + 0.04)
+    assert (refused.ticket, refused.reason) == (early, Reason.BUSY)
+
+
+def test_request_that_needs_no_wait_may_start_late():
+    """Guards against refusals that leave slots idle."""
+    controller = make_controller(Mode())
+    one = ticket("a", **objective(WORK + 0.02))
+    assert isinstance(controller.admit(one, 0.0), admission.Started)
+
+
+def test_retry_is_not_limited_by_the_objective():
+    """Its objective may be missed already."""
+    controller = make_controller(Mode())
+    controller.admit(ticket("a"), 0.0)
+    retry = ticket("b", soft_deadline=0.1)
+    assert isinstance(controller.admit(retry, 0.0), admission.Queued)
+
+
 def test_refused_request_displaces_nothing():
     controller = make_controller(Mode())
     controller.admit(ticket("a"), 0.0)
--- a/test/test_retries.py
+++ b/test/test_retries.py
@@ -66,17 +66,6 @@
     assert state.start_by(distribution, 1.5) > 10.0
 
 
-def test_queued_request_starts_early_enough_under_overload_control():
-    """Else half of the requests that start at the last moment end late."""
-    distribution = latency.Distribution(0.5)
-    helper.train_latency(distribution, 0.5)
-    state = retries.RetryState(
-        0.0, 10.0, start_deviations=retries.OVERLOAD_START_DEVIATIONS
-    )
-    left = 2.0 - state.start_by(distribution, soft_deadline=2.0)
-    assert distribution.survival(left) < 0.1
-
-
 def test_request_within_its_part_asks_more_targets_before_it_is_given_up():
     """Else it is refused wherever a few requests of its organisation meet."""
     states = [
