Keep log lines of the churn processes out of their results

Cause: the processes printed their log lines to standard output, where the number of received messages is read; a run of 180 s ended with a ValueError when a process that had been paused rejected messages as replayed.

Result: log lines go to standard error. The first core file of that run, of a SIGSEGV in push0_sock_send, does not depend on it.

--- a/test/control_churn.py
+++ b/test/control_churn.py
@@ -14,6 +14,8 @@
 import socket
 import sys
 
+import structlog
+
 from forklift import messages
 from forklift.shell import control_channel
 
@@ -175,6 +177,9 @@
 def main() -> None:
     """Runs one process: address, seed, addresses of its peers."""
     faulthandler.enable()
+    # Standard output is for the result alone.
+    errors = structlog.PrintLoggerFactory(sys.stderr)
+    structlog.configure(logger_factory=errors)
     address, seed, *peers = sys.argv[1:]
     print(asyncio.run(exchange(address, peers, int(seed))))
 
