Send large control messages over asyncio instead of nng

What callers saw: requests without a whole answer (LOST), as the process that had them ended by a segmentation fault around its planned stop.

Cause: nng 1.11 keeps a connection in its list of those that can send after the peer has closed it, and takes it off that list on the next send. Three core files of the churn test show SIGSEGV in nni_list_remove, called by push0_sock_send below nng_send, on the thread of the event loop, while all threads of nng wait. The class is native code with threads and state of its own, whose fault ends a process with all its callers.

Change: push and pull sockets are implemented over asyncio, on the one thread of the process. The bytes on the wire are the same (the TCP mapping of the Scalability Protocols), so processes of both versions exchange messages during a rollout. Queued messages, incomplete ones and connections are bounded. pynng is a dependency of the tests only.

--- a/forklift/shell/control_channel.py
+++ b/forklift/shell/control_channel.py
@@ -1,4 +1,4 @@
-"""Sends and receives control messages: small ones by UDP, others over nng.
+"""Sends and receives control messages: small ones by UDP, others by TCP.
 
 Messages are one-way and may be lost; the protocols tolerate this. If a shared
 key is set, each message carries an authentication code (`authentication`).
@@ -16,9 +16,6 @@
 from forklift.shell import datagrams
 from forklift.shell import push_sockets
 
-# Raised by `ControlChannel.open`, as is OSError, if it can't listen.
-ListenError = push_sockets.pynng.NNGException
-
 _log = structlog.get_logger(__name__)
 
 # Minimum size in bytes of a message that is compressed. Rumors about several
@@ -81,14 +78,14 @@
         self.received_bytes = 0
         self.rejected = 0
 
-    def open(self) -> None:
+    async def open(self) -> None:
         """Starts to listen; the system chooses the port if it is 0.
 
         Raises:
-            ListenError, OSError: The address is in use.
+            OSError: The address is in use.
         """
         for attempts_left in reversed(range(MAX_PORT_ATTEMPTS)):
-            bound_address = self._push_sockets.open(self._address)
+            bound_address = await self._push_sockets.open(self._address)
             try:
                 self._datagrams.open(bound_address)
             except OSError as error:
@@ -112,10 +109,10 @@
         """Number of connections replaced because the peer did not reply."""
         return self._push_sockets.reconnects
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes all sockets."""
         self._datagrams.close()
-        await self._push_sockets.close()
+        self._push_sockets.close()
 
     def send(
         self,
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -293,12 +293,12 @@
         """
         own = self.settings.process
         try:
-            self.control_channel.open()
+            await self.control_channel.open()
             self._servers.append(
                 await tcp_stream.listen(own.caller, self.ingress.accept)
             )
             self._servers.append(await self._listen_peers(own.peer))
-        except (OSError, control_channel.ListenError) as error:
+        except OSError as error:
             raise errors.UserError(
                 f"can't listen ({error}); check the addresses in [process]"
             ) from error
@@ -366,7 +366,7 @@
         self.peer_connections.close()
         for local_target in self.local_targets.by_name.values():
             local_target.pool.close_idle()
-        await self.control_channel.close()
+        self.control_channel.close()
         self.store.close()
 
     def reload(self, changed: settings.Settings) -> None:
--- a/test/control_churn.py
+++ b/test/control_churn.py
@@ -42,7 +42,7 @@
     channel = control_channel.ControlChannel(
         address, seed, b"key", lambda: 0.0, lambda message: None
     )
-    channel.open()
+    await channel.open()
     sender = messages.Sender("p", address)
     payload = rng.randbytes(MESSAGE_BYTES[1])
     print("listening", flush=True)
@@ -55,7 +55,7 @@
         is_new = rng.random() < NEW_CONNECTION_SHARE
         channel.send(rng.choice(peers), message, is_new)
         await asyncio.sleep(rng.uniform(0.0, MAX_PAUSE))
-    await channel.close()
+    channel.close()
     return channel.received
 
 
--- a/test/test_control_channel.py
+++ b/test/test_control_channel.py
@@ -50,7 +50,7 @@
         await helper.until(lambda: received[0].closed)
         assert not received[1].closed
         assert sender.reconnects == 1
-        await sender.close()
+        sender.close()
         listening.close()
 
     helper.run(run_test())
@@ -62,14 +62,14 @@
     async def run_test():
         received = []
         receiver = push_sockets.PushSockets(received.append)
-        address = receiver.open("127.0.0.1:0")
+        address = await receiver.open("127.0.0.1:0")
         sender = push_sockets.PushSockets(print)
         for data in (b"1", b"2"):
             assert sender.send(address, data, True)
         assert sender.send(address, b"3", False)
         await helper.until(lambda: received and received[-1] == b"3")
-        await sender.close()
-        await receiver.close()
+        sender.close()
+        receiver.close()
         assert sorted(received) == [b"1", b"2", b"3"]
 
     helper.run(run_test())
@@ -85,13 +85,13 @@
     receiver = control_channel.ControlChannel(
         "127.0.0.1:0", 2, key, lambda: 0.0, received.append
     )
-    sender.open()
-    receiver.open()
+    await sender.open()
+    await receiver.open()
     try:
         yield sender, receiver, received
     finally:
-        await sender.close()
-        await receiver.close()
+        sender.close()
+        receiver.close()
 
 
 SENDER = messages.Sender("p", "p")
@@ -120,7 +120,7 @@
             for _ in range(5):
                 sender.send(receiver.address, SMALL)
             await helper.until(lambda: len(received) == 5)
-            assert not sender._push_sockets._socket_by_address
+            assert not sender._push_sockets._connection_by_address
 
     helper.run(run_test())
 
@@ -153,13 +153,13 @@
         channel = control_channel.ControlChannel(
             "127.0.0.1:0", 1, b"", lambda: 0.0, print
         )
-        channel.open()
+        await channel.open()
         assert channel.address not in taken_ports
         # The listeners at the rejected ports are closed.
         for address in taken_ports:
             with pytest.raises(OSError):
                 await tcp_stream.connect(address)
-        await channel.close()
+        channel.close()
 
     helper.run(run_test())
 
--- a/test/test_start.py
+++ b/test/test_start.py
@@ -8,9 +8,12 @@
 
 from test import helper
 
-# Modules that a serving process does not need: coloured output, the expression
+# Modules that a serving process does not need: nng, which starts threads of its
+# own whose faults end the process, coloured output, the expression
 # library, operator commands, and metrics before the first scrape.
 NOT_LOADED = (
+    "pynng",
+    "cffi",
     "rich",
     "ssl",
     "pygments",
@@ -58,7 +61,7 @@
 
 
 def test_serving_modules_are_loaded(loaded):
-    assert {"forklift.shell.serve", "structlog", "pynng", "h11"} <= loaded
+    assert {"forklift.shell.serve", "structlog", "msgspec", "h11"} <= loaded
 
 
 @pytest.mark.parametrize("module", NOT_LOADED)
