Test that resets of control connections end no process

What it guards against: nng ended a process by a segmentation fault as it sent over a connection that a peer had closed.

The soak, from seed 70000 on, hands on configurations that need large control messages while processes end and control connections are reset, and the processes of the soak, the demo and the tests are watched: any end that was not brought about, and any planned stop with a status other than 0, fails the run.

--- a/forklift_lab/programs.py
+++ b/forklift_lab/programs.py
@@ -91,6 +91,10 @@
 # The system chooses the ports.
 _ANY = "127.0.0.1:0"
 _POLL = 0.02
+# Signals after which a process answers its callers and exits with status 0.
+_GRACEFUL = (signal.SIGTERM, signal.SIGINT)
+# Lines of a log that tell of an unexpected end: a traceback of all threads.
+_LAST_LINES = 20
 START_WITHIN = 60.0
 
 
@@ -150,9 +154,43 @@
         return (*self.between(), self.target)
 
 
+@dataclasses.dataclass(frozen=True)
+class UnexpectedEnd:
+    """A process that ended otherwise than it was made to end.
+
+    Attributes:
+        name: Its name.
+        status: Its exit status; negative for the number of a signal.
+        expected: Exit status that it was made to end with; None if it was not
+            made to end.
+        last_lines: Last lines of its log.
+    """
+
+    name: str
+    status: int
+    expected: int | None
+    last_lines: str
+
+    def __str__(self) -> str:
+        expected = "no end" if self.expected is None else self.expected
+        return (
+            f"{self.name} ended with status {self.status}, expected "
+            f"{expected}: {self.last_lines}"
+        )
+
+
+class ProcessesEnded(Exception):
+    """Processes ended otherwise than they were made to end."""
+
+    def __init__(self, ends: list[UnexpectedEnd]):
+        super().__init__("; ".join(str(end) for end in ends))
+
+
 class Programs:
     """A store, targets and processes; all end with the context.
 
+    The context raises `ProcessesEnded` if a process ended unexpectedly.
+
     Args:
         relayed: Whether a relay stands on each way of each process.
         heartbeat_ms: Milliseconds between two heartbeats, as processes are
@@ -176,6 +214,9 @@
         self.process_by_name: dict[str, asyncio.subprocess.Process] = {}
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task] = set()
+        self._watchers: list[asyncio.Task] = []
+        self._expected_status_by_pid: dict[int, int] = {}
+        self._unexpected_ends: list[UnexpectedEnd] = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="forklift-"))
 
     async def __aenter__(self) -> "Programs":
@@ -183,15 +224,18 @@
         await self.server.open("127.0.0.1:0")
         return self
 
-    async def __aexit__(self, *_: object) -> None:
+    async def __aexit__(self, error_type: type | None, *_: object) -> None:
         for task in list(self._tasks):
             task.cancel()
-        for process in self.process_by_name.values():
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
+        for name, process in self.process_by_name.items():
+            if process.returncode is None:
+                await self.stop(name, signal.SIGKILL)
+        await asyncio.gather(*self._watchers)
         await self._stack.aclose()
         self.server.abort()
+        ends = self.take_unexpected_ends()
+        if ends and error_type is None:
+            raise ProcessesEnded(ends)
 
     async def add(
         self, name: str, domain: str, service: str, program=PROGRAM
@@ -254,10 +298,31 @@
             )
         )
         log = (self.folder / f"{found.name}.log").open("ab")
-        self.process_by_name[found.name] = await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             *program, "run", str(path), stdout=log, stderr=log
         )
         log.close()
+        self.process_by_name[found.name] = process
+        watcher = asyncio.create_task(self._watch(found.name, process))
+        self._watchers.append(watcher)
+
+    async def _watch(
+        self, name: str, process: asyncio.subprocess.Process
+    ) -> None:
+        """Records the end of a process if nothing here brought it about."""
+        status = await process.wait()
+        expected = self._expected_status_by_pid.pop(process.pid, None)
+        if status != expected:
+            log = (self.folder / f"{name}.log").read_text(errors="replace")
+            last_lines = "\n".join(log.splitlines()[-_LAST_LINES:])
+            self._unexpected_ends.append(
+                UnexpectedEnd(name, status, expected, last_lines)
+            )
+
+    def take_unexpected_ends(self) -> list[UnexpectedEnd]:
+        """Returns the unexpected ends since the last call."""
+        ends, self._unexpected_ends = self._unexpected_ends, []
+        return ends
 
     async def _relays(self, target: scripted.ScriptedTarget) -> Relays:
         enter = self._stack.enter_async_context
@@ -273,7 +338,11 @@
     async def stop(self, name: str, number: int = signal.SIGTERM) -> int:
         """Ends a process by a signal; returns its exit status."""
         process = self.process_by_name[name]
-        process.send_signal(number)
+        if process.returncode is None:
+            expected = 0 if number in _GRACEFUL else -number
+            self._expected_status_by_pid[process.pid] = expected
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(number)
         return await process.wait()
 
     async def ready(self, found: Place) -> bool:
--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -86,6 +86,12 @@
     return [f"{name} {status}" for name, status in soak.stopped if status]
 
 
+@soaks.promise("no process ends by itself")
+def _unexpected_ends(soak: soaks.Soak) -> list[str]:
+    """Neither by a fault nor otherwise than its signal makes it end."""
+    return [str(end) for end in soak.running.take_unexpected_ends()]
+
+
 @soaks.promise("a leaving target gets no work")
 def _drained(soak: soaks.Soak) -> list[str]:
     late = []
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -85,6 +85,11 @@
 NOTICES_FROM = 40_000
 # Seeds from this one on also switch overload control on.
 OVERLOAD_FROM = 50_000
+# Seeds from this one on also hand on configurations that need large control
+# messages, while processes end.
+LARGE_FROM = 70_000
+# Organisations of such a configuration; their keys don't compress well.
+LARGE_ORGANISATIONS = 500
 # Seconds in which the requests of a limited target are counted, and what it may
 # get in these: a multiple of its limit, and a number. Answers bind a process
 # from so many seconds on.
@@ -244,6 +249,9 @@
         self.limits: list[NamedLimit] = []
         if seed >= NOTICES_FROM:
             self._troubles += names_by_theme[NOTICES] * NOTICES_SHARE
+        self._large = seed >= LARGE_FROM
+        if self._large:
+            self._troubles += names_by_theme[LARGE] * LARGE_SHARE
         self._number = 0
 
     def now(self) -> float:
@@ -294,7 +302,9 @@
     def configuration(self) -> dict:
         """The newest record of the operator."""
         record = configuration(self.version)
-        return limited(record) if self._limited else record
+        if self._limited:
+            record = limited(record)
+        return large(record) if self._large else record
 
     def due(self, at: float, within: float) -> int:
         """The newest version acknowledged so many seconds before; 0 if none."""
@@ -627,6 +637,16 @@
     return record | {"tenants": {ORGANISATION: few}}
 
 
+def large(record: dict) -> dict:
+    """The same record with many organisations, whose keys change."""
+    rng = random.Random(record["version"])
+    others = {
+        f"other-{number}": {"api-keys": [rng.randbytes(16).hex()]}
+        for number in range(LARGE_ORGANISATIONS)
+    }
+    return record | {"tenants": record.get("tenants", {}) | others}
+
+
 Trouble = Callable[[Soak, programs.Place], Awaitable[None]]
 trouble_by_name: dict[str, Trouble] = {}
 # What a seed draws from: all troubles, or such as leave processes alone, or
@@ -643,6 +663,9 @@
 # Targets name limits and say that they leave, and how often that is drawn.
 NOTICES = "notices"
 NOTICES_SHARE = 8
+# Large configurations while processes end, and how often that is drawn.
+LARGE = "large"
+LARGE_SHARE = 40
 names_by_theme: dict[str, list[str]] = collections.defaultdict(list)
 
 
@@ -653,7 +676,7 @@
         trouble_by_name[name] = function
         for theme in themes:
             names_by_theme[theme].append(name)
-        if not {RETURNS, CRASHES, GOES_BACK, NOTICES} & set(themes):
+        if not {RETURNS, CRASHES, GOES_BACK, NOTICES, LARGE} & set(themes):
             names_by_theme[ALL].append(name)
         return function
 
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -38,6 +38,12 @@
 BOTH = frozenset(relay.Way)
 # Limits that targets name, requests a second.
 LIMITS = (0.5, 1.0, 2.4, 5.0)
+# Seconds over which large configurations follow each other, and the pause
+# between two of them.
+LARGE_SECONDS = 4.0
+LARGE_PAUSE = (0.05, 0.2)
+# Seconds between two resets of the control connections of a process.
+RESET_PAUSE = (0.002, 0.01)
 
 
 @contextlib.contextmanager
@@ -350,6 +356,45 @@
         await asyncio.sleep(soak.rng.uniform(0.5, 2.0))
 
 
+@soaks.trouble("large-versions-amid-ends", soaks.LARGE)
+async def _large_versions(soak: soaks.Soak, place: programs.Place) -> None:
+    """Processes hand large configurations on while some stop or are killed."""
+
+    async def end(one: programs.Place) -> None:
+        await asyncio.sleep(soak.rng.uniform(0.0, LARGE_SECONDS))
+        await soak.rng.choice((_stop, _kill))(soak, one)
+
+    ends = (end(one) for one in _part(soak))
+    await asyncio.gather(_configure_often(soak), *ends)
+
+
+@soaks.trouble("large-versions-amid-resets", soaks.LARGE)
+async def _large_versions_reset(
+    soak: soaks.Soak, place: programs.Place
+) -> None:
+    """Control connections are reset while large configurations pass."""
+
+    async def reset() -> None:
+        while True:
+            one = soak.rng.choice(soak.running.places)
+            soak.relays(one).control.reset()
+            await asyncio.sleep(soak.rng.uniform(*RESET_PAUSE))
+
+    with contextlib.ExitStack() as stack:
+        for one in soak.running.places:
+            stack.enter_context(soak.cut(one.name))
+        resetting = asyncio.create_task(reset())
+        await _configure_often(soak)
+        resetting.cancel()
+
+
+async def _configure_often(soak: soaks.Soak) -> None:
+    until = soak.now() + LARGE_SECONDS
+    while soak.now() < until:
+        soak.configure()
+        await asyncio.sleep(soak.rng.uniform(*LARGE_PAUSE))
+
+
 @soaks.trouble("news-in-the-dark", soaks.NEWS)
 async def _news_in_the_dark(soak: soaks.Soak, place: programs.Place) -> None:
     """Versions come while the store serves some and connections die."""
