Test that unexpected ends are reported; keep two seeds of the soak

Seeds 70103 and 70302 show the fault with the product of: a process ended by SIGABRT, and one by SIGSEGV with a caller's request cut off, as in the users' record.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -28,6 +28,8 @@
 #      process.
 #   40026: a target that said that it leaves and started again under its name
 #      was not added again.
+#   70103, 70302: native code ended a process, as control connections were reset
+#      while large messages passed.
 # Seeds that show what fails without it:
 #   40000: targets name limits; 40001: targets say in answers that they leave.
 SEEDS = (
@@ -43,6 +45,8 @@
     40_000,
     40_001,
     40_026,
+    70_103,
+    70_302,
 )
 
 
