Reject host names in addresses that peers send

What could happen: a control message may name any text as the address of a process. A host name there was resolved by the system: in a datagram's send on the event loop, which stops all requests meanwhile, for a connection in a thread that the exit of the process waits for. A text without a port, or with a port out of range, raised an untyped error that ended the request instead of trying another process.

Cause: only stored announcements were validated.

Change: splitting an address accepts IP numbers and valid ports only, with a typed error that counts as unreachable.

--- a/forklift/shell/datagrams.py
+++ b/forklift/shell/datagrams.py
@@ -55,7 +55,7 @@
         """Sends a message; returns False if it could not be sent."""
         try:
             self._socket.sendto(data, tcp_stream.split_address(address))
-        except (OSError, ValueError, OverflowError):
+        except OSError:
             return False
         return True
 
--- a/forklift/shell/push_connection.py
+++ b/forklift/shell/push_connection.py
@@ -28,12 +28,7 @@
 GIVE_UP_SECONDS = 5.0
 # Seconds for which a closed connection may go on sending what was written.
 LINGER_SECONDS = 1.0
-_OPEN_ERRORS = (
-    OSError,
-    OverflowError,
-    ValueError,
-    messages.MalformedMessage,
-)
+_OPEN_ERRORS = (OSError, messages.MalformedMessage)
 
 
 class _PushProtocol(asyncio.Protocol):
@@ -109,8 +104,12 @@
             address: Address of the receiver, "ip:port".
             on_closed: Called when the connection was lost or not opened, and
                 not after `close`.
+
+        Raises:
+            tcp_stream.InvalidAddress: The address is not "ip:port".
         """
         self._address = address
+        self._host, self._port = tcp_stream.split_address(address)
         self._on_closed = on_closed
         self._queue: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
@@ -151,7 +150,7 @@
         delay = MIN_RETRY_DELAY
         while True:
             try:
-                protocol = await _open(self._address)
+                protocol = await _open(self._host, self._port)
                 break
             except _OPEN_ERRORS as error:
                 if loop.time() + delay >= give_up_at:
@@ -195,15 +194,14 @@
             self._on_closed()
 
 
-async def _open(address: str) -> _PushProtocol:
+async def _open(host: str, port: int) -> _PushProtocol:
     """Opens a connection and exchanges headers.
 
     Raises:
-        OSError, ValueError, OverflowError: The address can't be reached.
+        OSError: The address can't be reached.
         TimeoutError: The peer did not answer in time.
         messages.MalformedMessage: Something else answers at the address.
     """
-    host, port = tcp_stream.split_address(address)
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(OPEN_TIMEOUT):
         transport, protocol = await loop.create_connection(
--- a/forklift/shell/push_sockets.py
+++ b/forklift/shell/push_sockets.py
@@ -10,6 +10,7 @@
 from forklift import messages
 from forklift.shell import pull_socket
 from forklift.shell import push_connection
+from forklift.shell import tcp_stream
 
 # Maximum number of connections to send over. Above it, the least recently used
 # one is closed.
@@ -66,14 +67,18 @@
             new_connection: Whether to send it over a new connection.
 
         Returns:
-            False if the message was dropped, because it exceeds the maximum
-            size or too many wait for the same receiver.
+            False if the message was dropped: it exceeds the maximum size, the
+            address is invalid, or too many wait for the same receiver.
         """
         if len(data) > messages.MAX_CONTROL_BYTES:
             return False
         if new_connection:
             self._close_connection(address)
-        return self._get_connection(address).send(data)
+        try:
+            connection = self._get_connection(address)
+        except tcp_stream.InvalidAddress:
+            return False
+        return connection.send(data)
 
     def _close_connection(self, address: str) -> None:
         """Closes a connection and drops the messages queued on it.
--- a/forklift/shell/tcp_stream.py
+++ b/forklift/shell/tcp_stream.py
@@ -9,16 +9,42 @@
 # Milliseconds without acknowledgment after which the kernel closes a
 # connection. Must exceed the time that a request to a peer may take.
 USER_TIMEOUT_MS = 8_000
+MAX_PORT = 65_535
+
+
+class InvalidAddress(OSError):
+    """An address that a peer has sent is not an IP address with a port."""
+
+    def __init__(self, address: str):
+        super().__init__(
+            f"{address!r} is not an IP address with a port; check the "
+            "addresses in [process] of the peer"
+        )
 
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits "ip:port".
 
+    Names are rejected: resolving one would block the event loop, or occupy a
+    thread that the exit of the process waits for.
+
     >>> split_address("127.0.0.1:80")
     ('127.0.0.1', 80)
+
+    Raises:
+        InvalidAddress: The host is not an IP address, or the port is not valid.
     """
     host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        socket.inet_pton(family, host)
+        number = int(port)
+    except (OSError, ValueError):
+        raise InvalidAddress(address) from None
+    if not 0 <= number <= MAX_PORT:
+        raise InvalidAddress(address)
+    return host, number
 
 
 class ConnectionLost(ConnectionError):
--- a/test/test_control_channel.py
+++ b/test/test_control_channel.py
@@ -136,6 +136,20 @@
     helper.run(run_test())
 
 
+@pytest.mark.parametrize("message", [SMALL, LARGE], ids=["small", "large"])
+@pytest.mark.parametrize("host", ["localhost", "nowhere.invalid", "", "256.1"])
+def test_host_name_in_a_peer_s_address_is_not_resolved(host, message):
+    """Guards against a name server that blocks the event loop, or the exit."""
+
+    async def run_test():
+        async with pair() as (sender, receiver, _):
+            port = receiver.address.rpartition(":")[2]
+            assert not sender.send(f"{host}:{port}", message)
+            assert sender.dropped == 1
+
+    helper.run(run_test())
+
+
 def test_port_in_use_for_datagrams_is_not_chosen(monkeypatch):
     """TCP and UDP must have the same port, also if the system chooses it."""
     taken_ports = []
--- a/test/test_peer_client.py
+++ b/test/test_peer_client.py
@@ -5,6 +5,7 @@
 from forklift import messages
 from forklift.shell import framing
 from forklift.shell import peer_client
+from forklift.shell import tcp_stream
 from test import helper
 
 
@@ -55,3 +56,16 @@
             frames.on_frame(messages.Proof(b"x"))
 
     helper.run(work())
+
+
+@pytest.mark.parametrize(
+    "address", ["localhost:80", "nowhere", "127.0.0.1:99999", "127.0.0.1:x"]
+)
+def test_invalid_address_of_a_peer_is_unreachable(address):
+    """Guards against an error that ends the request instead of a retry."""
+
+    async def run_test():
+        with pytest.raises(tcp_stream.InvalidAddress):
+            await peer_client.connect(address, None, b"")
+
+    helper.run(run_test())
