--- a/test/test_push_sockets.py
+++ b/test/test_push_sockets.py
@@ -17,6 +17,8 @@
 
 ANY_PORT = "127.0.0.1:0"
 LARGEST = bytes(messages.MAX_CONTROL_BYTES)
+# Bytes that a slow sender sends one by one: several times what it has time for.
+SLOW_BYTES = 100
 
 
 @contextlib.asynccontextmanager
@@ -77,8 +79,10 @@
     ],
     ids=["http", "receiver", "size beyond any", "size above the maximum"],
 )
-def test_malformed_connection_is_closed(sent):
+def test_malformed_connection_is_closed(monkeypatch, sent):
     """Guards against memory that a peer of another protocol makes us take."""
+    # The connection is closed because of the bytes, not because of the time.
+    monkeypatch.setattr(pull_socket, "MESSAGE_TIMEOUT", 1000.0)
 
     async def run_test():
         async with receiving() as (address, received):
@@ -119,7 +123,8 @@
             connection = await tcp_stream.connect(address)
             data = push_framing.PUSH_HEADER + push_framing.frame(LARGEST)
             connection.write(data[:9] if with_header else data[:1])
-            for byte in data[9:] if with_header else data[1:]:
+            rest = data[9:] if with_header else data[1:]
+            for byte in rest[:SLOW_BYTES]:
                 if connection.closed:
                     break
                 connection.write(bytes((byte,)))
@@ -165,6 +170,10 @@
             kept = next(c for c in connections if not c.closed)
             kept.write(push_framing.frame(message)[1000:])
             await helper.until(lambda: received == [message])
+            another = await tcp_stream.connect(address)
+            another.write(push_framing.PUSH_HEADER + started)
+            another.write(push_framing.frame(message)[1000:])
+            await helper.until(lambda: received == [message, message])
 
     helper.run(run_test())
 
@@ -192,8 +201,8 @@
     async def run_test():
         async with receiving() as (address, received):
             with sending() as sender:
-                assert sender.send(address, LARGEST, False)
                 assert not sender.send(address, LARGEST + b"x", False)
+                assert sender.send(address, LARGEST, False)
                 await helper.until(lambda: received == [LARGEST])
 
     helper.run(run_test())
@@ -216,13 +225,6 @@
                 connection = sender._connection_by_address[address]
                 queued = connection._queued_bytes
                 assert queued <= push_connection.MAX_QUEUED_BYTES
-                # Small messages are limited by number.
-                while sender.send(address, b"x", False):
-                    pass
-                assert (
-                    len(connection._queue)
-                    <= push_connection.MAX_QUEUED_MESSAGES
-                )
                 assert len(peers) == 1
                 # What was accepted arrives once the peer goes on.
                 peers[0].transport.resume_reading()
@@ -231,6 +233,17 @@
     helper.run(run_test())
 
 
+def test_number_of_messages_to_a_silent_peer_is_bounded():
+    async def run_test():
+        async with listening() as address:
+            with sending() as sender:
+                for _ in range(push_connection.MAX_QUEUED_MESSAGES):
+                    assert sender.send(address, b"x", False)
+                assert not sender.send(address, b"x", False)
+
+    helper.run(run_test())
+
+
 def test_messages_wait_for_a_peer_that_restarts_at_its_address():
     async def run_test():
         async with receiving() as (address, received):
