Tell why a peer counted as silent, and which responses were cut off

peer_lost of a silent peer names the seconds since the last bytes and the last whole frame, the bytes of an incomplete frame and the responses that had begun; tick_late and forklift_tick_delay_max tell of a blocked loop; response_cut and forklift_responses_cut of responses that broke off; configuration_applied how long a version took. No decision changes.

The lab gains slow links and large answers, to reproduce with.

--- a/forklift/counters.py
+++ b/forklift/counters.py
@@ -64,6 +64,13 @@
         self.ejections_by_signal: collections.Counter[str] = (
             collections.Counter()
         )
+        self.responses_cut_by_reason: collections.Counter[str] = (
+            collections.Counter()
+        )
+
+    def record_cut_response(self, reason: str) -> None:
+        """Counts a response that broke off after it had begun."""
+        self.responses_cut_by_reason[str(reason)] += 1
 
     def record_refusal(self, reason: str) -> None:
         """Counts a request refused before its service was determined."""
--- a/forklift/shell/configuration_loader.py
+++ b/forklift/shell/configuration_loader.py
@@ -101,5 +101,11 @@
         return not self._is_alone()
 
     def _activate(self, loaded: catalog.Catalog, source: str) -> None:
-        if self._active_catalog.offer(loaded, source, self._clock.monotonic()):
+        started = self._clock.monotonic()
+        if self._active_catalog.offer(loaded, source, started):
             self._on_activated(loaded, source)
+            _log.info(
+                "configuration_applied",
+                version=loaded.version,
+                seconds=round(self._clock.monotonic() - started, 3),
+            )
--- a/forklift/shell/framing.py
+++ b/forklift/shell/framing.py
@@ -88,6 +88,7 @@
     """Sends and receives frames on a TCP connection.
 
     Attributes:
+        on_bytes: Called when bytes arrive, before the frames they complete.
         on_frame: Called with each frame received.
         on_lost: Called when the connection closes.
         peer_address: Address of the peer, "ip:port".
@@ -107,6 +108,7 @@
         self.on_lost: Callable[[], None] = lambda: None
         self._lost = False
         self.peer_address = ""
+        self.on_bytes: Callable[[], None] = lambda: None
         self.compress = False
         self._compressor: _FrameCompressor | None = None
         self._decompressor: _FrameDecompressor | None = None
@@ -122,6 +124,7 @@
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
         self._buffer += data
+        self.on_bytes()
         try:
             self._process_buffer()
         except messages.MalformedMessage as error:
@@ -155,6 +158,11 @@
         # later iteration of the loop.
         return self.transport.is_closing()
 
+    @property
+    def incomplete_frame_bytes(self) -> int:
+        """Bytes received of a frame that is not yet complete."""
+        return len(self._buffer)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of frames that are not yet in the kernel send buffer."""
--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -83,6 +83,8 @@
         origin_service: Returns the name of the service on this instance.
         on_rejected: Called with the reason for each request that is rejected
             before it runs.
+        on_cut: Called with the reason for each response that broke off after
+            it had begun.
         match_call: Returns the call of a run that a request is, or None; see
             `run_calls.RunCalls.match`.
     """
@@ -96,6 +98,7 @@
     on_result: Callable[[exchange.Request, exchange.Result, float], None]
     origin_service: Callable[[], str]
     on_rejected: Callable[[Reason], None] = lambda reason: None
+    on_cut: Callable[[Reason | None], None] = lambda reason: None
     match_call: Callable[[str, float | None, float], run_calls.Call | None] = (
         lambda organisation, named_deadline, route_soft_deadline: None
     )
@@ -557,6 +560,14 @@
         if result.ending.outcome is Outcome.ANSWERED:
             return
         if writer.has_started:
+            self._hooks.on_cut(result.ending.reason)
+            _log.warning(
+                "response_cut",
+                request=request.id,
+                reason=str(result.ending.reason or ""),
+                bytes_sent=writer.bytes_sent,
+                seconds=round(seconds, 3),
+            )
             raise tcp_stream.ConnectionLost("the response is incomplete")
         await self._write_problem(writer, result, request.id)
 
--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -96,6 +96,9 @@
         self.unresponsive = asyncio.Event()
         self.incarnation = 0
         self.pending_count = 0
+        # Loop time in seconds of the last bytes and the last whole frame.
+        self._last_bytes_at = self._last_frame_at = _loop_time()
+        frames.on_bytes = self._handle_bytes
         frames.on_frame = self._handle_frame
         frames.on_lost = self._handle_lost
 
@@ -206,6 +209,22 @@
         if not self._pending_by_id:
             self.close()
 
+    def silence_log_fields(self) -> dict[str, object]:
+        """Returns what shows why no frame has arrived, for a log line."""
+        now = _loop_time()
+        started = sum(
+            1
+            for pending in self._pending_by_id.values()
+            if pending.response_body is not None
+        )
+        return {
+            "since_bytes": round(now - self._last_bytes_at, 3),
+            "since_frame": round(now - self._last_frame_at, 3),
+            "incomplete_frame": self._frames.incomplete_frame_bytes,
+            "pending": len(self._pending_by_id),
+            "responses_begun": started,
+        }
+
     def close(self) -> None:
         """Closes the connection and discards unsent data."""
         self._frames.transport.abort()
@@ -259,7 +278,11 @@
             if not self.lost:
                 self._frames.send(messages.Cancel(stream))
 
+    def _handle_bytes(self) -> None:
+        self._last_bytes_at = _loop_time()
+
     def _handle_frame(self, frame: messages.Frame) -> None:
+        self._last_frame_at = self._last_bytes_at
         if isinstance(frame, messages.Hello):
             self._handle_hello(frame)
             return
@@ -361,6 +384,10 @@
             pending.response_body.fail("connection to the peer lost")
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _failure_result(failure: messages.Failure) -> exchange.Result:
     if failure.outcome is messages.Outcome.NOT_RUN:
         return exchange.not_run(
--- a/forklift/shell/peer_connections.py
+++ b/forklift/shell/peer_connections.py
@@ -103,8 +103,11 @@
             else:
                 self._reachability.cancel_expected_reply(process)
         for process in self._reachability.take_timed_out(now):
-            _log.warning("peer_lost", process=process, cause="silent")
             connection = self.connection_by_process.get(process)
+            fields = {}
+            if connection is not None:
+                fields = connection.silence_log_fields()
+            _log.warning("peer_lost", process=process, cause="silent", **fields)
             if connection is not None:
                 connection.fail_idempotent()
         for process in self._reachability.take_due_heartbeats(now):
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -261,6 +261,7 @@
                 on_result=self._on_result,
                 origin_service=lambda: self.settings.platform.service,
                 on_rejected=self.counters.record_refusal,
+                on_cut=self.counters.record_cut_response,
                 match_call=self.run_calls.match,
             ),
             self.settings.limits.callers,
--- a/forklift/shell/response_writer.py
+++ b/forklift/shell/response_writer.py
@@ -24,6 +24,7 @@
         method: HTTP method of the request.
         has_started: Whether the head of a response was passed on.
         status: HTTP status of the response; 0 before it has started.
+        bytes_sent: Bytes of the response passed to the caller's connection.
         finished: Future that is done once the next response may start.
     """
 
@@ -55,6 +56,7 @@
         self.has_started = False
         self._start_count = 0
         self.status = 0
+        self.bytes_sent = 0
         self.finished = asyncio.get_running_loop().create_future()
 
     async def start(self, head: exchange.ResponseHead) -> None:
@@ -124,4 +126,5 @@
     def _flush(self, data: bytes) -> None:
         if self._unsent or data:
             self._connection.write(self._unsent + data)
+            self.bytes_sent += len(self._unsent) + len(data)
         self._unsent = b""
--- a/forklift/shell/telemetry.py
+++ b/forklift/shell/telemetry.py
@@ -70,6 +70,13 @@
                 )
             ],
         )
+        self.add_counter(
+            "forklift.responses.cut",
+            "Responses that were cut off after they had begun, by reason",
+            lambda: overload_metrics.labelled_samples(
+                counters.responses_cut_by_reason, "reason"
+            ),
+        )
         self.add_counter(
             "forklift.request.seconds.bucket",
             "Requests that took up to `le` seconds",
@@ -250,6 +257,11 @@
             "Version of the configuration in force",
             lambda: [(proxy.active_catalog.catalog.version, {})],
         )
+        self.add_gauge(
+            "forklift.tick.delay.max",
+            "Longest time by which a tick was late, in seconds",
+            lambda: [(proxy.ticker.max_delay, {})],
+        )
         self.add_gauge(
             "forklift.peers",
             "Processes that are known and usable, this one too",
--- a/forklift/shell/ticker.py
+++ b/forklift/shell/ticker.py
@@ -7,16 +7,27 @@
 import asyncio
 from collections.abc import Callable
 
+import structlog
+
+_log = structlog.get_logger(__name__)
+
 # Seconds between two ticks while there is work. What a tick detects (overdue
 # requests, expired waits, silent peers) is due within several ticks.
 BUSY_INTERVAL = 0.1
 # Seconds between two ticks while there is no work. Must stay well below
 # `proxy.MIN_PAUSE_SECONDS`, or an idle process counts as paused.
 IDLE_INTERVAL = 0.25
+# Seconds by which a tick is late from which it is logged. A process that is
+# blocked for longer may take its own silence for that of a peer.
+LOGGED_DELAY = 0.2
 
 
 class Ticker:
-    """Calls a function periodically."""
+    """Calls a function periodically.
+
+    Attributes:
+        max_delay: Longest time by which a tick was late, in seconds.
+    """
 
     def __init__(self, tick: Callable[[], None], is_busy: Callable[[], bool]):
         """Creates a ticker that is not running.
@@ -29,6 +40,7 @@
         self._tick = tick
         self._is_busy = is_busy
         self._handle: asyncio.TimerHandle | None = None
+        self.max_delay = 0.0
 
     def start(self) -> None:
         """Starts ticking on the running event loop."""
@@ -58,6 +70,10 @@
         self._handle = loop.call_later(delay, self._run)
 
     def _run(self) -> None:
+        delay = asyncio.get_running_loop().time() - self._handle.when()
+        self.max_delay = max(self.max_delay, delay)
+        if delay >= LOGGED_DELAY:
+            _log.warning("tick_late", seconds=round(delay, 3))
         # Schedules first, as the tick may call `wake` or `stop`.
         self._schedule(BUSY_INTERVAL if self._is_busy() else IDLE_INTERVAL)
         self._tick()
--- a/forklift_lab/relay.py
+++ b/forklift_lab/relay.py
@@ -19,6 +19,8 @@
 # Ports that are tried until both kinds of bytes have the same one.
 MAX_PORT_ATTEMPTS = 16
 _CHUNK = 65_536
+# Seconds that a slow link takes for one piece.
+_SLOW_PIECE_SECONDS = 0.02
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -41,6 +43,8 @@
         self.address = ""
         # Seconds by which each piece is late.
         self.delay = 0.0
+        # Rate at which each connection passes bytes on; 0 for no limit.
+        self.bytes_per_second = 0
         # Ways in which what arrives now is dropped, on new connections too.
         self.dropping: frozenset[Way] = frozenset()
         # Ways that are dead, for each connection that is open.
@@ -89,6 +93,7 @@
     def heal(self) -> None:
         """Treats everything well again, but for what was dropped."""
         self.delay = 0.0
+        self.bytes_per_second = 0
         for event in self._open_by_way.values():
             event.set()
 
@@ -150,9 +155,9 @@
     ) -> None:
         broke = False
         try:
-            while piece := await reader.read(_CHUNK):
+            while piece := await reader.read(self._chunk_size()):
                 await self._open_by_way[way].wait()
-                await asyncio.sleep(self.delay)
+                await asyncio.sleep(self.delay + self._seconds_for(piece))
                 if not self._dropped(way, dead):
                     writer.write(piece)
                     await writer.drain()
@@ -165,6 +170,18 @@
         else:
             _end(writer, broke)
 
+    def _chunk_size(self) -> int:
+        """Maximum size of the next piece in bytes; small on a slow link."""
+        if not self.bytes_per_second:
+            return _CHUNK
+        return max(1, int(self.bytes_per_second * _SLOW_PIECE_SECONDS))
+
+    def _seconds_for(self, piece: bytes) -> float:
+        """Seconds that the link takes for a piece."""
+        if not self.bytes_per_second:
+            return 0.0
+        return len(piece) / self.bytes_per_second
+
     def _dropped(self, way: Way, dead: set[Way]) -> bool:
         """Whether bytes or an end that go one way now are lost."""
         if way in self.dropping:
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -17,6 +17,11 @@
 from forklift.shell import tcp_stream
 
 BODY = b"the whole answer"
+# Larger than what a process holds back until an answer is complete; all parts
+# differ.
+LARGE_BODY = b"".join(b"%07d," % number for number in range(50_000))
+# Last bytes of a large answer, which are sent once they are released.
+HELD_BYTES = 100_000
 _LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 _END = b"\r\n\r\n"
 _HEALTH = b"GET /health "
@@ -216,6 +221,19 @@
     await connection.reader.read()
 
 
+@fault("large")
+async def _large(connection: Connection, received: Received) -> None:
+    connection.send(connection.answer(received, body=LARGE_BODY))
+
+
+@fault("large-held")
+async def _large_held(connection: Connection, received: Received) -> None:
+    answer = connection.answer(received, body=LARGE_BODY)
+    connection.send(answer[:-HELD_BYTES])
+    await connection.release.wait()
+    connection.send(answer[-HELD_BYTES:])
+
+
 @fault("slow")
 async def _slow(connection: Connection, received: Received) -> None:
     await asyncio.sleep(SLOW)
