A large frame that is still arriving is a sign of life of its peer

Cause: a peer counted as silent if no whole frame came for 0.5 s. It sends the first 256 KB of a large response in one frame, and its keep-alives wait behind it. On a link that takes longer for them the reader gave the peer up while its bytes were arriving, and cut the caller off.

Now bytes that arrive count as a sign of life, whole frame or not. The timeout itself stays as it is, and a peer that sends nothing is detected as before. test_slow_link_is_no_silence failed before and passes now.

--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -64,7 +64,8 @@
         peer_hello: Hello frame of the peer; None until it arrives.
         authenticated: Whether the peer has proved that it knows the key.
         handshake_done: Future that completes once the handshake is done.
-        on_reply: Called for each frame received after the handshake.
+        on_reply: Called when bytes arrive after the handshake. Bytes of an
+            incomplete frame count, as a large frame may take long to arrive.
         on_lost: Called when the connection closes.
         on_load_update: Called with load updates of the peer's targets.
         unresponsive: Event that is set while the peer does not reply in time.
@@ -280,6 +281,9 @@
 
     def _handle_bytes(self) -> None:
         self._last_bytes_at = _loop_time()
+        if self.authenticated:
+            self.unresponsive.clear()
+            self.on_reply()
 
     def _handle_frame(self, frame: messages.Frame) -> None:
         self._last_frame_at = self._last_bytes_at
@@ -293,8 +297,6 @@
             raise messages.MalformedMessage(
                 "frame received before the peer was authenticated"
             )
-        self.unresponsive.clear()
-        self.on_reply()
         if isinstance(frame, messages.ResponseStart):
             self._handle_response_start(frame)
         elif isinstance(frame, messages.BodyChunk):
--- /dev/null
+++ b/test/test_silent_peers.py
@@ -0,0 +1,108 @@
+"""A peer that is silent for a while finishes the responses that have begun.
+
+Only the peer beside its target can finish a response that the caller has
+received in part, so silence must not end it. A relay between two processes
+holds the bytes back, as a paused peer does.
+"""
+
+import asyncio
+import contextlib
+import re
+
+from forklift.shell import framing
+from forklift.shell import tcp_stream
+from forklift_lab import relay
+from forklift_lab import scripted
+from test import helper
+from test import processes
+
+HOST = "h"
+# Seconds that requests may take; far above what any of these tests takes.
+PATIENT_MS = 60_000
+HEAD_END = b"\r\n\r\n"
+_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
+
+
+def patient(kind: str = "download", **changes) -> dict:
+    """A configuration whose requests do not time out during a test."""
+    changes = {"timeout-ms": PATIENT_MS, "target-latency-ms": 20_000, **changes}
+    return processes.record(1, r=processes.route(kind, **changes))
+
+
+class Caller:
+    """A caller that reads its response piece by piece."""
+
+    def __init__(self, address: str):
+        self._address = address
+        self.received = b""
+        self._task: asyncio.Task | None = None
+
+    async def send(self, path: str = "/a/") -> None:
+        host, port = tcp_stream.split_address(self._address)
+        reader, self._writer = await asyncio.open_connection(host, port)
+        head = f"GET {path} HTTP/1.1\r\nhost: {HOST}\r\n\r\n"
+        self._writer.write(head.encode())
+        self._task = asyncio.create_task(self._read(reader))
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                self.received += data
+
+    @property
+    def body(self) -> bytes:
+        return self.received.partition(HEAD_END)[2]
+
+    @property
+    def status(self) -> int:
+        return int(self.received.split(b" ", 2)[1]) if self.received else 0
+
+    async def finish(self) -> None:
+        """Waits for the whole response or the end of the connection."""
+        await helper.until(lambda: self._task.done() or self._is_complete())
+        self._task.cancel()
+        self._writer.close()
+
+    def _is_complete(self) -> bool:
+        length = _CONTENT_LENGTH.search(self.received)
+        return length is not None and len(self.body) >= int(length[1])
+
+
+@contextlib.asynccontextmanager
+async def relayed_fleet(scripts: list[list[str]], first: dict):
+    """A fleet whose process p1 is reached by its peers through a relay."""
+    async with processes.Fleet(scripts, first) as fleet, relay.Relay() as link:
+        peer = fleet.proxies[1]
+        link.target = peer.directory.own.peer
+        peer.directory.update_own(peer=link.address)
+        for process in fleet.proxies:
+            await helper.until(
+                lambda process=process: (
+                    process is peer
+                    or process.directory.member_by_name["p1"].info.peer
+                    == link.address
+                )
+            )
+        fleet.proxies[0].local_targets.drain("t0")
+        yield fleet, link
+
+
+def is_silent(process) -> bool:
+    return not process.balancer.reachability.is_reachable("p1")
+
+
+def test_slow_link_is_no_silence():
+    """Guards against a peer taken for silent while a large frame arrives."""
+
+    async def work():
+        scripts = [[], ["large"]]
+        async with relayed_fleet(scripts, patient()) as (fleet, link):
+            ingress = fleet.proxies[0]
+            link.bytes_per_second = framing.FLOW_CONTROL_WINDOW // 2
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            await caller.finish()
+            assert caller.body == scripted.LARGE_BODY
+            assert not is_silent(ingress)
+
+    helper.run(work())
