A silent peer finishes the responses that only it can finish

Cause: after 0.5 s of silence all idempotent requests to a peer were ended, so that another target could serve them. That holds for requests that can be sent again. A response that has begun, a request whose large body was read in part, and one without an attempt left in its limit or the retry budget can't be: the guess that the peer is gone ended what only this peer could finish.

Evidence: test_response_that_has_begun_survives_a_silent_peer got 300,000 of 400,000 bytes before for idempotent and download routes; a non-idempotent request, which was never ended, got all.

Now the request itself says whether it would be sent elsewhere, and only then is it ended, at once as before. All others wait for the peer until it is back, its connection is lost, or their deadline. The rest of a silent peer's requests are looked at again at each tick. Memory stays bounded by the flow control of each stream. The branch that closed a connection without requests was never reached, as no reply is expected on one; it is gone.

--- a/forklift/request_retries.py
+++ b/forklift/request_retries.py
@@ -95,6 +95,26 @@
         self.refusal = self._allocation.check(retry, now, self._random())
         return self.refusal is not None
 
+    def allows_retry_after_failure(
+        self, distribution: latency.Distribution, now: float
+    ) -> bool:
+        """Returns whether a retry could follow if the attempt failed now.
+
+        Charges nothing.
+
+        Args:
+            distribution: Latency distribution of the route.
+            now: Monotonic seconds.
+        """
+        if self._state.attempts + 1 >= self._request.max_attempts:
+            return False
+        retry = retry_allocation.Retry(
+            self._request,
+            retry_allocation.Cause.FAILED,
+            self._in_time(distribution, now),
+        )
+        return self._allocation.would_grant(retry, now, self._draw_if_enabled())
+
     def charge(self, distribution: latency.Distribution, now: float) -> bool:
         """Charges the next attempt to the budget, unless it is free.
 
@@ -158,8 +178,9 @@
         return retry_allocation.Retry(self._request, cause, in_time)
 
     def _spend(self, retry: retry_allocation.Retry, now: float) -> bool:
-        draw = self._random() if self._allocation.is_enabled() else 0.0
-        self._state.budget_charged = self._allocation.spend(retry, now, draw)
+        self._state.budget_charged = self._allocation.spend(
+            retry, now, self._draw_if_enabled()
+        )
         return self._state.budget_charged
 
     def _in_time(self, distribution: latency.Distribution, now: float) -> float:
@@ -169,6 +190,9 @@
             return 1.0
         return 1.0 - distribution.survival(left)
 
+    def _draw_if_enabled(self) -> float:
+        return self._random() if self._allocation.is_enabled() else 0.0
+
     def _random(self) -> float:
         if self._drawn is None:
             self._drawn = self._draw()
--- a/forklift/retry_allocation.py
+++ b/forklift/retry_allocation.py
@@ -401,6 +401,20 @@
             kept,
         )
 
+    def would_grant(self, retry: Retry, now: float, draw: float) -> bool:
+        """Returns whether a retry would be allowed; spends and counts nothing.
+
+        Args:
+            retry: The retry.
+            now: Monotonic seconds.
+            draw: As for `decide`.
+        """
+        if self.is_enabled():
+            return self.decide(retry, now, draw).granted
+        service = retry.request.service
+        usable = retry.share * self._budgets.usable(service, now)
+        return usable - self._budgets.used(service, now) >= 1
+
     def check(self, retry: Retry, now: float, draw: float) -> Decision | None:
         """Checks whether a request may be retried; spends nothing.
 
--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -223,6 +223,16 @@
         """Whether the request can be sent again from its start."""
         return self._request.body.replayable and not self._sink.has_started
 
+    def _would_be_resent(self) -> bool:
+        """Whether another target would be tried if the attempt failed now."""
+        return (
+            self._can_resend
+            and self._claim.owner is None
+            and self._retries.allows_retry_after_failure(
+                self._distribution, self._now()
+            )
+        )
+
     async def _run_attempts(self) -> exchange.Result:
         result = exchange.not_run(Reason.NO_TARGET, RETRY_AFTER_SECONDS)
         soft_deadline = self._request.soft_deadline
@@ -485,6 +495,7 @@
                     self._retry_state.wait,
                     start_by,
                     self._exclusive,
+                    self._would_be_resent,
                 )
             return result
         finally:
--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -39,7 +39,8 @@
     """A request sent to the peer that is still in progress.
 
     Attributes:
-        idempotent: Whether the request can be retried elsewhere.
+        can_resend: Returns whether the request would be sent to another target
+            if it failed now.
         head: Future of the start of the response; a `Failure` if there is no
             response, None if the peer is lost or unresponsive.
         response_body: Body of the response; None before the response starts.
@@ -47,8 +48,8 @@
         failure: Failure that ended the request; None if there was none.
     """
 
-    def __init__(self, idempotent: bool):
-        self.idempotent = idempotent
+    def __init__(self, can_resend: Callable[[], bool]):
+        self.can_resend = can_resend
         self.head: asyncio.Future = asyncio.get_running_loop().create_future()
         self.response_body: exchange.BodyStream | None = None
         self.window = framing.SendWindow(0)
@@ -117,6 +118,7 @@
         start: messages.RequestStart,
         request: exchange.Request,
         sink: exchange.Sink,
+        can_resend: Callable[[], bool] = lambda: False,
     ) -> exchange.Result:
         """Sends a request and relays the response to the sink.
 
@@ -124,6 +126,8 @@
             start: First frame of the request.
             request: The request; its body is sent if `start` is incomplete.
             sink: Receives the response.
+            can_resend: Returns whether the request would be sent to another
+                target if it failed now; see `fail_resendable`.
 
         Raises:
             errors.PeerUnreachable: The connection was closed before anything
@@ -134,7 +138,7 @@
         if self.lost:
             # Nothing was sent, so the request has not run.
             raise errors.PeerUnreachable(self.peer_hello.name, "lost")
-        pending = _PendingRequest(start.idempotent)
+        pending = _PendingRequest(can_resend)
         self._pending_by_id[start.id] = pending
         self.pending_count += 1
         upload = None
@@ -196,19 +200,17 @@
         self._keepalive_number += 1
         self._frames.send(messages.KeepAlive(self._keepalive_number, False))
 
-    def fail_idempotent(self) -> None:
-        """Fails idempotent requests, as the peer is unresponsive.
+    def fail_resendable(self) -> None:
+        """Fails requests for other targets to serve; the peer is unresponsive.
 
-        Idempotent requests can be retried elsewhere. Other requests stay
-        pending, as their responses may still arrive. If there are none, the
-        connection is closed.
+        All others stay pending, as only this peer can complete them: requests
+        that may run once only, that can't be read again from their start, that
+        have no attempt left, and responses that have begun.
         """
         self.unresponsive.set()
         for pending in self._pending_by_id.values():
-            if pending.idempotent:
+            if pending.can_resend():
                 self._fail_request(pending)
-        if not self._pending_by_id:
-            self.close()
 
     def silence_log_fields(self) -> dict[str, object]:
         """Returns what shows why no frame has arrived, for a log line."""
--- a/forklift/shell/peer_connections.py
+++ b/forklift/shell/peer_connections.py
@@ -98,6 +98,9 @@
         for process, connection in list(self.connection_by_process.items()):
             if connection.lost:
                 del self.connection_by_process[process]
+            elif connection.unresponsive.is_set():
+                # A request may have become one that can be sent elsewhere.
+                connection.fail_resendable()
             elif connection.pending_count:
                 self._reachability.expect_reply(process, now)
             else:
@@ -109,7 +112,7 @@
                 fields = connection.silence_log_fields()
             _log.warning("peer_lost", process=process, cause="silent", **fields)
             if connection is not None:
-                connection.fail_idempotent()
+                connection.fail_resendable()
         for process in self._reachability.take_due_heartbeats(now):
             task = asyncio.create_task(self._send_keepalive(process))
             self._tasks.add(task)
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -9,6 +9,8 @@
 import contextlib
 import re
 
+import pytest
+
 from forklift.shell import framing
 from forklift.shell import tcp_stream
 from forklift_lab import relay
@@ -87,10 +89,37 @@
         yield fleet, link
 
 
+def silence(link: relay.Relay) -> None:
+    for way in relay.Way:
+        link.silence(way)
+
+
 def is_silent(process) -> bool:
     return not process.balancer.reachability.is_reachable("p1")
 
 
+@pytest.mark.parametrize("kind", ["idempotent", "download", "non_idempotent"])
+def test_response_that_has_begun_survives_a_silent_peer(kind):
+    """Guards against a caller cut off though the peer was to come back."""
+
+    async def work():
+        scripts = [[], ["large-held"]]
+        async with relayed_fleet(scripts, patient(kind)) as (fleet, link):
+            ingress, target = fleet.proxies[0], fleet.targets[1]
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            begun = len(scripted.LARGE_BODY) - scripted.HELD_BYTES
+            await helper.until(lambda: len(caller.body) == begun)
+            silence(link)
+            target.release.set()
+            await helper.until(lambda: is_silent(ingress))
+            link.heal()
+            await caller.finish()
+            assert caller.body == scripted.LARGE_BODY
+
+    helper.run(work())
+
+
 def test_slow_link_is_no_silence():
     """Guards against a peer taken for silent while a large frame arrives."""
 
