The head of a large response goes out with its first bytes

Cause: a response counted as begun when its head was handed to the writer of the caller's connection, which held it back until the first bytes of the body. If the peer or the target failed in between, nothing was sent again.

Evidence: with the head of a response passed and its body held back by a silent peer, test_response_without_a_byte_sent_moves_from_a_silent_peer never saw the request served on the code before; two tests of the buffer failed, too.

Now the buffer of an attempt keeps the head until there are bytes to send with it, and only then takes the right to respond. An attempt that came second never continues in the middle, and counts as failed if the first one fails.

--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -497,6 +497,13 @@
                     self._exclusive,
                     self._would_be_resent,
                 )
+            if (
+                buffered.is_superseded
+                and not buffered.has_started
+                and _is_answered(result)
+            ):
+                # The attempt whose response was preferred has failed.
+                result = exchange.unknown(Reason.CANCELLED)
             return result
         finally:
             # The attempt may also be cancelled, e.g. as the process stops.
@@ -539,3 +546,7 @@
         return await self._forwarder.local_targets.run(
             selection.target, ticket, request, sink
         )
+
+
+def _is_answered(result: exchange.Result) -> bool:
+    return result.ending.outcome is Outcome.ANSWERED
--- a/forklift/shell/response_buffer.py
+++ b/forklift/shell/response_buffer.py
@@ -37,9 +37,15 @@
     """A sink that buffers a small response until it is complete.
 
     An incomplete response is not passed on, so that the caller gets an error
-    response instead. A complete response that counts as a failure is withheld,
-    so that a response of another target can replace it. Of several concurrent
-    attempts only one responds; the responses of the others are dropped.
+    response instead. The head of a large one is passed on with its first bytes,
+    so that another target can respond until then. A complete response that
+    counts as a failure is withheld, so that a response of another target can
+    replace it. Of several concurrent attempts only one responds; the responses
+    of the others are dropped.
+
+    Attributes:
+        is_superseded: Whether a large response was dropped, as another attempt
+            had responded.
     """
 
     def __init__(
@@ -65,6 +71,8 @@
         self._head: exchange.ResponseHead | None = None
         self._body = bytearray()
         self._is_complete = False
+        self._is_streaming = False
+        self.is_superseded = False
 
     @property
     def has_started(self) -> bool:
@@ -74,37 +82,30 @@
     @property
     def is_withheld(self) -> bool:
         """Whether a complete response is buffered and not passed on."""
-        return (
-            self._head is not None
-            and self._is_complete
-            and not self.has_started
-        )
+        return self._is_small and self._is_complete and not self.has_started
 
     @property
     def length(self) -> int:
         """Length of the buffered body, bytes; 0 if no response is buffered."""
-        return self._head.length if self._head is not None else 0
+        return self._head.length if self._is_small else 0
 
     async def start(self, head: exchange.ResponseHead) -> None:
         """See `exchange.Sink`."""
         self._on_head(head)
-        if 0 <= head.length <= MAX_BUFFERED_BYTES:
-            self._head = head
-        elif self._claim.try_acquire(self):
-            await self._sink.start(head)
+        self._head = head
 
     async def data(self, chunk: bytes) -> None:
         """See `exchange.Sink`."""
-        if self._head is not None:
+        if self._is_small:
             self._body += chunk
-        elif self._claim.try_acquire(self):
+        elif await self._try_stream():
             await self._sink.data(chunk)
 
     async def end(self) -> None:
         """See `exchange.Sink`."""
         self._is_complete = True
-        if self._head is None:
-            if self._claim.try_acquire(self):
+        if not self._is_small:
+            if await self._try_stream():
                 await self._sink.end()
             return
         failed = self._is_failure is not None
@@ -112,6 +113,28 @@
         if not failed and self._claim.try_acquire(self):
             await self.flush()
 
+    @property
+    def _is_small(self) -> bool:
+        """Whether a response has begun that is buffered until its end."""
+        if self._head is None:
+            return False
+        return 0 <= self._head.length <= MAX_BUFFERED_BYTES
+
+    async def _try_stream(self) -> bool:
+        """Passes the head on, unless it was or another attempt has responded.
+
+        Returns:
+            Whether this response is the one that is passed on.
+        """
+        if self._is_streaming:
+            return True
+        if self.is_superseded or not self._claim.try_acquire(self):
+            self.is_superseded = True
+            return False
+        self._is_streaming = True
+        await self._sink.start(self._head)
+        return True
+
     async def flush(self) -> exchange.Result:
         """Passes the buffered response on to the sink."""
         head = self._head
--- a/test/test_response_buffer.py
+++ b/test/test_response_buffer.py
@@ -65,3 +65,49 @@
         assert sink.ended == 1
 
     helper.run(work())
+
+
+def test_head_of_a_large_response_waits_for_its_first_bytes():
+    """Guards against a response that can't be replaced but has sent nothing."""
+
+    async def work():
+        sink, claim = helper.Sink(), response_buffer.ResponseClaim()
+        first = response_buffer.BufferedResponse(sink, None, claim)
+        second = response_buffer.BufferedResponse(sink, None, claim)
+        await first.start(head(-1))
+        assert not sink.has_started
+        await write_response(second, b"two", -1)
+        assert (sink.body, sink.ended) == (b"two", 1)
+
+    helper.run(work())
+
+
+def test_superseded_response_never_continues_in_the_middle():
+    """Guards against the end of one response behind the head of another."""
+
+    async def work():
+        sink, claim = helper.Sink(), response_buffer.ResponseClaim()
+        first = response_buffer.BufferedResponse(sink, None, claim)
+        second = response_buffer.BufferedResponse(sink, None, claim)
+        assert claim.try_acquire(first)
+        await second.start(head(-1))
+        await second.data(b"tw")
+        claim.release(first)
+        await second.data(b"o")
+        await second.end()
+        assert second.is_superseded
+        assert not sink.has_started
+        assert not sink.ended
+
+    helper.run(work())
+
+
+def test_large_response_to_head_has_a_head_without_bytes():
+    async def work():
+        sink, claim = helper.Sink(), response_buffer.ResponseClaim()
+        response = response_buffer.BufferedResponse(sink, None, claim)
+        await response.start(head(response_buffer.MAX_BUFFERED_BYTES + 1))
+        await response.end()
+        assert (len(sink.heads), sink.ended) == (1, 1)
+
+    helper.run(work())
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -11,7 +11,9 @@
 
 import pytest
 
+from forklift import heartbeats
 from forklift.shell import framing
+from forklift.shell import peer_server
 from forklift.shell import tcp_stream
 from forklift_lab import relay
 from forklift_lab import scripted
@@ -120,6 +122,56 @@
     helper.run(work())
 
 
+def hold_bodies(process) -> None:
+    """Lets a process send its peers only the heads of large responses."""
+    run = process.local_targets.run
+
+    class HeadOnly(peer_server.ResponseSink):
+        async def data(self, chunk: bytes) -> None:
+            await asyncio.Event().wait()
+
+    async def run_without_body(name, ticket, request, sink):
+        sink.__class__ = HeadOnly
+        return await run(name, ticket, request, sink)
+
+    process.local_targets.run = run_without_body
+
+
+def has_head(process) -> bool:
+    """Whether the head of a response from p1 has arrived."""
+    connection = process.peer_connections.connection_by_process.get("p1")
+    return connection is not None and any(
+        pending.response_body is not None
+        for pending in connection._pending_by_id.values()
+    )
+
+
+def test_response_without_a_byte_sent_moves_from_a_silent_peer():
+    """Guards against a closed connection though another target was free."""
+
+    async def work():
+        scripts = [[], ["large"], ["large"]]
+        async with relayed_fleet(scripts, patient()) as (fleet, link):
+            ingress = fleet.proxies[0]
+            fleet.proxies[2].local_targets.drain("t2")
+            hold_bodies(fleet.proxies[1])
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            await helper.until(lambda: has_head(ingress))
+            silence(link)
+            fleet.announce(
+                fleet.proxies[2],
+                2,
+                incarnation=heartbeats.TargetIncarnation("t9"),
+                sequence=1,
+            )
+            await caller.finish()
+            assert caller.status == 200
+            assert caller.body == scripted.LARGE_BODY
+
+    helper.run(work())
+
+
 def test_slow_link_is_no_silence():
     """Guards against a peer taken for silent while a large frame arrives."""
 
