A process that was blocked does not take its peers for silent

Cause: the reply timeout of a peer ran on while this process itself was blocked, for instance while it applied a configuration or was paused. The tick that followed could run before the loop had read what the peer had sent meanwhile.

Before, a delay of 5 s in one tick made a peer unreachable however recently it had replied.

Now a tick counts as at most one interval of silence, so a blocked process reads its connections before any reply timeout can end. A silent peer is still detected after the same number of ticks.

--- a/forklift/reachability.py
+++ b/forklift/reachability.py
@@ -83,6 +83,21 @@
         if peer is not None:
             peer.reply_expected_since = None
 
+    def exclude_delay(self, seconds: float, now: float) -> None:
+        """Excludes a delay of this process from all reply timeouts.
+
+        While its event loop was blocked, replies may have arrived unread.
+
+        Args:
+            seconds: Length of the delay that ends now.
+            now: Monotonic seconds.
+        """
+        for peer in self._peer_by_process.values():
+            if peer.reply_expected_since is not None:
+                peer.reply_expected_since = min(
+                    now, peer.reply_expected_since + seconds
+                )
+
     def mark_unreachable(self, process: str, cause: str, now: float) -> None:
         """Marks a process as unreachable until a message from it arrives."""
         peer = self._peer_by_process.setdefault(process, _Peer())
--- a/forklift/shell/peer_connections.py
+++ b/forklift/shell/peer_connections.py
@@ -12,6 +12,7 @@
 from forklift import reachability
 from forklift.shell import framing
 from forklift.shell import peer_client
+from forklift.shell import ticker
 
 _log = structlog.get_logger(__name__)
 
@@ -55,6 +56,7 @@
         self.connection_by_process: dict[str, peer_client.ClientConnection] = {}
         self._opening_by_process: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._last_tick_at = clock.monotonic()
 
     async def get(self, process: str) -> peer_client.ClientConnection:
         """Returns the connection to a process; opens one if necessary.
@@ -95,6 +97,7 @@
     def tick(self) -> None:
         """Detects unresponsive peers and sends the keep-alives that are due."""
         now = self._clock.monotonic()
+        self._exclude_own_delay(now)
         for process, connection in list(self.connection_by_process.items()):
             if connection.lost:
                 del self.connection_by_process[process]
@@ -118,6 +121,16 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _exclude_own_delay(self, now: float) -> None:
+        """Ensures that a delay of this process is not taken for a silent peer.
+
+        A tick may run before the bytes that arrived during the delay are read.
+        """
+        delay = now - self._last_tick_at - ticker.BUSY_INTERVAL
+        self._last_tick_at = now
+        if delay > 0:
+            self._reachability.exclude_delay(delay, now)
+
     def connected_except(self, process: str) -> list[str]:
         """Returns connected, responsive processes other than the given one."""
         return [
