Requests that run while their service is removed are answered

What callers would see: status 502 for a request that was running while a configuration without its service came into force.

Cause: removing a target closed all its connections, also those in use. That is right when another run of the target has taken its place, and wrong here.

Evidence: test_request_that_runs_while_its_service_is_removed_is_answered got 502 on the code before. Now only the idle connections are closed, as when a target's heartbeats stop.

--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -205,7 +205,10 @@
             return
         _log.info("target_returned", target=name, before=previous)
         self._handle_crash(previous)
-        self._remove(previous)
+        pool = self._remove(previous)
+        if pool is not None:
+            # The run that had the connections is over.
+            pool.close_all()
 
     def _handle_crash(self, name: str) -> None:
         """Handles the end of a target that has not announced a leave."""
@@ -213,12 +216,17 @@
         if local_target is not None:
             self._local_targets.handle_crash(local_target)
 
-    def _remove(self, name: str) -> None:
-        """Removes a target; its running requests end without a response."""
+    def _remove(self, name: str) -> connection_pool.Pool | None:
+        """Removes a target; its running requests go on.
+
+        Returns:
+            Its connections; None if there is no such target.
+        """
         self._last_seen_by_target.pop(name, None)
-        if name in self._local_targets.by_name:
-            self._local_targets.leave(name)
-            self._local_targets.by_name.pop(name).pool.close_all()
+        if name not in self._local_targets.by_name:
+            return None
+        self._local_targets.leave(name)
+        return self._local_targets.by_name.pop(name).pool
 
     def pause_targets(self) -> None:
         """Pauses all current and future targets for the shutdown."""
@@ -235,7 +243,8 @@
             if service is not None:
                 local_target.pool.max_connections = service.max_connections
             elif not self._accepts_service(local_target.controller.service):
-                self._remove(name)
+                pool = self._remove(name)
+                pool.close_idle()
                 self._on_change()
 
     def expire(self, now: float) -> None:
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -951,3 +951,26 @@
     processes.play(
         work, [[], [], []], first=processes.record(1, r=processes.route(kind))
     )
+
+
+def test_request_that_runs_while_its_service_is_removed_is_answered():
+    """Guards against a configuration that cuts running requests off."""
+
+    async def work(fleet):
+        process, target = fleet.proxies[0], fleet.targets[0]
+        target.script.append("hold")
+        pending = asyncio.create_task(fleet.ask(0))
+        await helper.until(lambda: len(target.received) == 1)
+        other_route = processes.route(service="other")
+        fleet.store.configure(
+            {
+                "version": 2,
+                "routes": {"r": other_route},
+                "services": {"other": {}},
+            }
+        )
+        await helper.until(lambda: not process.local_targets.by_name)
+        target.release.set()
+        assert (await pending).status == 200
+
+    processes.play(work, [[]])
