--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -41,13 +41,22 @@
         self.received = b""
         self._task: asyncio.Task | None = None
 
-    async def send(self, path: str = "/a/") -> None:
+    async def send(self, path: str = "/a/", length: int = 0) -> None:
+        """Sends the head of a request, with the declared length of a body."""
         host, port = tcp_stream.split_address(self._address)
         reader, self._writer = await asyncio.open_connection(host, port)
-        head = f"GET {path} HTTP/1.1\r\nhost: {HOST}\r\n\r\n"
+        method = "POST" if length else "GET"
+        head = (
+            f"{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n"
+            f"content-length: {length}\r\n\r\n"
+        )
         self._writer.write(head.encode())
         self._task = asyncio.create_task(self._read(reader))
 
+    def write(self, data: bytes) -> None:
+        """Sends part of the body."""
+        self._writer.write(data)
+
     async def _read(self, reader: asyncio.StreamReader) -> None:
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65_536):
@@ -63,11 +72,11 @@
 
     async def finish(self) -> None:
         """Waits for the whole response or the end of the connection."""
-        await helper.until(lambda: self._task.done() or self._is_complete())
+        await helper.until(lambda: self._task.done() or self.is_complete())
         self._task.cancel()
         self._writer.close()
 
-    def _is_complete(self) -> bool:
+    def is_complete(self) -> bool:
         length = _CONTENT_LENGTH.search(self.received)
         return length is not None and len(self.body) >= int(length[1])
 
@@ -122,6 +131,16 @@
     helper.run(work())
 
 
+def announce_another_target(fleet: processes.Fleet) -> None:
+    """Announces a target of p2 that is not draining."""
+    fleet.announce(
+        fleet.proxies[2],
+        2,
+        incarnation=heartbeats.TargetIncarnation("t9"),
+        sequence=1,
+    )
+
+
 def hold_bodies(process) -> None:
     """Lets a process send its peers only the heads of large responses."""
     run = process.local_targets.run
@@ -159,12 +178,7 @@
             await caller.send()
             await helper.until(lambda: has_head(ingress))
             silence(link)
-            fleet.announce(
-                fleet.proxies[2],
-                2,
-                incarnation=heartbeats.TargetIncarnation("t9"),
-                sequence=1,
-            )
+            announce_another_target(fleet)
             await caller.finish()
             assert caller.status == 200
             assert caller.body == scripted.LARGE_BODY
@@ -187,3 +201,152 @@
             assert not is_silent(ingress)
 
     helper.run(work())
+
+
+def test_request_without_another_attempt_waits_for_its_silent_peer():
+    """Guards against an error though the only target was to respond."""
+
+    async def work():
+        first = patient("idempotent", **{"retry-attempts": 1})
+        async with relayed_fleet([[], ["hold"]], first) as (fleet, link):
+            ingress, target = fleet.proxies[0], fleet.targets[1]
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            await helper.until(lambda: target.received)
+            silence(link)
+            target.release.set()
+            await helper.until(lambda: is_silent(ingress))
+            link.heal()
+            await caller.finish()
+            assert caller.status == 200
+            assert len(target.received) == 1
+
+    helper.run(work())
+
+
+def test_request_that_was_read_in_part_waits_for_its_silent_peer():
+    """Guards against an error in mid-upload though the peer was to come back.
+
+    The body is larger than what is kept, so no other target can get it.
+    """
+
+    async def work():
+        async with relayed_fleet([[], []], patient()) as (fleet, link):
+            ingress, target = fleet.proxies[0], fleet.targets[1]
+            body = scripted.LARGE_BODY
+            caller = Caller(ingress.caller_address)
+            await caller.send(length=len(body))
+            caller.write(body[: -scripted.HELD_BYTES])
+            await helper.until(lambda: target.connections)
+            silence(link)
+            caller.write(body[-scripted.HELD_BYTES :])
+            await helper.until(lambda: is_silent(ingress))
+            link.heal()
+            await caller.finish()
+            assert caller.status == 200
+            assert [received.body for received in target.received] == [body]
+
+    helper.run(work())
+
+
+def test_request_without_a_response_leaves_a_silent_peer():
+    """Guards against a request that waits though another target is free."""
+
+    async def work():
+        scripts = [[], ["hold"], []]
+        async with relayed_fleet(scripts, patient()) as (fleet, link):
+            ingress, target = fleet.proxies[0], fleet.targets[1]
+            fleet.proxies[2].local_targets.drain("t2")
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            await helper.until(lambda: target.received)
+            silence(link)
+            announce_another_target(fleet)
+            await caller.finish()
+            assert caller.status == 200
+            assert len(fleet.targets[2].received) == 1
+
+    helper.run(work())
+
+
+@pytest.mark.parametrize("script", ["hold", "large"])
+def test_deadline_with_a_silent_peer_gets_a_whole_error(script):
+    """Guards against a closed connection instead of an error response."""
+
+    async def work():
+        first = patient(**{"timeout-ms": 1500, "retry-attempts": 1})
+        async with relayed_fleet([[], [script]], first) as (fleet, link):
+            ingress = fleet.proxies[0]
+            hold_bodies(fleet.proxies[1])
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            await helper.until(lambda: fleet.targets[1].received)
+            silence(link)
+            await caller.finish()
+            assert caller.status == 504
+            assert caller.body.endswith(b"}")
+
+    helper.run(work())
+
+
+def test_lost_connection_never_makes_a_part_look_whole():
+    """Guards against a response that ends early and appears complete."""
+
+    async def work():
+        scripts = [[], ["large-held"]]
+        async with relayed_fleet(scripts, patient()) as (fleet, link):
+            ingress = fleet.proxies[0]
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            begun = len(scripted.LARGE_BODY) - scripted.HELD_BYTES
+            await helper.until(lambda: len(caller.body) == begun)
+            silence(link)
+            await helper.until(lambda: is_silent(ingress))
+            link.reset()
+            await caller.finish()
+            assert not caller.is_complete()
+            cut = ingress.counters.responses_cut_by_reason
+            assert cut == {"peer-lost": 1}
+
+    helper.run(work())
+
+
+def test_stop_of_the_reader_waits_for_a_silent_peer():
+    """Guards against a planned stop that cuts off what only the peer has."""
+
+    async def work():
+        scripts = [[], ["large-held"]]
+        async with relayed_fleet(scripts, patient()) as (fleet, link):
+            ingress, target = fleet.proxies[0], fleet.targets[1]
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            begun = len(scripted.LARGE_BODY) - scripted.HELD_BYTES
+            await helper.until(lambda: len(caller.body) == begun)
+            silence(link)
+            stopping = asyncio.create_task(ingress.stop())
+            await helper.until(lambda: is_silent(ingress))
+            target.release.set()
+            link.heal()
+            await caller.finish()
+            await stopping
+            assert caller.body == scripted.LARGE_BODY
+
+    helper.run(work())
+
+
+def test_three_large_responses_pass_a_slow_link():
+    """Guards against a frame that waits behind those of other responses."""
+
+    async def work():
+        scripts = [[], ["large"] * 3]
+        async with relayed_fleet(scripts, patient()) as (fleet, link):
+            ingress = fleet.proxies[0]
+            link.bytes_per_second = 2 * framing.FLOW_CONTROL_WINDOW
+            callers = [Caller(ingress.caller_address) for _ in range(3)]
+            for caller in callers:
+                await caller.send()
+            for caller in callers:
+                await caller.finish()
+                assert caller.body == scripted.LARGE_BODY
+
+    helper.run(work())
