--- a/forklift/shell/framing.py
+++ b/forklift/shell/framing.py
@@ -1,7 +1,6 @@
-"""Framing, compression and flow control on connections between processes.
+"""Framing and compression on connections between processes.
 
-A frame is a length-prefixed message. Bodies are subject to credit-based flow
-control for each stream, which bounds the memory of the receiver.
+A frame is a length-prefixed message.
 """
 
 import asyncio
@@ -17,8 +16,6 @@
 
 _log = structlog.get_logger(__name__)
 _LENGTH_PREFIX = struct.Struct("!I")
-# Initial credit of a stream in bytes.
-FLOW_CONTROL_WINDOW = 262_144
 NONCE_BYTES = 16
 # Bit of the length prefix that marks a compressed frame.
 _COMPRESSED_FLAG = 1 << 31
@@ -223,66 +220,6 @@
         del self._buffer[:start]
 
 
-class SendWindow:
-    """Flow-control credit for sending the body of one stream.
-
-    Attributes:
-        lost: Whether the stream is closed.
-    """
-
-    def __init__(self, credit: int):
-        self._credit = credit
-        self._changed = asyncio.Event()
-        self.lost = False
-
-    def add_credit(self, size: int) -> None:
-        """Adds credit in bytes granted by the receiver."""
-        self._credit += size
-        self._changed.set()
-
-    def fail(self) -> None:
-        """Fails all waits for credit, as the stream is closed."""
-        self.lost = True
-        self._changed.set()
-
-    async def acquire(self, limit: int) -> int:
-        """Waits for credit and consumes up to `limit` bytes of it.
-
-        Returns:
-            Number of bytes that may be sent.
-
-        Raises:
-            PeerConnectionLost: The stream is closed.
-        """
-        while self._credit <= 0 and not self.lost:
-            self._changed.clear()
-            await self._changed.wait()
-        if self.lost:
-            raise PeerConnectionLost("stream closed")
-        size = min(limit, self._credit)
-        self._credit -= size
-        return size
-
-
-async def send_chunks(
-    frames: FrameConnection, window: SendWindow, stream: int, chunk: bytes
-) -> None:
-    """Sends part of a body as the credit of its stream allows.
-
-    Raises:
-        PeerConnectionLost: The connection or the stream is closed.
-    """
-    start = 0
-    while start < len(chunk):
-        size = await window.acquire(
-            min(len(chunk) - start, FLOW_CONTROL_WINDOW)
-        )
-        data = chunk[start : start + size]
-        frames.send(messages.BodyChunk(stream, data, False))
-        await frames.drain()
-        start += size
-
-
 def compute_proof(key: bytes, nonce: bytes, peer_nonce: bytes) -> bytes:
     """Returns the proof that one side of a connection knows the key.
 
--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -16,6 +16,7 @@
 from forklift import errors
 from forklift import messages
 from forklift.shell import exchange
+from forklift.shell import flow_control
 from forklift.shell import framing
 from forklift.shell import tcp_stream
 
@@ -52,7 +53,7 @@
         self.can_resend = can_resend
         self.head: asyncio.Future = asyncio.get_running_loop().create_future()
         self.response_body: exchange.BodyStream | None = None
-        self.window = framing.SendWindow(0)
+        self.window = flow_control.SendWindow(0)
         self.failure: messages.Failure | None = None
 
 
@@ -267,7 +268,7 @@
             # Waits for credit before reading the body.
             await pending.window.acquire(0)
             async for chunk in request.body.chunks():
-                await framing.send_chunks(
+                await flow_control.send_chunks(
                     self._frames, pending.window, stream, chunk
                 )
             self._frames.send(messages.BodyChunk(stream, b"", True))
--- a/forklift/shell/peer_server.py
+++ b/forklift/shell/peer_server.py
@@ -11,6 +11,7 @@
 
 from forklift import messages
 from forklift.shell import exchange
+from forklift.shell import flow_control
 from forklift.shell import framing
 from forklift.shell import tcp_stream
 
@@ -35,7 +36,7 @@
         self._frames = frames
         self._stream = stream
         self._request_id = request_id
-        self.window = framing.SendWindow(framing.FLOW_CONTROL_WINDOW)
+        self.window = flow_control.SendWindow(flow_control.FLOW_CONTROL_WINDOW)
         self.has_started = False
 
     async def start(self, head: exchange.ResponseHead) -> None:
@@ -56,7 +57,7 @@
     async def data(self, chunk: bytes) -> None:
         """See `exchange.Sink`."""
         with _translate_connection_lost():
-            await framing.send_chunks(
+            await flow_control.send_chunks(
                 self._frames, self.window, self._stream, chunk
             )
 
@@ -269,7 +270,7 @@
             lambda size: self._send_credit(start.id, size)
         )
         self._body_by_id[start.id] = body_stream
-        self._send_credit(start.id, framing.FLOW_CONTROL_WINDOW)
+        self._send_credit(start.id, flow_control.FLOW_CONTROL_WINDOW)
         async for chunk in body_stream:
             yield chunk
 
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -12,7 +12,7 @@
 import pytest
 
 from forklift import heartbeats
-from forklift.shell import framing
+from forklift.shell import flow_control
 from forklift.shell import peer_server
 from forklift.shell import tcp_stream
 from forklift_lab import relay
@@ -193,7 +193,7 @@
         scripts = [[], ["large"]]
         async with relayed_fleet(scripts, patient()) as (fleet, link):
             ingress = fleet.proxies[0]
-            link.bytes_per_second = framing.FLOW_CONTROL_WINDOW // 2
+            link.bytes_per_second = flow_control.FLOW_CONTROL_WINDOW // 2
             caller = Caller(ingress.caller_address)
             await caller.send()
             await caller.finish()
@@ -341,7 +341,7 @@
         scripts = [[], ["large"] * 3]
         async with relayed_fleet(scripts, patient()) as (fleet, link):
             ingress = fleet.proxies[0]
-            link.bytes_per_second = 2 * framing.FLOW_CONTROL_WINDOW
+            link.bytes_per_second = 2 * flow_control.FLOW_CONTROL_WINDOW
             callers = [Caller(ingress.caller_address) for _ in range(3)]
             for caller in callers:
                 await caller.send()
