--- a/forklift/shell/ingress.py
+++ b/forklift/shell/ingress.py
@@ -22,6 +22,7 @@
 from forklift import organisations
 from forklift import run_calls
 from forklift.shell import caller_fields
+from forklift.shell import error_responses
 from forklift.shell import exchange
 from forklift.shell import http
 from forklift.shell import request_body
@@ -139,7 +140,7 @@
             connection.close()
             return
         if len(self._sessions) >= self._max_connections:
-            connection.write(_TOO_MANY_CONNECTIONS)
+            connection.write(error_responses.TOO_MANY_CONNECTIONS)
             connection.close()
             return
         session = _Session(self, connection)
@@ -210,7 +211,7 @@
             and now - head_started_at > limits.head_timeout
         ):
             self._head_started_at = None
-            self.connection.interrupt(_head_timeout_error())
+            self.connection.interrupt(error_responses.head_timeout())
         elif (
             idle_since is not None
             and now - idle_since > limits.idle_timeout
@@ -226,7 +227,7 @@
     def reject_incomplete_request(self) -> None:
         """Rejects a partially received request, which has not run."""
         if self._request_incomplete:
-            self.connection.interrupt(_incomplete_request_error())
+            self.connection.interrupt(error_responses.incomplete_request())
 
     @property
     def is_pending(self) -> bool:
@@ -524,7 +525,9 @@
         try:
             if request is None:
                 self._hooks.on_rejected(rejection)
-                result = exchange.not_run(rejection, DEFAULT_RETRY_AFTER)
+                result = exchange.not_run(
+                    rejection, error_responses.DEFAULT_RETRY_AFTER
+                )
                 await self._write_problem(writer, result, "")
             else:
                 await self._run_request(request, writer)
@@ -577,20 +580,9 @@
         result: exchange.Result,
         request_id: str,
     ) -> None:
-        ending = result.ending
-        reason = ending.reason or Reason.TARGET_BROKE
-        problem = http.problem(ending.outcome, reason, request_id)
-        headers = [(b"content-type", http.PROBLEM_MEDIA_TYPE)]
-        if problem.status in (http.SERVICE_UNAVAILABLE, http.TOO_MANY_REQUESTS):
-            seconds = max(MIN_RETRY_AFTER, ending.retry_after)
-            headers.append((b"retry-after", f"{seconds:.2f}".encode()))
         if writer.protocol.their_state is not h11.DONE:
             self._keep_alive = False
-        body = http.encode_problem(problem)
-        head = exchange.ResponseHead(problem.status, tuple(headers), len(body))
-        await writer.start(head)
-        await writer.data(body)
-        await writer.end()
+        await error_responses.write_problem(writer, result, request_id)
 
     def _reject(self, error: errors.BadRequest) -> None:
         """Responds to a malformed request with a problem document."""
@@ -599,53 +591,12 @@
         _log.info(
             "request_rejected", peer=self.connection.peer_ip, detail=str(error)
         )
-        problem = http.Problem(
-            "urn:forklift:bad-request",
-            str(error).partition(";")[0],
-            error.status,
-            str(Outcome.NOT_RUN),
-            "bad-request",
-            error.remedy,
-            self._ingress.new_request_id(),
-        )
-        body = http.encode_problem(problem)
-        retry_after_line = ""
-        if error.status == http.SERVICE_UNAVAILABLE:
-            retry_after_line = f"retry-after: {DEFAULT_RETRY_AFTER:.2f}\r\n"
-        head = (
-            f"HTTP/1.1 {error.status} Refused\r\n"
-            f"content-type: {http.PROBLEM_MEDIA_TYPE.decode()}\r\n"
-            f"content-length: {len(body)}\r\n{retry_after_line}"
-            "connection: close\r\n\r\n"
-        )
+        request_id = self._ingress.new_request_id()
+        response = error_responses.encode_bad_request(error, request_id)
         try:
-            self.connection.write(head.encode() + body)
+            self.connection.write(response)
         except tcp_stream.ConnectionLost:
             _log.debug(
                 "response_aborted",
                 detail="the caller disconnected before the error response",
             )
-
-
-# Minimum of Retry-After, seconds.
-MIN_RETRY_AFTER = 0.1
-# Retry-After of requests that the ingress itself rejects, seconds.
-DEFAULT_RETRY_AFTER = 0.5
-
-
-def _head_timeout_error() -> errors.BadRequest:
-    return errors.BadRequest("the head took too long", "send it in one go", 408)
-
-
-def _incomplete_request_error() -> errors.BadRequest:
-    return errors.BadRequest(
-        "the process ends before the request arrived whole",
-        "send it again",
-        http.SERVICE_UNAVAILABLE,
-    )
-
-
-_TOO_MANY_CONNECTIONS = (
-    b"HTTP/1.1 503 Too many connections\r\nretry-after: 1\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
