Split the request of a caller and the request of a peer

forwarded_request.py loses its stop timeout, peer_client.py the request that is still in progress, proxy.py a translation of the settings.

--- a/forklift/settings.py
+++ b/forklift/settings.py
@@ -6,6 +6,7 @@
 from forklift import errors
 from forklift import ini
 from forklift import overload
+from forklift import retry_budgets
 
 
 def _optional_address(value: str) -> str:
@@ -117,6 +118,12 @@
         1.0,
     )
 
+    def limits(self) -> retry_budgets.Limits:
+        """Returns the limits of the retry budgets."""
+        return retry_budgets.Limits(
+            self.ratio, self.window, self.reserve, self.calls
+        )
+
 
 def _only_false(value: str) -> bool:
     """Parses a flag whose only supported value is `false`."""
--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -25,6 +25,7 @@
 from forklift.shell import http
 from forklift.shell import response_buffer
 from forklift.shell import shutdown
+from forklift.shell import stop_timeout
 
 _log = structlog.get_logger(__name__)
 Outcome = messages.Outcome
@@ -52,10 +53,9 @@
         self._request = request
         self._sink = sink
         self._retry_state = forwarder.new_retry_state(request)
-        self._stop_deadlines = forwarder.stop_deadlines
-        self._timeout: asyncio.Timeout | None = None
-        # Whether an attempt is in flight.
-        self._is_dispatched = False
+        self._stop_timeout = stop_timeout.StopTimeout(
+            forwarder.stop_deadlines, self._now
+        )
         # The complete response of a failed attempt; a retry may replace it.
         self._withheld: response_buffer.BufferedResponse | None = None
         self._claim = response_buffer.ResponseClaim()
@@ -113,45 +113,20 @@
 
     def set_stop_deadlines(self, deadlines: shutdown.Deadlines) -> None:
         """Sets the deadlines for responding, as the process stops."""
-        self._stop_deadlines = deadlines
         self._retry_state.process_exits_at = deadlines.reject_at
-        self._apply_stop_deadlines()
-
-    def _set_dispatched(self, is_dispatched: bool) -> None:
-        """Sets whether an attempt is in flight, and thus the stop deadline."""
-        self._is_dispatched = is_dispatched
-        self._apply_stop_deadlines()
-
-    def _apply_stop_deadlines(self) -> None:
-        """Sets the timeout of the request to its stop deadline, if any."""
-        deadlines = self._stop_deadlines
-        deadline = (
-            deadlines.abandon_at if self._is_dispatched else deadlines.reject_at
-        )
-        if (
-            self._timeout is None
-            or self._timeout.expired()
-            or math.isinf(deadline)
-        ):
-            return
-        self._timeout.reschedule(self._loop_time(deadline))
+        self._stop_timeout.set_deadlines(deadlines)
 
     async def _run_with_stop_deadline(self) -> exchange.Result:
         """Runs attempts until one has a final result or the stop deadline."""
         try:
-            async with asyncio.timeout_at(None) as self._timeout:
-                self._apply_stop_deadlines()
-                return await self._run_attempts()
+            return await self._stop_timeout.run(self._run_attempts())
         except TimeoutError:
-            if self._is_dispatched or self._retry_state.possible_runs:
+            if (
+                self._stop_timeout.is_dispatched
+                or self._retry_state.possible_runs
+            ):
                 return exchange.unknown(Reason.DRAINING)
             return exchange.not_run(Reason.DRAINING, RETRY_AFTER_SECONDS)
-        finally:
-            self._timeout = None
-
-    def _loop_time(self, when: float) -> float:
-        """Converts monotonic seconds to the time of the event loop."""
-        return asyncio.get_running_loop().time() + when - self._now()
 
     def _log_failure(self) -> None:
         """Logs why the request failed."""
@@ -259,9 +234,9 @@
                     service, selection, None, self._now()
                 )
                 return result
-            self._set_dispatched(True)
+            self._stop_timeout.set_dispatched(True)
             attempt = await self._run_with_hedge(selection)
-            self._set_dispatched(False)
+            self._stop_timeout.set_dispatched(False)
             result = attempt.result
             if not self._should_retry(attempt):
                 return result
--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -18,6 +18,7 @@
 from forklift.shell import exchange
 from forklift.shell import flow_control
 from forklift.shell import framing
+from forklift.shell import pending_request
 from forklift.shell import tcp_stream
 
 # Timeout of connection setup and handshake, in seconds.
@@ -36,27 +37,6 @@
         )
 
 
-class _PendingRequest:
-    """A request sent to the peer that is still in progress.
-
-    Attributes:
-        can_resend: Returns whether the request would be sent to another target
-            if it failed now.
-        head: Future of the start of the response; a `Failure` if there is no
-            response, None if the peer is lost or unresponsive.
-        response_body: Body of the response; None before the response starts.
-        window: Credit for sending the body of the request.
-        failure: Failure that ended the request; None if there was none.
-    """
-
-    def __init__(self, can_resend: Callable[[], bool]):
-        self.can_resend = can_resend
-        self.head: asyncio.Future = asyncio.get_running_loop().create_future()
-        self.response_body: exchange.BodyStream | None = None
-        self.window = flow_control.SendWindow(0)
-        self.failure: messages.Failure | None = None
-
-
 class ClientConnection:
     """A multiplexed connection to a peer over which requests are sent.
 
@@ -85,7 +65,7 @@
         self._own_hello = own_hello
         self._key = key
         self._stream_ids = itertools.count(1)
-        self._pending_by_id: dict[int, _PendingRequest] = {}
+        self._pending_by_id: dict[int, pending_request.PendingRequest] = {}
         self._fence_reply_by_id: dict[int, asyncio.Future] = {}
         self._keepalive_number = 0
         self.peer_hello: messages.Hello | None = None
@@ -139,7 +119,7 @@
         if self.lost:
             # Nothing was sent, so the request has not run.
             raise errors.PeerUnreachable(self.peer_hello.name, "lost")
-        pending = _PendingRequest(can_resend)
+        pending = pending_request.PendingRequest(can_resend)
         self._pending_by_id[start.id] = pending
         self.pending_count += 1
         upload = None
@@ -211,15 +191,13 @@
         self.unresponsive.set()
         for pending in self._pending_by_id.values():
             if pending.can_resend():
-                self._fail_request(pending)
+                pending.end_by_loss()
 
     def silence_log_fields(self) -> dict[str, object]:
         """Returns what shows why no frame has arrived, for a log line."""
         now = _loop_time()
         started = sum(
-            1
-            for pending in self._pending_by_id.values()
-            if pending.response_body is not None
+            pending.has_response for pending in self._pending_by_id.values()
         )
         return {
             "since_bytes": round(now - self._last_bytes_at, 3),
@@ -236,12 +214,12 @@
     async def _receive_response(
         self,
         start: messages.RequestStart,
-        pending: _PendingRequest,
+        pending: pending_request.PendingRequest,
         sink: exchange.Sink,
     ) -> exchange.Result:
         head = await pending.head
         if isinstance(head, messages.Failure):
-            return _failure_result(head)
+            return pending_request.to_result(head)
         if head is None:
             return exchange.unknown(messages.Reason.PEER_LOST)
         if head.request_id != start.request_id:
@@ -255,14 +233,15 @@
             async for chunk in pending.response_body:
                 await sink.data(chunk)
         except exchange.IncompleteBody:
-            if pending.failure is not None:
-                return _failure_result(pending.failure)
-            return exchange.unknown(messages.Reason.PEER_LOST)
+            return pending.failure_result()
         await sink.end()
         return exchange.answered(head.status, head.target, head.load)
 
     async def _send_body(
-        self, stream: int, pending: _PendingRequest, request: exchange.Request
+        self,
+        stream: int,
+        pending: pending_request.PendingRequest,
+        request: exchange.Request,
     ) -> None:
         try:
             # Waits for credit before reading the body.
@@ -304,8 +283,8 @@
             self._handle_response_start(frame)
         elif isinstance(frame, messages.BodyChunk):
             pending = self._pending_by_id.get(frame.id)
-            if pending is not None and pending.response_body is not None:
-                pending.response_body.feed(frame.data, frame.is_last)
+            if pending is not None:
+                pending.feed(frame)
         elif isinstance(frame, messages.Credit):
             pending = self._pending_by_id.get(frame.id)
             if pending is not None:
@@ -348,23 +327,16 @@
 
     def _handle_response_start(self, head: messages.ResponseStart) -> None:
         pending = self._pending_by_id.get(head.id)
-        if pending is None or pending.head.done():
-            return
-        pending.response_body = exchange.BodyStream(
-            lambda size: self._send_credit(head.id, size)
-        )
-        pending.head.set_result(head)
+        if pending is not None:
+            pending.start_response(
+                head, lambda size: self._send_credit(head.id, size)
+            )
 
     def _handle_failure(self, failure: messages.Failure) -> None:
         self.incarnation = max(self.incarnation, failure.incarnation)
         pending = self._pending_by_id.get(failure.id)
-        if pending is None:
-            return
-        pending.failure = failure
-        if not pending.head.done():
-            pending.head.set_result(failure)
-        elif pending.response_body is not None:
-            pending.response_body.fail("the response ended early")
+        if pending is not None:
+            pending.end_by_peer(failure)
 
     def _send_credit(self, stream: int, size: int) -> None:
         if not self.lost:
@@ -372,7 +344,7 @@
 
     def _handle_lost(self) -> None:
         for pending in self._pending_by_id.values():
-            self._fail_request(pending)
+            pending.end_by_loss()
         if not self.handshake_done.done():
             self.handshake_done.set_exception(
                 framing.PeerConnectionLost("peer closed the connection")
@@ -381,26 +353,11 @@
         self.handshake_done.exception()
         self.on_lost()
 
-    def _fail_request(self, pending: _PendingRequest) -> None:
-        pending.window.fail()
-        if not pending.head.done():
-            pending.head.set_result(None)
-        elif pending.response_body is not None:
-            pending.response_body.fail("connection to the peer lost")
-
 
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
 
 
-def _failure_result(failure: messages.Failure) -> exchange.Result:
-    if failure.outcome is messages.Outcome.NOT_RUN:
-        return exchange.not_run(
-            failure.reason, failure.retry_after, failure.load
-        )
-    return exchange.unknown(failure.reason, failure.load)
-
-
 async def connect(
     address: str, own_hello: messages.Hello, key: bytes
 ) -> ClientConnection:
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -153,7 +153,7 @@
             own.domain,
             self._rng,
             self.service_policy,
-            _retry_budget_limits(self.settings),
+            self.settings.budget.limits(),
             self.settings.limits.far_cost,
             self.notices,
         )
@@ -380,9 +380,7 @@
         self.policy = load_policy(changed)
         self.settings = changed
         self.target_registry.settings = changed
-        self.balancer.retry_budgets.set_limits(
-            _retry_budget_limits(self.settings)
-        )
+        self.balancer.retry_budgets.set_limits(changed.budget.limits())
         self.rate_limiter.limiter.set_bounds(_rate_limit_bounds(changed))
         self.balancer.cross_domain_cost_per_kilobyte = changed.limits.far_cost
 
@@ -722,12 +720,3 @@
 def _rate_limit_bounds(current: settings.Settings) -> rate_limits.Bounds:
     bounds = current.organisations
     return rate_limits.Bounds(bounds.window, bounds.overshoot, bounds.slack)
-
-
-def _retry_budget_limits(
-    current: settings.Settings,
-) -> load_balancer.RetryBudgetLimits:
-    budget = current.budget
-    return load_balancer.RetryBudgetLimits(
-        budget.ratio, budget.window, budget.reserve, budget.calls
-    )
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -160,8 +160,7 @@
     """Whether the head of a response from p1 has arrived."""
     connection = process.peer_connections.connection_by_process.get("p1")
     return connection is not None and any(
-        pending.response_body is not None
-        for pending in connection._pending_by_id.values()
+        pending.has_response for pending in connection._pending_by_id.values()
     )
 
 
