--- a/forklift/shell/hedging.py
+++ b/forklift/shell/hedging.py
@@ -120,6 +120,12 @@
         """
         if self._claim.owner is not None:
             return None
+        if any(
+            attempt.buffered.is_large
+            for attempt in self._attempt_by_task.values()
+        ):
+            # A second large response would slow down the one that arrives.
+            return HEDGE_RETRY_SECONDS
         hedge = self._select_hedge(first, len(self._attempt_by_task))
         if hedge is None:
             return HEDGE_RETRY_SECONDS
--- a/forklift/shell/response_buffer.py
+++ b/forklift/shell/response_buffer.py
@@ -113,6 +113,11 @@
         if not failed and self._claim.try_acquire(self):
             await self.flush()
 
+    @property
+    def is_large(self) -> bool:
+        """Whether a large response has begun to arrive."""
+        return self._head is not None and not self._is_small
+
     @property
     def _is_small(self) -> bool:
         """Whether a response has begun that is buffered until its end."""
