Connections of a removed target close once their requests end

Found by a review of: the last request that ran while its target was removed returned its connection to a pool that nobody owns, so it stayed open. The same held for a target whose heartbeats had stopped. Such a pool is now retired. test_connection_to_a_removed_target_closes_after_its_last_request failed before.

--- a/forklift/shell/connection_pool.py
+++ b/forklift/shell/connection_pool.py
@@ -65,6 +65,7 @@
         self._now = now
         self._idle: collections.deque[_IdleConnection] = collections.deque()
         self._busy: set[tcp_stream.Connection] = set()
+        self._retired = False
 
     async def acquire(self, idempotent: bool) -> tcp_stream.Connection:
         """Returns an idle connection, or opens one.
@@ -104,7 +105,8 @@
             connection: The connection.
             keep_alive: Seconds for which the connection may be idle.
         """
-        if keep_alive <= 0 or connection.closed or connection.buffered:
+        is_usable = not connection.closed and not connection.buffered
+        if self._retired or keep_alive <= 0 or not is_usable:
             self.discard(connection)
             return
         now = self._now()
@@ -123,6 +125,11 @@
         for connection in self._busy:
             connection.abort()
 
+    def retire(self) -> None:
+        """Closes all connections, those in use once their requests end."""
+        self._retired = True
+        self.close_idle()
+
     def close_idle(self) -> None:
         """Closes all idle connections."""
         while self._idle:
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -243,8 +243,7 @@
             if service is not None:
                 local_target.pool.max_connections = service.max_connections
             elif not self._accepts_service(local_target.controller.service):
-                pool = self._remove(name)
-                pool.close_idle()
+                self._remove(name).retire()
                 self._on_change()
 
     def expire(self, now: float) -> None:
@@ -260,7 +259,7 @@
             local_target = self._local_targets.by_name.pop(name, None)
             if local_target is not None:
                 _log.warning("target_expired", target=name)
-                local_target.pool.close_idle()
+                local_target.pool.retire()
                 self._on_change()
 
     async def discover_local_target(self) -> None:
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -974,3 +974,26 @@
         assert (await pending).status == 200
 
     processes.play(work, [[]])
+
+
+def test_connection_to_a_removed_target_closes_after_its_last_request():
+    """Guards against a connection that no pool knows and nobody closes."""
+
+    async def work(fleet):
+        process, target = fleet.proxies[0], fleet.targets[0]
+        target.script.append("hold")
+        pending = asyncio.create_task(fleet.ask(0))
+        await helper.until(lambda: len(target.received) == 1)
+        fleet.store.configure(
+            {
+                "version": 2,
+                "routes": {"r": processes.route(service="other")},
+                "services": {"other": {}},
+            }
+        )
+        await helper.until(lambda: not process.local_targets.by_name)
+        target.release.set()
+        assert (await pending).status == 200
+        await helper.until(lambda: target.hung_up == target.connections, 5.0)
+
+    processes.play(work, [[]])
