A request leaves a silent peer only for a retry that is reserved

Cause: whether a request could be sent again was asked of each by itself and of what is free now: four requests shared the last retry of a budget, one had no other target left, another a policy that forbids the retry, and attempts in flight did not count towards the limit of the route.

Now one decision asks for time, policy, quarantine, the limit with the attempts in flight, a target that could take it, and charges the retry before the attempt is given up; the charge passes to the next attempt. Whoever gets none waits for the peer and is asked again at the next tick.

--- a/forklift/request_retries.py
+++ b/forklift/request_retries.py
@@ -95,25 +95,38 @@
         self.refusal = self._allocation.check(retry, now, self._random())
         return self.refusal is not None
 
-    def allows_retry_after_failure(
-        self, distribution: latency.Distribution, now: float
+    def reserve(
+        self, distribution: latency.Distribution, now: float, in_flight: int
     ) -> bool:
-        """Returns whether a retry could follow if the attempt failed now.
-
-        Charges nothing.
+        """Charges a retry before an attempt in flight is given up for it.
 
         Args:
             distribution: Latency distribution of the route.
             now: Monotonic seconds.
+            in_flight: Number of attempts in flight.
+
+        Returns:
+            Whether the retry may be made, so that the attempt can be given up.
         """
-        if self._state.attempts + 1 >= self._request.max_attempts:
+        state = self._state
+        if state.attempts + in_flight >= self._request.max_attempts:
             return False
-        retry = retry_allocation.Retry(
-            self._request,
-            retry_allocation.Cause.FAILED,
-            self._in_time(distribution, now),
-        )
-        return self._allocation.would_grant(retry, now, self._draw_if_enabled())
+        if not state.has_time_for_retry(distribution, now):
+            return False
+        if not state.reserved_retries:
+            retry = retry_allocation.Retry(
+                self._request,
+                retry_allocation.Cause.FAILED,
+                self._in_time(distribution, now),
+            )
+            draw = self._draw_if_enabled()
+            # Asked repeatedly, so only the granted request is counted.
+            if not self._allocation.would_grant(retry, now, draw):
+                return False
+            if not self._allocation.spend(retry, now, draw):
+                return False
+        state.reserved_retries += 1
+        return True
 
     def charge(self, distribution: latency.Distribution, now: float) -> bool:
         """Charges the next attempt to the budget, unless it is free.
--- a/forklift/retries.py
+++ b/forklift/retries.py
@@ -85,6 +85,8 @@
             have run.
         budget_charged: Whether the next attempt has been charged to the retry
             budget.
+        reserved_retries: Number of attempts in flight whose retry has been
+            charged already.
         process_exits_at: Monotonic seconds at which this process exits.
         max_queue_rejections: Number of targets whose queue is too long, after
             which the request is given up.
@@ -107,6 +109,7 @@
     possible_runs: int = 0
     ran_last: bool = False
     budget_charged: bool = False
+    reserved_retries: int = 0
     process_exits_at: float = math.inf
     max_queue_rejections: int = MAX_QUEUE_REJECTIONS
     accepts_unproven: bool = False
@@ -245,8 +248,22 @@
         if now >= min(self.deadline, self.process_exits_at):
             return True
         # The first attempt is made regardless of the remaining time.
+        return self.attempts > 0 and not self.has_time_for_retry(
+            distribution, now
+        )
+
+    def has_time_for_retry(
+        self, distribution: latency.Distribution, now: float
+    ) -> bool:
+        """Returns whether a retry could still receive a response in time.
+
+        Args:
+            distribution: Latency distribution of the route.
+            now: Monotonic seconds.
+        """
         return (
-            self.attempts > 0 and now + distribution.median / 2 > self.deadline
+            now < min(self.deadline, self.process_exits_at)
+            and now + distribution.median / 2 <= self.deadline
         )
 
     def hedge_delay(
@@ -283,5 +300,6 @@
 
     def _record_arrival(self, target: str) -> None:
         self.attempts += 1
-        self.budget_charged = False
+        self.budget_charged = self.reserved_retries > 0
+        self.reserved_retries = max(0, self.reserved_retries - 1)
         self.tried.add(target)
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -68,7 +68,7 @@
         wait: bool,
         start_by: float,
         exclusive: bool = False,
-        can_resend: Callable[[], bool] = lambda: False,
+        prepare_resend: Callable[[], bool] = lambda: False,
     ) -> exchange.Result:
         """Sends a request to the process that owns a target.
 
@@ -81,8 +81,7 @@
             start_by: Monotonic seconds by which the request must have started.
             exclusive: Whether the request may only run while the target runs
                 no other.
-            can_resend: Returns whether the request would be sent to another
-                target if it failed now.
+            prepare_resend: See `ClientConnection.send_request`.
 
         Raises:
             tcp_stream.ConnectionLost: The sink's connection is lost.
@@ -99,7 +98,7 @@
                 wait,
                 start_by,
                 exclusive,
-                can_resend,
+                prepare_resend,
             )
         except errors.PeerUnreachable:
             return exchange.not_run(Reason.PEER_LOST, RETRY_AFTER_SECONDS)
@@ -114,7 +113,7 @@
         wait: bool,
         start_by: float,
         exclusive: bool,
-        can_resend: Callable[[], bool],
+        prepare_resend: Callable[[], bool],
     ) -> exchange.Result:
         remaining = request.deadline - self._clock.monotonic()
         if remaining <= 0:
@@ -142,7 +141,7 @@
             async with asyncio.timeout(remaining + DEADLINE_GRACE_SECONDS):
                 if request.idempotent:
                     return await connection.send_request(
-                        start, request, sink, can_resend
+                        start, request, sink, prepare_resend
                     )
                 return await self._send_non_idempotent(
                     connection, start, request, sink
--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -59,6 +59,7 @@
         # The complete response of a failed attempt; a retry may replace it.
         self._withheld: response_buffer.BufferedResponse | None = None
         self._claim = response_buffer.ResponseClaim()
+        self._targets_in_flight: set[str] = set()
         self._retries = request_retries.RequestRetries(
             forwarder.retry_allocation,
             retry_allocation.Request(
@@ -198,16 +199,49 @@
         """Whether the request can be sent again from its start."""
         return self._request.body.replayable and not self._sink.has_started
 
-    def _would_be_resent(self) -> bool:
-        """Whether another target would be tried if the attempt failed now."""
+    def _prepare_resend(self) -> bool:
+        """Reserves a retry for an attempt that is to be given up.
+
+        Called while the peer of the attempt is silent.
+
+        Returns:
+            Whether another target would serve the request.
+        """
         return (
             self._can_resend
             and self._claim.owner is None
-            and self._retries.allows_retry_after_failure(
-                self._distribution, self._now()
+            and not self._quarantined_for()
+            and self._policy_allows_retry(
+                exchange.unknown(Reason.PEER_LOST).ending,
+                self._retry_state.attempts + 1,
+            )
+            and self._has_other_target()
+            and self._retries.reserve(
+                self._distribution, self._now(), len(self._targets_in_flight)
             )
         )
 
+    def _has_other_target(self) -> bool:
+        """Whether a target is left that the request could be sent to."""
+        retry_state, now = self._retry_state, self._now()
+        requirements = load_balancer.Requirements(
+            self._request.service,
+            self._request.idempotent,
+            max(
+                retry_state.required_health(now), admission.RequiredHealth.SOUND
+            ),
+            allows_trial=False,
+            wait=True,
+            kilobytes=self._kilobytes,
+            bulk=self._request.bulk,
+        )
+        tried = frozenset(retry_state.tried | self._targets_in_flight)
+        other = self._balancer.select(requirements, tried, now)
+        if other is None:
+            return False
+        self._balancer.finish_attempt(self._request.service, other, None, now)
+        return True
+
     async def _run_attempts(self) -> exchange.Result:
         result = exchange.not_run(Reason.NO_TARGET, RETRY_AFTER_SECONDS)
         soft_deadline = self._request.soft_deadline
@@ -291,7 +325,9 @@
                 self._retry_state.possible_runs, self._request.id
             )
             return False
-        if not self._can_resend or not self._policy_allows_retry(ending):
+        if not self._can_resend or not self._policy_allows_retry(
+            ending, self._retry_state.attempts
+        ):
             return False
         self._retries.record_failure(self._now())
         self._forwarder.retries += 1
@@ -309,11 +345,13 @@
         if not is_response or self._policy.is_failure(ending.status):
             self._balancer.record_failure(self._request.service, self._now())
 
-    def _policy_allows_retry(self, ending: exchange.Ending) -> bool:
+    def _policy_allows_retry(
+        self, ending: exchange.Ending, attempts: int
+    ) -> bool:
         request = self._request
         return bool(
             self._policy.retry.evaluate(
-                attempt=self._retry_state.attempts,
+                attempt=attempts,
                 status=ending.status,
                 outcome=str(ending.outcome),
                 reason=str(ending.reason or ""),
@@ -449,6 +487,7 @@
         is_hedge: bool,
     ) -> exchange.Result:
         self._forwarder.attempts += 1
+        self._targets_in_flight.add(selection.target)
         required_health = max(
             self._retry_state.required_health(self._now()),
             selection.required_health,
@@ -470,11 +509,11 @@
                     self._retry_state.wait,
                     start_by,
                     self._exclusive,
-                    self._would_be_resent,
+                    self._prepare_resend,
                 )
             if (
                 buffered.is_superseded
-                and not buffered.has_started
+                and self._claim.owner is None
                 and _is_answered(result)
             ):
                 # The attempt whose response was preferred has failed.
@@ -482,6 +521,7 @@
             return result
         finally:
             # The attempt may also be cancelled, e.g. as the process stops.
+            self._targets_in_flight.discard(selection.target)
             if buffered.is_withheld:
                 self._withheld = buffered
             if not buffered.has_started:
--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -99,7 +99,7 @@
         start: messages.RequestStart,
         request: exchange.Request,
         sink: exchange.Sink,
-        can_resend: Callable[[], bool] = lambda: False,
+        prepare_resend: Callable[[], bool] = lambda: False,
     ) -> exchange.Result:
         """Sends a request and relays the response to the sink.
 
@@ -107,8 +107,9 @@
             start: First frame of the request.
             request: The request; its body is sent if `start` is incomplete.
             sink: Receives the response.
-            can_resend: Returns whether the request would be sent to another
-                target if it failed now; see `fail_resendable`.
+            prepare_resend: Called repeatedly while the peer is silent. Reserves
+                a retry at another target and returns True, or returns False if
+                only the peer can serve the request.
 
         Raises:
             errors.PeerUnreachable: The connection was closed before anything
@@ -119,7 +120,7 @@
         if self.lost:
             # Nothing was sent, so the request has not run.
             raise errors.PeerUnreachable(self.peer_hello.name, "lost")
-        pending = pending_request.PendingRequest(can_resend)
+        pending = pending_request.PendingRequest(prepare_resend)
         self._pending_by_id[start.id] = pending
         self.pending_count += 1
         upload = None
@@ -182,16 +183,15 @@
         self._frames.send(messages.KeepAlive(self._keepalive_number, False))
 
     def fail_resendable(self) -> None:
-        """Fails requests for other targets to serve; the peer is unresponsive.
+        """Gives requests up for other targets, as the peer is unresponsive.
 
         All others stay pending, as only this peer can complete them: requests
         that may run once only, that can't be read again from their start, that
-        have no attempt left, and responses that have begun.
+        have no retry or no other target left, and responses that have begun.
         """
         self.unresponsive.set()
         for pending in self._pending_by_id.values():
-            if pending.can_resend():
-                pending.end_by_loss()
+            pending.give_up_if_resendable()
 
     def silence_log_fields(self) -> dict[str, object]:
         """Returns what shows why no frame has arrived, for a log line."""
--- a/forklift/shell/pending_request.py
+++ b/forklift/shell/pending_request.py
@@ -12,17 +12,23 @@
     """A request sent to a peer that is still in progress.
 
     Attributes:
-        can_resend: Returns whether the request would be sent to another target
-            if it failed now.
+        is_given_up: Whether the request was ended though the peer, which is
+            silent, may still run it.
         head: Future of the start of the response; a `Failure` if there is no
-            response, None if the peer is lost or unresponsive.
+            response, None if the peer is lost or the request was given up.
         response_body: Body of the response; None before the response starts.
         window: Credit for sending the body of the request.
         failure: Failure that ended the request; None if there was none.
     """
 
-    def __init__(self, can_resend: Callable[[], bool]):
-        self.can_resend = can_resend
+    def __init__(self, prepare_resend: Callable[[], bool]):
+        """Creates a request without a response.
+
+        Args:
+            prepare_resend: See `ClientConnection.send_request`.
+        """
+        self._prepare_resend = prepare_resend
+        self.is_given_up = False
         self.head: asyncio.Future = asyncio.get_running_loop().create_future()
         self.response_body: exchange.BodyStream | None = None
         self.window = flow_control.SendWindow(0)
@@ -58,8 +64,14 @@
         self.failure = failure
         self._end(failure, "the response ended early")
 
+    def give_up_if_resendable(self) -> None:
+        """Ends the request if another target can serve it."""
+        if not self.is_given_up and self._prepare_resend():
+            self.is_given_up = True
+            self.end_by_loss()
+
     def end_by_loss(self) -> None:
-        """Ends the request, as the peer is lost or unresponsive."""
+        """Ends the request, as no response is expected any more."""
         self.window.fail()
         self._end(None, "connection to the peer lost")
 
