A request that left a silent peer is cancelled there

Found by a review: the peer came back and went on running a request that nobody read; a large response held its slot and waited for credit until the deadline.

--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -140,7 +140,7 @@
             pending.window.fail()
             if upload is not None:
                 upload.cancel()
-            if not finished and not self.lost:
+            if (not finished or pending.is_given_up) and not self.lost:
                 self._frames.send(messages.Cancel(start.id))
 
     def next_stream_id(self) -> int:
--- a/test/test_resent_requests.py
+++ b/test/test_resent_requests.py
@@ -2,13 +2,18 @@
 
 import asyncio
 
+import pytest
+
 from forklift import load_balancer
 from forklift import policy
 from forklift.shell import flow_control
+from forklift_lab import relay
 from forklift_lab import scripted
 from test import helper
 from test import test_silent_peers as silent_peers
 
+SECONDS_UNTIL_CANCELLED = 5.0
+
 
 async def send_to_silent_peer(fleet, link, count=1):
     """Sends requests to p1 until all run there, then silences its link."""
@@ -135,6 +140,44 @@
     helper.run(work())
 
 
+@pytest.mark.parametrize("script", ["hold", "large"])
+def test_request_that_left_a_silent_peer_ends_there(script):
+    """Guards against a run that nobody reads and that keeps its slot.
+
+    A request that was failed as its peer was silent is not cancelled there.
+    A large response of it waits for credit until the deadline.
+    """
+
+    async def work():
+        scripts = [[], [script], []]
+        async with silent_peers.relayed_fleet(
+            scripts, silent_peers.patient()
+        ) as (fleet, link):
+            fleet.proxies[2].local_targets.drain("t2")
+            ingress = fleet.proxies[0]
+            if script == "large":
+                # Only the way back is silent, so that the target answers.
+                caller = silent_peers.Caller(ingress.caller_address)
+                await fleet.proxies[0].peer_connections.get("p1")
+                link.silence(relay.Way.DOWN)
+                await caller.send()
+            else:
+                (caller,) = await send_to_silent_peer(fleet, link)
+            silent_peers.announce_another_target(fleet)
+            await caller.finish()
+            assert caller.status == 200
+            link.heal()
+            await helper.until(
+                lambda: not silent_peers.is_silent(fleet.proxies[0])
+            )
+            await helper.until(
+                lambda: not fleet.proxies[1].local_targets.running,
+                SECONDS_UNTIL_CANCELLED,
+            )
+
+    helper.run(work())
+
+
 def test_large_response_that_is_arriving_is_not_hedged():
     """Guards against a second large response over a link that is full.
 
