A planned stop waits for peers that are still reading a response

What callers saw in a test: 2 of 4 large answers were cut off with 262,258 bytes sent, as the process beside the target stopped as planned while the link to the process that they had asked passed 128 KB/s, with 60 s of grace. The process logged that nothing was cut off.

Now a stop waits until its peers have closed, up to the end of the grace period, if they were sent a response in the last 8 s, after which the system gives up a connection whose data is not acknowledged.

--- a/forklift/shell/peer_server.py
+++ b/forklift/shell/peer_server.py
@@ -22,6 +22,11 @@
 ]
 
 
+# Seconds after the end of a response in which the peer may still be reading it;
+# then the system has closed a connection whose data is not acknowledged.
+RECENT_RESPONSE_SECONDS = tcp_stream.USER_TIMEOUT_MS / 1000
+
+
 class ResponseSink:
     """An `exchange.Sink` that sends the response to the peer.
 
@@ -124,6 +129,7 @@
         self._body_by_id: dict[int, exchange.BodyStream] = {}
         self._fence_tasks: set[asyncio.Task] = set()
         self.last_request_at = float("-inf")
+        self._last_response_at = float("-inf")
         self.peer_hello: messages.Hello | None = None
         self.authenticated = False
         frames.on_frame = self._handle_frame
@@ -134,6 +140,12 @@
         """Whether a request of the peer is in progress."""
         return bool(self._task_by_id)
 
+    @property
+    def has_recent_response(self) -> bool:
+        """Whether the peer may still be reading a response."""
+        since = asyncio.get_running_loop().time() - self._last_response_at
+        return since < RECENT_RESPONSE_SECONDS
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes for the peer that are not yet in the kernel send buffer."""
@@ -291,6 +303,8 @@
             pass
         finally:
             sink.window.fail()
+            if sink.has_started:
+                self._last_response_at = asyncio.get_running_loop().time()
             self._task_by_id.pop(start.id, None)
             self._sink_by_id.pop(start.id, None)
             self._body_by_id.pop(start.id, None)
--- a/forklift/shell/shutdown.py
+++ b/forklift/shell/shutdown.py
@@ -130,27 +130,36 @@
     """Half-closes the peers' connections and waits until the peers close.
 
     Closing a connection with unread input would reset it and discard what is
-    in the socket buffer.
+    in the socket buffer. A peer that was sent a response lately may be slow to
+    read it, so it gets the rest of the grace period.
     """
     for connection in list(proxy.server_connections):
         connection.half_close()
-    deadline = min(
-        proxy.stop_deadlines.exit_at,
-        proxy.clock.monotonic() + PEER_CLOSE_TIMEOUT,
-    )
-    while proxy.server_connections and proxy.clock.monotonic() < deadline:
+    half_closed_at = now = proxy.clock.monotonic()
+    while now < proxy.stop_deadlines.exit_at:
+        waits_for_peer = now < half_closed_at + PEER_CLOSE_TIMEOUT
+        if not any(
+            waits_for_peer or connection.has_recent_response
+            for connection in proxy.server_connections
+        ):
+            return
         await asyncio.sleep(POLL_INTERVAL)
+        now = proxy.clock.monotonic()
 
 
 async def _flush(proxy) -> None:
-    """Waits for a short time until the writes to peers have been sent."""
-    deadline = min(
-        proxy.stop_deadlines.exit_at,
-        proxy.clock.monotonic() + FINAL_RESPONSE_SECONDS,
-    )
-    while any(
-        connection.unsent_bytes for connection in proxy.server_connections
-    ):
-        if proxy.clock.monotonic() >= deadline:
+    """Waits until the writes to peers have been sent.
+
+    A peer that was sent no response lately is waited for for a short time.
+    """
+    started = now = proxy.clock.monotonic()
+    while now < proxy.stop_deadlines.exit_at:
+        waits_for_all = now < started + FINAL_RESPONSE_SECONDS
+        if not any(
+            connection.unsent_bytes
+            and (waits_for_all or connection.has_recent_response)
+            for connection in proxy.server_connections
+        ):
             return
         await asyncio.sleep(POLL_INTERVAL)
+        now = proxy.clock.monotonic()
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -349,3 +349,89 @@
                 assert caller.body == scripted.LARGE_BODY
 
     helper.run(work())
+
+
+def test_lower_idle_timeout_spares_a_running_request():
+    """Guards against a new idle timeout that closes a busy connection."""
+
+    async def work():
+        scripts = [[], ["hold"]]
+        first = patient()
+        async with relayed_fleet(scripts, first) as (fleet, _):
+            ingress, target = fleet.proxies[0], fleet.targets[1]
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            await helper.until(lambda: target.received)
+            fleet.store.configure(
+                {**first, "version": 2, "limits": {"idle-timeout-ms": 100}}
+            )
+            await helper.until(
+                lambda: ingress.active_catalog.catalog.version == 2
+            )
+            assert ingress.active_catalog.catalog.limits.idle_timeout == 0.1
+            await asyncio.sleep(2.0)
+            target.release.set()
+            await caller.finish()
+            assert caller.status == 200
+
+    helper.run(work())
+
+
+@pytest.mark.parametrize("pipelined", [False, True])
+def test_lower_idle_timeout_spares_a_response_that_is_on_its_way(pipelined):
+    """Guards against a new idle timeout that cuts a slow reader off."""
+
+    async def work():
+        scripts = [[], ["large-held"]]
+        first = patient()
+        async with relayed_fleet(scripts, first) as (fleet, _):
+            ingress, target = fleet.proxies[0], fleet.targets[1]
+            caller = Caller(ingress.caller_address)
+            await caller.send()
+            begun = len(scripted.LARGE_BODY) - scripted.HELD_BYTES
+            await helper.until(lambda: len(caller.body) == begun)
+            if pipelined:
+                caller.write(b"GET /a/ HT")
+            fleet.store.configure(
+                {**first, "version": 2, "limits": {"idle-timeout-ms": 100}}
+            )
+            await helper.until(
+                lambda: ingress.active_catalog.catalog.version == 2
+            )
+            await asyncio.sleep(1.5)
+            target.release.set()
+            await caller.finish()
+            assert caller.body[: len(scripted.LARGE_BODY)] == (
+                scripted.LARGE_BODY
+            )
+
+    helper.run(work())
+
+
+def test_stop_beside_the_target_passes_large_responses_over_a_slow_link():
+    """Guards against a planned stop that cuts off what is still on its way.
+
+    The link needs longer than `shutdown.PEER_CLOSE_TIMEOUT` for what is in
+    the buffers, and the grace period is far from over.
+    """
+
+    async def work():
+        count = 4
+        scripts = [[], ["large"] * count]
+        first = patient()
+        async with relayed_fleet(scripts, first) as (fleet, link):
+            ingress, peer = fleet.proxies[0], fleet.proxies[1]
+            link.bytes_per_second = flow_control.FLOW_CONTROL_WINDOW // 2
+            callers = [Caller(ingress.caller_address) for _ in range(count)]
+            for caller in callers:
+                await caller.send()
+            await helper.until(lambda: len(fleet.targets[1].received) == count)
+            object.__setattr__(peer.settings.platform, "grace", 60.0)
+            stopping = asyncio.create_task(peer.stop())
+            for caller in callers:
+                await caller.finish()
+            await stopping
+            whole = [caller.body == scripted.LARGE_BODY for caller in callers]
+            assert whole == [True] * count
+
+    helper.run(work())
