--- a/forklift/shell/ticker.py
+++ b/forklift/shell/ticker.py
@@ -17,8 +17,8 @@
 # Seconds between two ticks while there is no work. Must stay well below
 # `proxy.MIN_PAUSE_SECONDS`, or an idle process counts as paused.
 IDLE_INTERVAL = 0.25
-# Seconds by which a tick is late from which it is logged. For as long, the event
-# loop was blocked and this process was silent to its peers.
+# Seconds by which a tick is late from which it is logged. For as long, the
+# event loop was blocked and this process was silent to its peers.
 LOGGED_DELAY = 0.2
 
 
