Records of a soak run have a module of their own

soak.py held the records of requests and limits beside the run itself and was the largest file of the lab.

--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -6,6 +6,7 @@
 
 from forklift import heartbeats
 from forklift.platform import platform_headers
+from forklift_lab import observations
 from forklift_lab import records
 from forklift_lab import soak as soaks
 
@@ -74,7 +75,7 @@
     ]
 
 
-def _was_read(soak: soaks.Soak, seen: soaks.Seen) -> bool:
+def _was_read(soak: soaks.Soak, seen: observations.Seen) -> bool:
     """Whether its connection told that a request was read."""
     if not seen.told:
         return seen.ended_after > 0
@@ -140,7 +141,7 @@
     ]
 
 
-def _most_arrivals(soak: soaks.Soak, limit: soaks.NamedLimit) -> int:
+def _most_arrivals(soak: soaks.Soak, limit: observations.NamedLimit) -> int:
     """The most requests within the window, from processes that are bound."""
     target = soak.running.target_by_name[limit.place]
     bound = _bound_since(soak, target, "limited", limit.began)
@@ -359,7 +360,7 @@
     return told
 
 
-def _lacks(soak: soaks.Soak, seen: soaks.Seen) -> int:
+def _lacks(soak: soaks.Soak, seen: observations.Seen) -> int:
     """The least version that a process showed to lack; 0 if it showed none."""
     if seen.since and seen.status == _NO_ROUTE:
         return seen.since
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 import math
 import random
 import time
@@ -22,6 +21,7 @@
 from forklift.shell import store_follower
 from forklift.shell import target_registry
 from forklift_lab import kept
+from forklift_lab import observations
 from forklift_lab import programs
 from forklift_lab import records
 from forklift_lab import scripted
@@ -116,75 +116,13 @@
 THINKS = 0.1
 
 
-@dataclasses.dataclass(frozen=True)
-class Seen:
-    """One request as its caller saw it.
-
-    Attributes:
-        id: Its identity.
-        place: Process that it was sent to.
-        began: Loop seconds when it was sent.
-        ended: Loop seconds when it ended for the caller.
-        status: HTTP status; 0 where there was no answer.
-        own: Whether the answer was whole and its own.
-        hung: Whether nothing came within the longest time.
-        life: Number of the run of the process that it was sent to.
-        version: The only version of the configuration that has its route; 0
-            where all have it.
-        since: The first version of the configuration that has its route; 0
-            where all have it.
-        ended_after: Seconds from its last byte to the plain end of its
-            connection; 0 where there was none.
-        told: Whether an answer before on its connection had said that this
-            closes.
-        limited: Whether the answer named a limit of its target.
-        leaving: Whether the answer said that its target leaves.
-        answered_by: Name of the target that answered; empty if none did.
-    """
-
-    id: str
-    place: str
-    began: float
-    ended: float
-    status: int
-    own: bool = True
-    hung: bool = False
-    incarnation: int = 0
-    version: int = 0
-    since: int = 0
-    ended_after: float = 0.0
-    told: bool = False
-    limited: bool = False
-    leaving: bool = False
-    answered_by: str = ""
-
-
-@dataclasses.dataclass(frozen=True)
-class NamedLimit:
-    """A limit that a target named for a while.
-
-    Attributes:
-        place: Process beside the target.
-        incarnation: The run of the target.
-        rate: Requests a second.
-        began: Loop seconds when it was named first.
-        ended: Loop seconds when it was named no more.
-    """
-
-    place: str
-    incarnation: heartbeats.TargetIncarnation
-    rate: float
-    began: float
-    ended: float
-
-
 class Soak:
     """One seed: its processes, its callers and what they saw."""
 
     def __init__(self, seed: int, running: programs.Programs):
         self.rng = random.Random(seed)
         self.running = running
-        self.seen: list[Seen] = []
+        self.seen: list[observations.Seen] = []
         self.told: list[str] = []
         self.breaches: list[str] = []
         self.version = 0
@@ -235,7 +173,7 @@
             heartbeats.TargetIncarnation, float
         ] = {}
         # Limits that targets named, once they are over.
-        self.limits: list[NamedLimit] = []
+        self.limits: list[observations.NamedLimit] = []
         if seed >= NOTICES_FROM:
             self._troubles += names_by_theme[NOTICES] * NOTICES_SHARE
         self._large = seed >= LARGE_FROM
@@ -302,7 +240,7 @@
         found = self.acknowledged_by_version.items()
         return max((v for v, when in found if when + within < at), default=0)
 
-    def harmed(self, seen: Seen) -> bool:
+    def harmed(self, seen: observations.Seen) -> bool:
         """Whether the process of a request was harmed while it lasted."""
         spans = self.harms_by_place[seen.place]
         return any(a <= seen.ended and seen.began <= b for a, b in spans)
@@ -381,7 +319,7 @@
         ended = self.now()
         hung = not status and ended - began >= HANGS_AFTER
         self.seen.append(
-            Seen(
+            observations.Seen(
                 request_id,
                 place.name,
                 began,
@@ -420,7 +358,7 @@
         except TimeoutError:
             hung = True
         self.seen.append(
-            Seen(
+            observations.Seen(
                 request_id,
                 place.name,
                 began,
@@ -585,7 +523,9 @@
         else:
             target.rate_limit = None
         self.limits.append(
-            NamedLimit(place.name, incarnation, rate, began, self.now())
+            observations.NamedLimit(
+                place.name, incarnation, rate, began, self.now()
+            )
         )
 
     def relays(self, place: programs.Place) -> programs.Relays:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,6 +12,7 @@
 from forklift.shell import client
 from forklift.shell import tcp_stream
 from forklift_lab import kept
+from forklift_lab import observations
 from forklift_lab import play
 from forklift_lab import programs
 from forklift_lab import records
@@ -83,13 +84,15 @@
 LEAVING_TARGET = {
     "arrivals": [("s-1", 1.5), ("s-2", 5.05)],
     "responses": [
-        soak.Seen("s-1", "p", 1.0, 2.0, 200, leaving=True, answered_by="t"),
-        soak.Seen("s-2", "p", 5.0, 5.1, 200),
+        observations.Seen(
+            "s-1", "p", 1.0, 2.0, 200, leaving=True, answered_by="t"
+        ),
+        observations.Seen("s-2", "p", 5.0, 5.1, 200),
     ],
 }
 # A target that names a limit of one request a second, and as many requests as
 # it may get in a window, and one too many.
-NAMED_LIMIT = soak.NamedLimit("p", INCARNATION, 1.0, 0.0, 20.0)
+NAMED_LIMIT = observations.NamedLimit("p", INCARNATION, 1.0, 0.0, 20.0)
 NAMED_ALLOWED = round(
     soak.NAMED_FACTOR * NAMED_LIMIT.rate * soak.NAMED_COUNTED + soak.NAMED_SLACK
 )
@@ -140,15 +143,18 @@
         self.arrived = {name for name, _ in arrivals}
 
 
-def make_response(request_id: str, status: int, **changes) -> soak.Seen:
-    return soak.Seen(request_id, "p", 1.0, 2.0, status, **changes)
+def make_response(request_id: str, status: int, **changes) -> observations.Seen:
+    return observations.Seen(request_id, "p", 1.0, 2.0, status, **changes)
 
 
 def limited_target(count: int, place: str = "p") -> dict:
     """Returns observations of so many requests after the limit was named."""
-    first = soak.Seen("s-0", "p", 1.0, 2.0, 200, limited=True, answered_by="t")
+    first = observations.Seen(
+        "s-0", "p", 1.0, 2.0, 200, limited=True, answered_by="t"
+    )
     later = [
-        soak.Seen(f"s-{n}", place, 3.0, 3.5, 200) for n in range(1, count + 1)
+        observations.Seen(f"s-{n}", place, 3.0, 3.5, 200)
+        for n in range(1, count + 1)
     ]
     return {
         "limits": [NAMED_LIMIT],
@@ -157,9 +163,9 @@
     }
 
 
-def make_response_at(began: float, status: int, **changes) -> soak.Seen:
+def make_response_at(began: float, status: int, **changes) -> observations.Seen:
     """Returns a response of process p to a request sent at a given time."""
-    return soak.Seen("s-1", "p", began, began + 0.1, status, **changes)
+    return observations.Seen("s-1", "p", began, began + 0.1, status, **changes)
 
 
 def find_violations(arrivals=(), responses=(), **changes) -> list[str]:
@@ -273,8 +279,8 @@
             "the configuration never goes back",
             {
                 "responses": [
-                    soak.Seen("s-1", "p", 1.0, 2.0, 200, version=2),
-                    soak.Seen("s-2", "p", 3.0, 4.0, 200, version=1),
+                    observations.Seen("s-1", "p", 1.0, 2.0, 200, version=2),
+                    observations.Seen("s-2", "p", 3.0, 4.0, 200, version=1),
                 ]
             },
         ),
@@ -340,7 +346,7 @@
         {
             "responses": [
                 LEAVING_TARGET["responses"][0],
-                soak.Seen("s-2", "p", 5.0, 5.1, 200, incarnation=1),
+                observations.Seen("s-2", "p", 5.0, 5.1, 200, incarnation=1),
             ]
         },
     ],
