A half-closed connection between processes drops frames without a fault

What callers would see: a response that breaks off, as the process beside its target stops. Found in a trial with real processes whose reader was paused.

Cause: a stopping process half-closes the connections of its peers while its last data is sent. A frame after that raised 'Cannot call write() after write_eof()': in the reply to a peer's keep-alive this aborted the connection and discarded what was not sent, in a load update it broke off the heartbeat of a target.

Now frames after the half-close are dropped, as the peer is told that none follow.

--- a/forklift/shell/framing.py
+++ b/forklift/shell/framing.py
@@ -104,6 +104,7 @@
         self.on_frame: Callable[[messages.Frame], None] = lambda frame: None
         self.on_lost: Callable[[], None] = lambda: None
         self._lost = False
+        self._is_half_closed = False
         self.peer_address = ""
         self.on_bytes: Callable[[], None] = lambda: None
         self.compress = False
@@ -166,13 +167,15 @@
         return 0 if self.lost else self.transport.get_write_buffer_size()
 
     def send(self, frame: messages.Frame) -> None:
-        """Queues a frame.
+        """Queues a frame; drops it after `half_close`.
 
         Raises:
             PeerConnectionLost: The connection is closed; nothing was sent.
         """
         if self.lost:
             raise PeerConnectionLost("connection to the peer lost")
+        if self._is_half_closed:
+            return
         data = messages.encode(frame)
         flag = 0
         if self._should_compress(frame, data):
@@ -189,6 +192,12 @@
             and not isinstance(frame, messages.BodyChunk)
         )
 
+    def half_close(self) -> None:
+        """Closes the sending side once all queued frames are sent."""
+        if not self.lost:
+            self._is_half_closed = True
+            self.transport.write_eof()
+
     async def drain(self) -> None:
         """Waits until the write buffer is below its high-water mark.
 
--- a/forklift/shell/peer_server.py
+++ b/forklift/shell/peer_server.py
@@ -166,8 +166,7 @@
         After a full close, the next keep-alive of the peer would cause a
         reset, which discards data in the kernel send buffer.
         """
-        if not self._frames.lost:
-            self._frames.transport.write_eof()
+        self._frames.half_close()
 
     def close(self) -> None:
         """Closes the connection and discards unsent data."""
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -507,3 +507,36 @@
         assert len([each for each in received if each == update]) == sent
 
     processes.play(work, [[], []])
+
+
+def test_frames_after_the_half_close_are_dropped_without_a_fault():
+    """Guards against a peer's keep-alive that ends a connection being flushed.
+
+    A write after the half-close raised, so that unsent data was discarded.
+    """
+
+    async def work(fleet):
+        peer, one = fleet.proxies
+        received = []
+        connection = await peer.peer_connections.get("p1")
+        connection.on_load_update = received.append
+        connection._frames.transport.pause_reading()
+        (server_connection,) = one.server_connections
+        update = messages.LoadUpdate(
+            "t" * 10_000, one.local_targets.by_name["t1"].controller.load(0.0)
+        )
+        sent = 0
+        while not server_connection.unsent_bytes:
+            server_connection._frames.send(update)
+            sent += 1
+        server_connection.half_close()
+        server_connection.send_load_update(update, float("-inf"))
+        arrived = []
+        server_connection._frames.on_bytes = lambda: arrived.append(True)
+        connection.send_keepalive()
+        await helper.until(lambda: arrived)
+        connection._frames.transport.resume_reading()
+        await helper.until(lambda: connection.lost)
+        assert len([each for each in received if each == update]) == sent
+
+    processes.play(work, [[], []])
