Grant no tokens of a limit that the allocator does not know

Cause: an allocator that did not know an organisation granted every token that was asked for, as if it had no limit. A process answers requests for tokens before it has a configuration, which takes seconds if the store does not answer.

Change: a demand tells the limit that its sender enforces. An allocator that does not know the organisation applies this limit. If nobody tells one, as from an older version, it does not answer, and the process asks again. An organisation that the allocator knows as unlimited is granted all, as before.

test_restarted_allocator_without_configuration_keeps_to_the_limit failed before (2.2 times what is allowed).

--- a/forklift/allocator.py
+++ b/forklift/allocator.py
@@ -401,15 +401,38 @@
     ) -> tuple[messages.TokenGrant, ...]:
         """Answers the requests for tokens, unless capacity may arrive any time.
 
-        A process whose request is not answered asks again.
+        Requests for tokens of a limit that is not known are not answered,
+        either. A process whose request is not answered asks again.
         """
         capacity_in = 0.0 if capacity else self._seconds_until_capacity(now)
         if math.isinf(capacity_in):
             return ()
-        return tuple(
-            self._grant_tokens(one, capacity, capacity_in, now)
-            for one in demands
-            if one.tokens_wanted
+        grants = []
+        for one in demands:
+            limit = self._limit_of(one)
+            if one.tokens_wanted and limit is not None:
+                grants.append(
+                    self._grant_tokens(one, limit, capacity, capacity_in, now)
+                )
+        return tuple(grants)
+
+    def _limit_of(
+        self, demand: messages.Demand
+    ) -> organisations.Organisation | None:
+        """Limit of an organisation, as an organisation; None if not known.
+
+        A process that has just started may have no configuration yet, and the
+        organisation may be newer than the version that it has. The limit that
+        the sender of the demand enforces holds then.
+        """
+        known = self._find_organisation(demand.organisation)
+        if known is not None or not demand.limit_rate:
+            return known
+        return organisations.Organisation(
+            demand.organisation,
+            (),
+            rate=demand.limit_rate,
+            burst=demand.limit_burst,
         )
 
     def _seconds_until_capacity(self, now: float) -> float:
@@ -478,12 +501,12 @@
     def _grant_tokens(
         self,
         demand: messages.Demand,
+        limit: organisations.Organisation,
         capacity: float,
         capacity_in: float,
         now: float,
     ) -> messages.TokenGrant:
-        limit = self._find_organisation(demand.organisation)
-        if limit is None or not limit.limited:
+        if not limit.limited:
             return messages.TokenGrant(
                 demand.organisation, demand.tokens_wanted, 0.0
             )
--- a/forklift/limit_messages.py
+++ b/forklift/limit_messages.py
@@ -28,11 +28,16 @@
         organisation: Name of the organisation.
         rate: Recent arrival rate at the process, requests per second.
         tokens_wanted: Number of requests that wait for a token now.
+        limit_rate: Rate of the limit that the process enforces, requests per
+            second; 0 from an older version, which doesn't tell.
+        limit_burst: Burst of that limit, requests.
     """
 
     organisation: str
     rate: float
     tokens_wanted: int
+    limit_rate: float = 0.0
+    limit_burst: float = 0.0
 
 
 class Lease(_Wire):
--- a/forklift/local_quota.py
+++ b/forklift/local_quota.py
@@ -429,9 +429,23 @@
             usage = self.usage_by_organisation[name]
             rate = usage.rate(now)
             if rate >= 1 / MAX_REQUEST_INTERVAL_SECONDS or usage.tokens_wanted:
-                yield messages.Demand(name, round(rate, 3), usage.tokens_wanted)
+                yield self._demand(name, rate, usage.tokens_wanted)
             usage.tokens_wanted = 0
 
+    def _demand(
+        self, organisation: str, rate: float, tokens_wanted: int
+    ) -> messages.Demand:
+        limit = self._find_organisation(organisation)
+        if limit is None:
+            return messages.Demand(organisation, round(rate, 3), tokens_wanted)
+        return messages.Demand(
+            organisation,
+            round(rate, 3),
+            tokens_wanted,
+            limit.rate,
+            limit.burst,
+        )
+
     def receive(
         self, allocation: messages.Allocation, now: float
     ) -> tuple[messages.TokenGrant, ...] | None:
--- a/forklift_lab/limit_model.py
+++ b/forklift_lab/limit_model.py
@@ -70,6 +70,8 @@
     def __init__(self, model: "Model", name: str, boot: int):
         self.model = model
         self.started = model.now
+        # Time from which it has the configuration.
+        self.configured_from = -math.inf
         info = messages.ProcessInfo(
             name, boot, 1, "d", name, name, name, 1, float(boot), (), 0
         )
@@ -86,6 +88,15 @@
         """Whether it has met the others."""
         return self.model.now - self.started >= MEETS_AFTER
 
+    @property
+    def configured(self) -> bool:
+        """Whether it has the configuration."""
+        return self.model.now >= self.configured_from
+
+    def find_organisation(self, name: str) -> organisations.Organisation | None:
+        """The organisation of a name; None as long as it is not known here."""
+        return self.model.limits.get(name) if self.configured else None
+
     def overload_control(self) -> bool:
         """Whether overload control is in force here."""
         return self.model.overload_control(self.directory.own.name)
@@ -120,7 +131,9 @@
         self.directory.apply_direct(info, now)
 
     def arrive(self, organisation: str) -> None:
-        """A request comes."""
+        """A request comes; without a configuration none is accepted."""
+        if not self.configured:
+            return
         now = self.model.now
         found = self.limiter.quota.admit(organisation, now)
         if found.decision is local_quota.Decision.ASK_ALLOCATOR:
@@ -224,8 +237,8 @@
     return limiter.Limiter(
         node.directory,
         node.model.bounds,
-        node.model.find_organisation,
-        lambda: True,
+        node.find_organisation,
+        lambda: node.configured,
         lambda: node.counted,
         node.tokens,
         node.request_tokens,
@@ -356,9 +369,15 @@
 
     # Processes.
 
-    def start(self, name: str) -> None:
-        """Starts a process, or a new run of it."""
+    def start(self, name: str, unconfigured: float = 0.0) -> None:
+        """Starts a process, or a new run of it.
+
+        Args:
+            name: Name of the process.
+            unconfigured: Seconds until it has the configuration.
+        """
         node = Node(self, name, next(self._order))
+        node.configured_from = self.now + unconfigured
         self.node_by_name[name] = node
         # It reads from the store who is there.
         for other in self.node_by_name.values():
@@ -368,12 +387,18 @@
         self.at(self.rng.uniform(0, TICK), lambda: self._tick(node))
         self.at(0.0, lambda: self._beat(node))
 
-    def kill(self, name: str, down: float) -> None:
-        """Ends a process, and starts it again after a while."""
+    def kill(self, name: str, down: float, unconfigured: float = 0.0) -> None:
+        """Ends a process, and starts it again after a while.
+
+        Args:
+            name: Name of the process.
+            down: Seconds until it starts again.
+            unconfigured: Seconds from then on until it has the configuration.
+        """
         node = self.node_by_name.pop(name, None)
         if node is not None:
             self._estimated.update(node.estimated())
-        self.at(down, lambda: self.start(name))
+        self.at(down, lambda: self.start(name, unconfigured))
 
     def pause(self, name: str, seconds: float) -> None:
         """A process stands still; what comes meanwhile waits."""
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -267,6 +267,24 @@
     assert_served(found, found.now - 8.0)
 
 
+def test_restarted_allocator_without_configuration_keeps_to_the_limit():
+    """Guards against an allocator that grants what it knows no limit of.
+
+    A process that has just started answers requests for tokens before it has a
+    configuration, which takes seconds if the store does not answer.
+    """
+    found = limit_model.Model(1, 5, limits(5))
+    found.run(SETTLED)
+    names = sorted(found.node_by_name)
+    found.load("o0", 60.0, names, found.now + 12.0)
+    shard = local_quota.shard_of("o0")
+    name = found.node_by_name["p0"].limiter._allocator_of_shard(shard)
+    found.at(3.0, lambda: found.kill(name, 0.4, unconfigured=2.0))
+    found.at(3.9, lambda: found.kill(name, 0.4, unconfigured=1.5))
+    found.run(14.0)
+    assert found.worst("o0") <= 1.0
+
+
 def test_partitioned_process_uses_its_leases_until_they_expire():
     found = loaded_fleet(1)
     found.run(6.0)
@@ -466,12 +484,15 @@
 DELEGATION_SECONDS = allocator.DELEGATION_SECONDS
 
 
-def single_allocator(expected=(), controlled=False) -> allocator.Allocator:
+def single_allocator(
+    expected=(), controlled=False, limit_by_name=None
+) -> allocator.Allocator:
+    limit_by_name = {"o": LIMIT} if limit_by_name is None else limit_by_name
     return allocator.Allocator(
         OWN,
         0,
         BOUNDS,
-        {"o": LIMIT}.get,
+        limit_by_name.get,
         lambda now: expected,
         0.0,
         overload_control=lambda: controlled,
@@ -599,6 +620,36 @@
     )
 
 
+def ask_without_configuration(
+    ask: limit_messages.Demand,
+) -> tuple[limit_messages.TokenGrant, ...]:
+    """Asks an allocator for tokens that has its capacity, but no limits."""
+    found = single_allocator(limit_by_name={})
+    given = found.receive_delegation(delegation(), 0.0)
+    found.receive_delegation(delegation(2, echo=given.sequence), 0.0)
+    answer = found.receive_delegation(
+        delegation(3, echo=given.sequence, demands=(ask,)), 0.5
+    )
+    return answer.token_grants
+
+
+def test_limit_that_the_allocator_does_not_know_is_taken_from_the_demand():
+    """Guards against both refusing and granting all of such a limit.
+
+    The allocator may have no configuration yet, or one without a new
+    organisation.
+    """
+    asks = limit_messages.Demand("o", 0.0, 1000, LIMIT.rate, LIMIT.burst)
+    (grant,) = ask_without_configuration(asks)
+    assert 0.5 * LIMIT.rate <= grant.count <= 0.6 * LIMIT.rate
+    assert grant.retry_after > 0
+
+
+def test_limit_that_nobody_tells_is_neither_granted_nor_refused():
+    """A process of an older version asks again and tells no limit."""
+    assert ask_without_configuration(limit_messages.Demand("o", 0.0, 1)) == ()
+
+
 def test_tokens_granted_in_advance_are_subtracted_from_later_grants():
     found = single_allocator()
     given = found.receive_delegation(delegation(), 0.0)
