Let an allocator without a configuration delegate its own share

Cause: a process without a configuration delegated nothing, so an allocator that had just started waited until all leases of its earlier run might have ended: its own delegation was missing among those of all possible lease holders. It refused requests within the limit meanwhile.

Change: a process without a configuration takes part in the allocation of limits as soon as another process delegates to it. Without any limit in the configuration it sends nothing, as before.

test_restarted_allocator_without_configuration_soon_grants_the_limit failed before. test_limits, test_limits_overload, test_rate_limiting, test_organisations, test_reload and test_proxy pass.

--- a/forklift/limiter.py
+++ b/forklift/limiter.py
@@ -71,7 +71,7 @@
         directory: membership.Directory,
         bounds: rate_limits.Bounds,
         find_organisation: allocators.FindOrganisation,
-        any_limited: Callable[[], bool],
+        any_limited: Callable[[], bool | None],
         fleet_size_known: Callable[[], bool],
         on_tokens: Callable[[limit_messages.TokenGrant], None],
         on_redirect: Callable[[int], None] = lambda shard: None,
@@ -83,7 +83,8 @@
             directory: The members of the fleet.
             bounds: Permitted overshoot of the limits.
             find_organisation: Finds an organisation by its name.
-            any_limited: Whether any organisation has a limit.
+            any_limited: Whether any organisation has a limit; None if there is
+                no configuration yet.
             fleet_size_known: Whether this process knows the number of
                 processes.
             on_tokens: Called with each answer to a request for tokens.
@@ -129,7 +130,7 @@
 
     def tick(self, now: float) -> list[Send]:
         """Selects allocators and returns the messages that are due."""
-        if now < self._next_assignment or not self._any_limited():
+        if now < self._next_assignment or not self._is_needed():
             return []
         self._next_assignment = now + ASSIGNMENT_PERIOD
         self._detect_unresponsive(now)
@@ -144,6 +145,17 @@
                 sends += self._delegate(shard, name, now)
         return sends
 
+    def _is_needed(self) -> bool:
+        """Whether this process takes part in the allocation of limits.
+
+        If it has no configuration yet, but other processes delegate to it, they
+        know of limits. Their shares can be granted sooner if it also delegates.
+        """
+        any_limited = self._any_limited()
+        if any_limited is None:
+            return bool(self._allocator_by_shard)
+        return any_limited
+
     def request_tokens(
         self, organisation: str, count: int, now: float
     ) -> list[Send]:
--- a/forklift/shell/rate_limiting.py
+++ b/forklift/shell/rate_limiting.py
@@ -92,7 +92,7 @@
             directory,
             bounds,
             lambda name: active_catalog.catalog.organisation(name),
-            lambda: active_catalog.catalog.has_rate_limits,
+            lambda: _any_limited(active_catalog),
             fleet_size_known,
             self._on_tokens,
             self._request_tokens_of_shard,
@@ -260,6 +260,13 @@
             self._send_to(send.address, send.message)
 
 
+def _any_limited(active_catalog: catalog.ActiveCatalog) -> bool | None:
+    """Whether any organisation has a limit; None without a configuration."""
+    if not active_catalog.loaded:
+        return None
+    return active_catalog.catalog.has_rate_limits
+
+
 def _retry_after(decision: _TokenDecision | None) -> float | None:
     """Seconds until a retry; None if a token is granted."""
     if decision is None:
--- a/forklift_lab/limit_model.py
+++ b/forklift_lab/limit_model.py
@@ -238,7 +238,7 @@
         node.directory,
         node.model.bounds,
         node.find_organisation,
-        lambda: node.configured,
+        lambda: True if node.configured else None,
         lambda: node.counted,
         node.tokens,
         node.request_tokens,
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -285,6 +285,21 @@
     assert found.worst("o0") <= 1.0
 
 
+def test_restarted_allocator_without_configuration_soon_grants_the_limit():
+    """Guards against refusals until the leases of its earlier run have ended.
+
+    The other processes delegate their shares at once; its own is missing.
+    """
+    found = limit_model.Model(1, 5, limits(5))
+    found.run(SETTLED)
+    shard = local_quota.shard_of("o0")
+    name = found.node_by_name["p0"].limiter._allocator_of_shard(shard)
+    found.kill(name, 0.2, unconfigured=60.0)
+    found.run(0.2 + 1.2 * allocator.DELEGATION_PERIOD_SECONDS)
+    restarted = found.node_by_name[name].limiter._allocator_by_shard[shard]
+    assert restarted.capacity(found.now) == pytest.approx(1.0)
+
+
 def test_partitioned_process_uses_its_leases_until_they_expire():
     found = loaded_fleet(1)
     found.run(6.0)
