--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -35,8 +35,8 @@
 #      was not added again.
 #   70103, 70302: native code ended a process, as control connections were reset
 #      while large messages passed.
-#   70448: an organisation had more run than it may, while the process that
-#      allocated its limit restarted twice (KNOWN-RED.txt).
+#   70448: an organisation had more run than it may, as a restarted allocator
+#      without a configuration granted every token that was asked for.
 #   80000, 80003: large answers were cut off, as the process beside the target
 #      was silent for a moment (issue 53).
 # Seeds that show what fails without it:
