A stop waits for peers that pause while they read its responses

Cause: once nothing is pending, the process that stops waited 0.2 s for its write buffers and 1 s for its peers to close, whatever they had still to read. Then its exit discarded the write buffers, and the next frame of the peer reset the connection and discarded the socket buffer. Responses count as done as soon as they are in the write buffer.

Change: peers that were sent a response during the shutdown have until the exit that the grace allows; others have 1 s as before.

--- a/forklift/shell/peer_server.py
+++ b/forklift/shell/peer_server.py
@@ -22,11 +22,6 @@
 ]
 
 
-# Seconds after the end of a response in which the peer may still be reading it;
-# then the system has closed a connection whose data is not acknowledged.
-RECENT_RESPONSE_SECONDS = tcp_stream.USER_TIMEOUT_MS / 1000
-
-
 class ResponseSink:
     """An `exchange.Sink` that sends the response to the peer.
 
@@ -89,6 +84,7 @@
 
     Attributes:
         last_request_at: Loop time of the last request, in seconds.
+        last_response_at: Loop time of the end of the last response, in seconds.
         peer_hello: Hello frame of the peer; None until it arrives.
         authenticated: Whether the peer has proved that it knows the key.
     """
@@ -129,7 +125,7 @@
         self._body_by_id: dict[int, exchange.BodyStream] = {}
         self._fence_tasks: set[asyncio.Task] = set()
         self.last_request_at = float("-inf")
-        self._last_response_at = float("-inf")
+        self.last_response_at = float("-inf")
         self.peer_hello: messages.Hello | None = None
         self.authenticated = False
         frames.on_frame = self._handle_frame
@@ -140,12 +136,6 @@
         """Whether a request of the peer is in progress."""
         return bool(self._task_by_id)
 
-    @property
-    def has_recent_response(self) -> bool:
-        """Whether the peer may still be reading a response."""
-        since = asyncio.get_running_loop().time() - self._last_response_at
-        return since < RECENT_RESPONSE_SECONDS
-
     @property
     def unsent_bytes(self) -> int:
         """Bytes for the peer that are not yet in the kernel send buffer."""
@@ -303,7 +293,7 @@
         finally:
             sink.window.fail()
             if sink.has_started:
-                self._last_response_at = asyncio.get_running_loop().time()
+                self.last_response_at = asyncio.get_running_loop().time()
             self._task_by_id.pop(start.id, None)
             self._sink_by_id.pop(start.id, None)
             self._body_by_id.pop(start.id, None)
--- a/forklift/shell/shutdown.py
+++ b/forklift/shell/shutdown.py
@@ -21,7 +21,8 @@
 # Seconds before the exit that are reserved for sending the last responses.
 FINAL_RESPONSE_SECONDS = 0.2
 # Maximum seconds to wait until the peers have received what is still in the
-# socket buffers and have closed their connections.
+# socket buffers and have closed their connections. Peers that were sent a
+# response during the shutdown have until the exit, as they may be paused.
 PEER_CLOSE_TIMEOUT = 1.0
 
 
@@ -85,6 +86,7 @@
     Args:
         proxy: The process, whose shutdown was requested.
     """
+    loop_time = asyncio.get_running_loop().time()
     now = proxy.clock.monotonic()
     lame_duck_end = now + min(
         LAME_DUCK_SECONDS, proxy.settings.platform.grace / 2
@@ -99,10 +101,10 @@
     await _drain(proxy)
     proxy.control_protocols.leave()
     await asyncio.sleep(POLL_INTERVAL)
-    await _flush(proxy)
+    await _flush(proxy, loop_time)
     # Peers may have sent requests in the meantime.
     await _drain(proxy)
-    await _close_peer_connections(proxy)
+    await _close_peer_connections(proxy, loop_time)
     pending = proxy.pending_responses()
     deadline_passed = proxy.clock.monotonic() >= proxy.stop_deadlines.exit_at
     invariants.nothing_cut_off(pending, deadline_passed)
@@ -126,38 +128,51 @@
         await asyncio.sleep(POLL_INTERVAL)
 
 
-async def _close_peer_connections(proxy) -> None:
+async def _close_peer_connections(proxy, stopping_since: float) -> None:
     """Half-closes the peers' connections and waits until the peers close.
 
     Closing a connection with unread input would reset it and discard what is
-    in the socket buffer. A peer that was sent a response lately may be slow to
-    read it, so it gets the rest of the grace period.
+    in the socket buffer, as would the next keep-alive of the peer.
+
+    Args:
+        proxy: The process.
+        stopping_since: Loop seconds when the shutdown began.
     """
     for connection in list(proxy.server_connections):
         connection.half_close()
-    half_closed_at = now = proxy.clock.monotonic()
-    while now < proxy.stop_deadlines.exit_at:
-        waits_for_peer = now < half_closed_at + PEER_CLOSE_TIMEOUT
-        if not any(
-            waits_for_peer or connection.has_recent_response
-            for connection in proxy.server_connections
-        ):
-            return
-        await asyncio.sleep(POLL_INTERVAL)
-        now = proxy.clock.monotonic()
+    await _wait_for_peers(
+        proxy, stopping_since, PEER_CLOSE_TIMEOUT, lambda connection: True
+    )
 
 
-async def _flush(proxy) -> None:
-    """Waits until the writes to peers have been sent.
+async def _flush(proxy, stopping_since: float) -> None:
+    """Waits until the writes to peers have been sent."""
+    await _wait_for_peers(
+        proxy,
+        stopping_since,
+        FINAL_RESPONSE_SECONDS,
+        lambda connection: connection.unsent_bytes,
+    )
 
-    A peer that was sent no response lately is waited for for a short time.
+
+async def _wait_for_peers(
+    proxy, stopping_since: float, timeout: float, is_pending
+) -> None:
+    """Waits for peers, longest for those that may be reading a response.
+
+    Args:
+        proxy: The process.
+        stopping_since: Loop seconds when the shutdown began. Peers that were
+            sent a response since then have until the exit.
+        timeout: Seconds that all other peers have.
+        is_pending: Returns whether a connection is waited for.
     """
     started = now = proxy.clock.monotonic()
     while now < proxy.stop_deadlines.exit_at:
-        waits_for_all = now < started + FINAL_RESPONSE_SECONDS
+        in_time = now < started + timeout
         if not any(
-            connection.unsent_bytes
-            and (waits_for_all or connection.has_recent_response)
+            is_pending(connection)
+            and (in_time or connection.last_response_at >= stopping_since)
             for connection in proxy.server_connections
         ):
             return
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -8,12 +8,14 @@
 import asyncio
 import contextlib
 import re
+import socket
 
 import pytest
 
 from forklift import heartbeats
 from forklift.shell import flow_control
 from forklift.shell import peer_server
+from forklift.shell import shutdown
 from forklift.shell import tcp_stream
 from forklift_lab import relay
 from forklift_lab import scripted
@@ -23,6 +25,11 @@
 HOST = "h"
 # Seconds that requests may take; far above what any of these tests takes.
 PATIENT_MS = 60_000
+# Responses that a stopping process has sent, seconds from then on in which
+# their reader is paused, and bytes of its socket buffer: too few for the rest.
+READERS = 4
+READER_PAUSE = 2.0
+READER_BUFFER = 65_536
 HEAD_END = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 
@@ -333,6 +340,54 @@
     helper.run(work())
 
 
+def test_stop_of_the_peer_waits_for_a_reader_that_pauses(monkeypatch):
+    """Guards against a planned stop that ends before its peers have read.
+
+    The target has finished, so nothing is pending any more, but the ends of the
+    responses are in the buffers of the process that stops.
+    """
+    monkeypatch.setattr(shutdown, "LAME_DUCK_SECONDS", 0.0)
+
+    async def work():
+        scripts = [[], ["large-held"] * READERS]
+        async with processes.Fleet(scripts, patient()) as fleet:
+            (ingress, peer), target = fleet.proxies, fleet.targets[1]
+            fleet.proxies[0].local_targets.drain("t0")
+            callers = [Caller(ingress.caller_address) for _ in range(READERS)]
+            for caller in callers:
+                await caller.send()
+            begun = len(scripted.LARGE_BODY) - scripted.HELD_BYTES
+            for caller in callers:
+                await helper.until(
+                    lambda caller=caller: len(caller.body) == begun
+                )
+            connection = ingress.peer_connections.connection_by_process["p1"]
+            transport = connection._frames.transport
+            transport.pause_reading()
+            # Most of the rest stays in the socket buffer of the peer.
+            peer_socket = transport.get_extra_info("socket")
+            peer_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, READER_BUFFER
+            )
+            stopping = asyncio.create_task(peer.stop())
+            target.release.set()
+            await helper.until(lambda: not peer.pending_responses())
+            began = peer.clock.monotonic()
+            await helper.until(
+                lambda: (
+                    stopping.done()
+                    or peer.clock.monotonic() - began > READER_PAUSE
+                )
+            )
+            transport.resume_reading()
+            for caller in callers:
+                await caller.finish()
+                assert caller.body == scripted.LARGE_BODY
+            await stopping
+
+    helper.run(work())
+
+
 def test_three_large_responses_pass_a_slow_link():
     """Guards against a frame that waits behind those of other responses."""
 
