A test bounds how long a silent peer delays a stop

It guards against stops that last until the end of the grace for every peer that is silent: only one that was sent a response during the stop has that long.

--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import socket
+import types
 
 import pytest
 
@@ -18,6 +19,10 @@
 from test import helper
 from test import processes
 
+# Loop seconds when a shutdown began, and seconds after which it must exit.
+STOP_AT = 100.0
+EXIT_AFTER = 4.0
+
 
 @pytest.fixture(autouse=True)
 def short_delays(monkeypatch):
@@ -540,3 +545,37 @@
         assert len([each for each in received if each == update]) == sent
 
     processes.play(work, [[], []])
+
+
+@pytest.mark.parametrize(
+    ("last_response_at", "seconds"),
+    [
+        (float("-inf"), shutdown.PEER_CLOSE_TIMEOUT),
+        (STOP_AT - 1.0, shutdown.PEER_CLOSE_TIMEOUT),
+        (STOP_AT + 1.0, EXIT_AFTER),
+    ],
+    ids=["no response", "a response before", "a response during the stop"],
+)
+def test_silent_peer_delays_the_exit_only_for_a_response(
+    monkeypatch, last_response_at, seconds
+):
+    """Guards against stops that last as long as any peer is silent."""
+    clock = helper.FakeClock()
+    began = clock.monotonic()
+
+    async def advance(delay: float) -> None:
+        clock.now += delay
+
+    monkeypatch.setattr(asyncio, "sleep", advance)
+    silent_peer = types.SimpleNamespace(
+        last_response_at=last_response_at, half_close=lambda: None
+    )
+    exit_at = began + EXIT_AFTER
+    stopping = types.SimpleNamespace(
+        clock=clock,
+        server_connections=[silent_peer],
+        stop_deadlines=shutdown.Deadlines(exit_at, exit_at, exit_at),
+    )
+    asyncio.run(shutdown._close_peer_connections(stopping, STOP_AT))
+    waited = clock.monotonic() - began
+    assert waited == pytest.approx(seconds, abs=2 * shutdown.POLL_INTERVAL)
