--- a/forklift/shell/shutdown.py
+++ b/forklift/shell/shutdown.py
@@ -86,7 +86,7 @@
     Args:
         proxy: The process, whose shutdown was requested.
     """
-    loop_time = asyncio.get_running_loop().time()
+    stopping_since = asyncio.get_running_loop().time()
     now = proxy.clock.monotonic()
     lame_duck_end = now + min(
         LAME_DUCK_SECONDS, proxy.settings.platform.grace / 2
@@ -101,10 +101,10 @@
     await _drain(proxy)
     proxy.control_protocols.leave()
     await asyncio.sleep(POLL_INTERVAL)
-    await _flush(proxy, loop_time)
+    await _flush(proxy, stopping_since)
     # Peers may have sent requests in the meantime.
     await _drain(proxy)
-    await _close_peer_connections(proxy, loop_time)
+    await _close_peer_connections(proxy, stopping_since)
     pending = proxy.pending_responses()
     deadline_passed = proxy.clock.monotonic() >= proxy.stop_deadlines.exit_at
     invariants.nothing_cut_off(pending, deadline_passed)
