A process whose ticks are all late still detects silent peers

Found by reading: a tick that was late by 0.05 s ended no reply timeout, so a process on a slow machine, whose ticks are all late, never took a silent peer for silent. The new test failed before.

--- a/forklift/shell/peer_connections.py
+++ b/forklift/shell/peer_connections.py
@@ -20,8 +20,8 @@
 # target. Within one region a connection opens in a few milliseconds.
 CONNECTION_TIMEOUT = 0.25
 # Seconds by which a tick must be late to be excluded from reply timeouts. Each
-# tick is a little late; excluding that would detect silence a tick later.
-MIN_OWN_DELAY = 0.05
+# tick is a little late; excluding that would detect silence later.
+MIN_OWN_DELAY = reachability.REPLY_TIMEOUT_SECONDS / 2
 
 
 class PeerConnections:
@@ -60,6 +60,7 @@
         self._opening_by_process: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._last_tick_at = clock.monotonic()
+        self._was_late = False
 
     async def get(self, process: str) -> peer_client.ClientConnection:
         """Returns the connection to a process; opens one if necessary.
@@ -100,7 +101,7 @@
     def tick(self) -> None:
         """Detects unresponsive peers and sends the keep-alives that are due."""
         now = self._clock.monotonic()
-        is_late = self._exclude_own_delay(now)
+        reads_first = self._exclude_own_delay(now)
         for process, connection in list(self.connection_by_process.items()):
             if connection.lost:
                 del self.connection_by_process[process]
@@ -114,8 +115,9 @@
                 self._reachability.expect_reply(process, now)
             else:
                 self._reachability.cancel_expected_reply(process)
-        # After a delay, replies may have arrived that were not read yet.
-        timed_out = [] if is_late else self._reachability.take_timed_out(now)
+        timed_out = []
+        if not reads_first:
+            timed_out = self._reachability.take_timed_out(now)
         for process in timed_out:
             connection = self.connection_by_process.get(process)
             fields = {}
@@ -133,14 +135,17 @@
         """Ensures that a delay of this process is not taken for a silent peer.
 
         Returns:
-            Whether this tick comes late.
+            Whether no timeout may end in this tick, as replies that arrived
+            during the delay are not read yet. They are read before the next
+            one, so of several late ticks in a row only the first waits.
         """
         delay = now - self._last_tick_at - ticker.BUSY_INTERVAL
         self._last_tick_at = now
-        if delay < MIN_OWN_DELAY:
-            return False
-        self._reachability.exclude_delay(delay, now)
-        return True
+        is_late, was_late = delay >= MIN_OWN_DELAY, self._was_late
+        self._was_late = is_late
+        if is_late:
+            self._reachability.exclude_delay(delay, now)
+        return is_late and not was_late
 
     def connected_except(self, process: str) -> list[str]:
         """Returns connected, responsive processes other than the given one."""
--- a/test/test_peer_connections.py
+++ b/test/test_peer_connections.py
@@ -107,3 +107,10 @@
         peers.tick(late)
         reachable = [peers.tick(late) for _ in range(TIMEOUT_TICKS)]
         assert not reachable[-1]
+
+
+def test_slow_process_still_detects_a_silent_peer():
+    """Guards against ticks that are all late and end no timeout."""
+    peers = Peers()
+    late = ticker.BUSY_INTERVAL + 2 * peer_connections.MIN_OWN_DELAY
+    assert not all(peers.tick(late) for _ in range(2 + TIMEOUT_TICKS))
