Targets in flight and notices move out of forwarded_request.py

The search for another target has a module of its own, and what a response says of its target is recorded by the forwarder.

--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -19,13 +19,12 @@
 from forklift import policy
 from forklift import request_retries
 from forklift import retry_allocation
-from forklift import target_notices
 from forklift.shell import exchange
 from forklift.shell import hedging
-from forklift.shell import http
 from forklift.shell import response_buffer
 from forklift.shell import shutdown
 from forklift.shell import stop_timeout
+from forklift.shell import targets_in_flight
 
 _log = structlog.get_logger(__name__)
 Outcome = messages.Outcome
@@ -59,7 +58,9 @@
         # The complete response of a failed attempt; a retry may replace it.
         self._withheld: response_buffer.BufferedResponse | None = None
         self._claim = response_buffer.ResponseClaim()
-        self._targets_in_flight: set[str] = set()
+        self._targets_in_flight = targets_in_flight.TargetsInFlight(
+            forwarder.balancer, request
+        )
         self._retries = request_retries.RequestRetries(
             forwarder.retry_allocation,
             retry_allocation.Request(
@@ -215,33 +216,14 @@
                 exchange.unknown(Reason.PEER_LOST).ending,
                 self._retry_state.attempts + 1,
             )
-            and self._has_other_target()
+            and self._targets_in_flight.has_alternative(
+                self._retry_state, self._kilobytes, self._now()
+            )
             and self._retries.reserve(
                 self._distribution, self._now(), len(self._targets_in_flight)
             )
         )
 
-    def _has_other_target(self) -> bool:
-        """Whether a target is left that the request could be sent to."""
-        retry_state, now = self._retry_state, self._now()
-        requirements = load_balancer.Requirements(
-            self._request.service,
-            self._request.idempotent,
-            max(
-                retry_state.required_health(now), admission.RequiredHealth.SOUND
-            ),
-            allows_trial=False,
-            wait=True,
-            kilobytes=self._kilobytes,
-            bulk=self._request.bulk,
-        )
-        tried = frozenset(retry_state.tried | self._targets_in_flight)
-        other = self._balancer.select(requirements, tried, now)
-        if other is None:
-            return False
-        self._balancer.finish_attempt(self._request.service, other, None, now)
-        return True
-
     async def _run_attempts(self) -> exchange.Result:
         result = exchange.not_run(Reason.NO_TARGET, RETRY_AFTER_SECONDS)
         soft_deadline = self._request.soft_deadline
@@ -388,36 +370,15 @@
             self._sink,
             is_failure,
             self._claim,
-            lambda head: self._record_notice(head, sent_at),
+            lambda head: self._forwarder.record_notice(
+                self._request.service, head, sent_at
+            ),
         )
         task = asyncio.create_task(
             self._run_attempt(selection, buffered, is_hedge)
         )
         return hedging.Attempt(selection, buffered, task)
 
-    def _record_notice(
-        self, head: exchange.ResponseHead, sent_at: float
-    ) -> None:
-        """Records that a target says in its response that it is leaving.
-
-        This does not rely on the process that owns the target, which may
-        forget it in a restart.
-
-        Args:
-            head: Head of the response.
-            sent_at: Monotonic seconds at which the request was sent.
-        """
-        value = http.value(head.headers, self._forwarder.header_names.leaving)
-        try:
-            leaving = target_notices.parse_leaving(value)
-        except target_notices.InvalidNotice:
-            # The process that owns the target has logged it.
-            return
-        if leaving and head.target:
-            self._balancer.record_leaving(
-                self._request.service, head.target, self._now() - sent_at
-            )
-
     def _hedge_delay(self) -> float | None:
         """Returns the seconds until the hedged request; None for no hedge."""
         request = self._request
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -13,9 +13,11 @@
 from forklift import quarantine as quarantines
 from forklift import retries
 from forklift import retry_allocation
+from forklift import target_notices
 from forklift.shell import dispatch
 from forklift.shell import exchange
 from forklift.shell import forwarded_request
+from forklift.shell import http
 from forklift.shell import ingress_admission
 from forklift.shell import local_targets
 from forklift.shell import peer_connections
@@ -116,6 +118,29 @@
         )
         return result
 
+    def record_notice(
+        self, service: str, head: exchange.ResponseHead, sent_at: float
+    ) -> None:
+        """Records that a target says in its response that it is leaving.
+
+        This does not rely on the process that owns the target, which may
+        forget it in a restart.
+
+        Args:
+            service: Name of the service.
+            head: Head of the response.
+            sent_at: Monotonic seconds at which the request was sent.
+        """
+        value = http.value(head.headers, self.header_names.leaving)
+        try:
+            leaving = target_notices.parse_leaving(value)
+        except target_notices.InvalidNotice:
+            # The process that owns the target has logged it.
+            return
+        if leaving and head.target:
+            elapsed = self.clock.monotonic() - sent_at
+            self.balancer.record_leaving(service, head.target, elapsed)
+
     def set_stop_deadlines(self, deadlines: shutdown.Deadlines) -> None:
         """Ensures that all requests end before this process stops.
 
