--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,6 +45,7 @@
 
 
 async def client(deployment, number: int, sent: dict, answers: dict) -> str:
+    """Sends one request; returns how it ended."""
     record = deployment.record
     machine = deployment.machines[number % MACHINES]
     host, port = machine.outbound.split(":")
@@ -80,6 +81,7 @@
 
 
 async def case(record, trouble: bool) -> bool:
+    """Whether a server ran a request with another body."""
     services = [SERVICE] * MACHINES
     sent: dict[str, bytes] = {}
     answers: dict[str, tuple[str, str]] = {}
--- a/review/harness.py
+++ b/review/harness.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -34,6 +35,7 @@
 HEARTBEAT_MS = 1500
 START_WITHIN = 30.0
 _END = b"\r\n\r\n"
+_FAILURES = (OSError, TimeoutError, asyncio.IncompleteReadError)
 
 
 class CannotRun(Exception):
@@ -48,13 +50,16 @@
         self._start = time.monotonic()
 
     def now(self) -> float:
+        """Seconds since the start."""
         return time.monotonic() - self._start
 
     def write(self, text: str) -> None:
+        """Writes a line."""
         self._file.write(f"{self.now():9.3f} {text}\n")
         self._file.flush()
 
     def close(self) -> None:
+        """Ends the record."""
         self._file.close()
 
 
@@ -124,6 +129,7 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def open(self) -> None:
+        """Listens, and announces itself to the machine."""
         host, port = self.machine.app.split(":")
         self._server = await asyncio.start_server(
             self._serve, host, int(port), limit=1 << 20
@@ -131,6 +137,7 @@
         self._spawn(self._beat())
 
     def close(self) -> None:
+        """Ends the server with all that it runs."""
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
@@ -142,40 +149,59 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _beat(self) -> None:
-        host, port = self.machine.control.split(":")
-        while True:
-            self.sequence += 1
-            body = json.dumps(
-                {
-                    "address": self.machine.app,
-                    "info": {
-                        "service": self.machine.service,
-                        "version": "v1",
-                        "zone": self.machine.zone,
-                        "slots": self.slots,
-                    },
-                    "status": {
-                        "state": self.state,
-                        "sequence": self.sequence,
-                        "cold-remaining-ms": 0,
-                    },
-                }
-            ).encode()
-            try:
-                async with asyncio.timeout(1.0):
-                    reader, writer = await asyncio.open_connection(host, port)
-                    writer.write(
-                        f"POST /Instances.Heartbeat/{self.id} HTTP/1.1\r\n"
-                        f"Host: {host}\r\nContent-Type: application/json\r\n"
-                        f"Content-Length: {len(body)}\r\n\r\n".encode()
-                        + body
-                    )
-                    await read_message(reader)
-                    writer.close()
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
-                pass
+        while self.state != "left":
+            with contextlib.suppress(*_FAILURES):
+                await self._call("Heartbeat", self._check_in())
             await asyncio.sleep(HEARTBEAT_MS / 1000)
 
+    def _check_in(self) -> bytes:
+        self.sequence += 1
+        return json.dumps(
+            {
+                "address": self.machine.app,
+                "info": {
+                    "service": self.machine.service,
+                    "version": "v1",
+                    "zone": self.machine.zone,
+                    "slots": self.slots,
+                },
+                "status": {
+                    "state": self.state,
+                    "sequence": self.sequence,
+                    "cold-remaining-ms": 0,
+                },
+            }
+        ).encode()
+
+    async def _call(self, what: str, body: bytes) -> int:
+        """Calls the machine; returns the status of its answer."""
+        host, port = self.machine.control.split(":")
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                f"POST /Instances.{what}/{self.id} HTTP/1.1\r\n"
+                f"Host: {host}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n".encode()
+                + body
+            )
+            head, _ = await read_message(reader)
+            writer.close()
+        return int(head.split()[1])
+
+    def hold_back_check_in(self):
+        """Sends a check-in; returns what lets it arrive."""
+        body = self._check_in()
+
+        async def arrive() -> int:
+            return await self._call("Heartbeat", body)
+
+        return arrive
+
+    async def leave(self) -> int:
+        """Says that it leaves, and serves on; returns the status."""
+        self.state = "left"
+        return await self._call("Deregister", b"")
+
     async def _serve(self, reader, writer) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
@@ -185,7 +211,9 @@
                 head = await reader.readuntil(_END)
                 if head.startswith(b"GET /health "):
                     writer.write(
-                        b"HTTP/1.1 200 OK\r\nForklift-Instance-Id: "
+                        b"HTTP/1.1 "
+                        + (b"200 OK" if self.state == "ready" else b"503 X")
+                        + b"\r\nForklift-Instance-Id: "
                         + self.id.encode()
                         + b"\r\nForklift-Server-Load: "
                         + self._load()
@@ -194,6 +222,7 @@
                     continue
                 await self._request(reader, writer, head)
         except (
+            asyncio.CancelledError,
             asyncio.IncompleteReadError,
             asyncio.LimitOverrunError,
             ConnectionError,
@@ -300,6 +329,7 @@
         self.server: Server | None = None
 
     def fields(self) -> dict:
+        """What the platform's settings file says."""
         return {
             "node-id": self.name,
             "zone": self.zone,
@@ -319,6 +349,7 @@
         }
 
     async def start(self) -> None:
+        """Starts the process with the command of the deploy file."""
         role = self.deployment.role
         path = self.deployment.folder / f"{self.name}.ini"
         template = (ROOT / role["template"]).read_text()
@@ -341,6 +372,7 @@
         log.close()
 
     async def is_ready(self) -> bool:
+        """Whether the process says that it is ready."""
         host, port = self.readiness.split(":")
         try:
             async with asyncio.timeout(1.0):
@@ -353,6 +385,7 @@
             return False
 
     def signal(self, number: int) -> None:
+        """Sends a signal to the process."""
         if self.process is not None and self.process.returncode is None:
             self.deployment.record.write(
                 f"{self.name} gets {signal.Signals(number).name}"
