--- a/review/harness.py
+++ b/review/harness.py
@@ -279,6 +279,9 @@
             self._free.release()
         writer.write(self._answer(request_id, b"200 OK"))
         await asyncio.gather(closed, return_exceptions=True)
+        if self.state != "ready":
+            await writer.drain()
+            raise ConnectionError("a server that leaves closes")
 
     async def _read_body(self, reader, head: bytes) -> bytes:
         if field(head, "transfer-encoding").lower() != "chunked":
@@ -302,6 +305,7 @@
             + request_id.encode()
             + b"\r\nForklift-Server-Load: "
             + self._load()
+            + (b"" if self.state == "ready" else b"\r\nConnection: close")
             + f"\r\nContent-Length: {len(body)}\r\n\r\n".encode()
             + body
         )
@@ -499,12 +503,16 @@
     record.write(f"with the disruption: {trouble}")
 
     async def limited() -> bool:
+        # What was started ends also if the script is told to end.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         async with asyncio.timeout(LIMIT_SECONDS):
             return await case(record, trouble)
 
     try:
         broken = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         return 2
     else:
