A departure of a target is stored before it is acknowledged

Cause: the acknowledgement stood in the memory of the process that gave it and, after the next gossip message, of its peers. After a kill of all processes, or of that one before a peer had heard of it, nobody knew of the departure.

Change: each departure (`draining`, deregistration, an operator's drain) is one record of the store, written before the call is acknowledged. The call is answered after 0.8 s at the latest, with 503 if the store has not answered. A process that starts accepts a target only once it has read the records; without the store, once its health check or two new heartbeats in a row show that it stays.

Two tests change, as a target that is announced at the start is now held back until the store is read: one waits for the target, the other configures the health check by which the target is accepted while the store is away.

--- a/forklift/platform/endpoints.py
+++ b/forklift/platform/endpoints.py
@@ -1,5 +1,6 @@
 """HTTP endpoints that the platform calls: heartbeats and readiness."""
 
+import asyncio
 import dataclasses
 import enum
 import re
@@ -12,6 +13,7 @@
 from forklift import heartbeats
 from forklift import ini
 from forklift import invalid_input
+from forklift.shell import departure_store
 from forklift.shell import server
 
 MILLISECONDS_PER_SECOND = 1000
@@ -20,6 +22,10 @@
 _READY = "/ready"
 _OK = server.Response(200, b"{}")
 _MALFORMED = server.Response(400, b"{}")
+_NOT_STORED = server.Response(503, b"{}")
+# Seconds within which a call is answered. The platform discards later answers
+# after one second.
+RESPONSE_TIMEOUT = 0.8
 
 # Limits on values in a heartbeat; larger ones are rejected.
 MAX_BODY_BYTES = 65_536
@@ -94,14 +100,18 @@
     """Handlers of the endpoints.
 
     Attributes:
-        on_heartbeat: Called with each heartbeat of a target.
+        on_heartbeat: Called with each heartbeat of a target. Returns a future
+            that must be done before the call is acknowledged; None if it may be
+            acknowledged at once.
         on_deregistration: Called when an incarnation of a target is about to
-            end.
+            end. Returns the same.
         is_ready: Returns whether the process is ready for callers.
     """
 
-    on_heartbeat: Callable[[heartbeats.Heartbeat], None]
-    on_deregistration: Callable[[heartbeats.TargetIncarnation], None]
+    on_heartbeat: Callable[[heartbeats.Heartbeat], asyncio.Future | None]
+    on_deregistration: Callable[
+        [heartbeats.TargetIncarnation], asyncio.Future | None
+    ]
     is_ready: Callable[[], bool]
 
     async def heartbeat(self, request: server.Request) -> server.Response:
@@ -110,14 +120,12 @@
         try:
             if path.startswith(_HEARTBEAT):
                 target = path[len(_HEARTBEAT) :]
-                self.on_heartbeat(decode_heartbeat(target, request.body))
-                return _OK
+                heartbeat = decode_heartbeat(target, request.body)
+                return await _acknowledge(self.on_heartbeat(heartbeat))
             if path.startswith(_DEREGISTER):
                 target = path[len(_DEREGISTER) :]
-                self.on_deregistration(
-                    decode_deregistration(target, request.body)
-                )
-                return _OK
+                left = decode_deregistration(target, request.body)
+                return await _acknowledge(self.on_deregistration(left))
         except InvalidCall as error:
             invalid_input.record(
                 invalid_input.Source.HEARTBEAT,
@@ -134,6 +142,14 @@
         return server.Response(200 if self.is_ready() else 503, b"{}")
 
 
+async def _acknowledge(stored: asyncio.Future | None) -> server.Response:
+    """Acknowledges a call once what must outlast this process is stored."""
+    is_stored = await departure_store.wait_until_stored(
+        stored, RESPONSE_TIMEOUT
+    )
+    return _OK if is_stored else _NOT_STORED
+
+
 def decode_heartbeat(target: str, body: bytes) -> heartbeats.Heartbeat:
     """Decodes a heartbeat of a target.
 
--- a/forklift/shell/admin.py
+++ b/forklift/shell/admin.py
@@ -3,6 +3,7 @@
 Handlers are registered by method and path with `handles`.
 """
 
+import asyncio
 import dataclasses
 import hmac
 import urllib.parse
@@ -16,6 +17,7 @@
 from forklift import heartbeats
 from forklift import ini
 from forklift import report
+from forklift.shell import departure_store
 from forklift.shell import http
 from forklift.shell import reports
 from forklift.shell import server
@@ -40,6 +42,8 @@
 
 Handler = Callable[["AdminServer", AdminRequest], Awaitable[server.Response]]
 handler_by_route: dict[tuple[str, str], Handler] = {}
+# Seconds within which the store has to store what a call has changed.
+STORE_TIMEOUT = 2.0
 # Paths that need no key, for scrapers and health checks.
 _PUBLIC_PATHS = ("healthz", "readyz", "metrics")
 
@@ -59,6 +63,16 @@
     return register
 
 
+class _NotStored(errors.ForkliftError):
+    """A departure is in effect, but a restart of the process would undo it."""
+
+    def __init__(self):
+        super().__init__(
+            "the target gets no new requests, but the store did not answer; "
+            "call again, as a restarted process would not know it"
+        )
+
+
 class AdminServer:
     """Admin server of one process.
 
@@ -115,6 +129,8 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         try:
             return await handler(self, AdminRequest(name, query, request.body))
+        except _NotStored as error:
+            return error_response(503, str(error))
         except errors.UserError as error:
             return error_response(400, str(error))
         except msgspec.MsgspecError as error:
@@ -222,7 +238,7 @@
     )
     _check_announcement(request.name, announcement)
     proxy = admin.proxy
-    proxy.target_registry.record_heartbeat(
+    stored = proxy.target_registry.record_heartbeat(
         heartbeats.Heartbeat(
             heartbeats.TargetIncarnation(request.name, announcement.born),
             announcement.service,
@@ -233,6 +249,7 @@
             announcement.sequence,
         )
     )
+    await _wait_until_stored(stored)
     return json_response(reports.build_status(proxy))
 
 
@@ -244,7 +261,7 @@
     name = admin.proxy.target_registry.find(request.name)
     if name is None:
         return error_response(404, f"no target {request.name} at this process")
-    admin.proxy.local_targets.drain(name)
+    await _wait_until_stored(admin.proxy.target_registry.drain(name))
     return json_response(reports.explain_target(admin.proxy, name))
 
 
@@ -253,8 +270,9 @@
     admin: AdminServer, request: AdminRequest
 ) -> server.Response:
     """Records that a target has stopped or is about to stop."""
-    admin.proxy.target_registry.record_leave(
-        heartbeats.parse_incarnation(request.name)
+    incarnation = heartbeats.parse_incarnation(request.name)
+    await _wait_until_stored(
+        admin.proxy.target_registry.record_leave(incarnation)
     )
     return json_response(reports.build_status(admin.proxy))
 
@@ -268,6 +286,16 @@
     return json_response(reports.build_status(admin.proxy))
 
 
+async def _wait_until_stored(stored: asyncio.Future | None) -> None:
+    """Waits until the store has what must outlast this process.
+
+    Raises:
+        _NotStored: The store did not answer in time.
+    """
+    if not await departure_store.wait_until_stored(stored, STORE_TIMEOUT):
+        raise _NotStored()
+
+
 def _check_announcement(
     name: str, announcement: report.TargetAnnouncement
 ) -> None:
--- a/forklift/shell/control_protocols.py
+++ b/forklift/shell/control_protocols.py
@@ -27,6 +27,7 @@
 from forklift import quarantine_sync
 from forklift import store_readers
 from forklift.shell import clock as clocks
+from forklift.shell import departure_store
 from forklift.shell import local_targets
 from forklift.shell import quarantine_store
 from forklift.shell import store_follower
@@ -77,6 +78,10 @@
             None
         ),
         notices: notice_memory.NoticeMemory | None = None,
+        on_stored_departure: Callable[[str, bytes], None] = (
+            lambda name, data: None
+        ),
+        on_records_read: Callable[[], None] = lambda: None,
     ):
         """Creates the protocols of a process that knows no peers.
 
@@ -97,6 +102,9 @@
             on_stored_evidence: Called with the name and the data of each
                 stored record of evidence.
             notices: What targets have announced in responses.
+            on_stored_departure: Called with the name and the data of each
+                stored departure of a target.
+            on_records_read: Called after all records in the store were read.
         """
         self.directory = membership.Directory(
             own, membership.FULL_MEMBERSHIP_LIMIT
@@ -125,6 +133,8 @@
         self._on_configuration = on_configuration
         self._on_target_leaving = on_target_leaving
         self._on_stored_evidence = on_stored_evidence
+        self._on_stored_departure = on_stored_departure
+        self._on_records_read = on_records_read
         self._notices = notices or notice_memory.NoticeMemory(clock.wall)
         # Targets that were leaving when their process restarted.
         self._leaving_targets_by_process: dict[str, tuple[str, ...]] = {}
@@ -249,6 +259,9 @@
             if name.startswith(quarantine_store.RECORD_PREFIX):
                 self._on_stored_evidence(name, data)
                 continue
+            if name.startswith(departure_store.RECORD_PREFIX):
+                self._on_stored_departure(name, data)
+                continue
             try:
                 record = messages.decode_announcement(name, data)
             except messages.MalformedMessage as error:
@@ -259,6 +272,7 @@
             # The record may be older than what gossip has reported.
             rumor = messages.Rumor(messages.Liveness.ALIVE, record.info)
             self.directory.apply(rumor, now)
+        self._on_records_read()
         names = self.directory.alive()
         for name in self._rng.sample(names, min(JOIN_PEER_COUNT, len(names))):
             info = self.directory.member_by_name[name].info
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -30,6 +30,7 @@
 from forklift.shell import configuration_loader
 from forklift.shell import control_channel
 from forklift.shell import control_protocols
+from forklift.shell import departure_store
 from forklift.shell import exchange
 from forklift.shell import forwarding
 from forklift.shell import framing
@@ -43,6 +44,7 @@
 from forklift.shell import rate_limiting
 from forklift.shell import shutdown
 from forklift.shell import store_follower
+from forklift.shell import target_discovery
 from forklift.shell import target_registry
 from forklift.shell import tcp_stream
 from forklift.shell import ticker
@@ -169,6 +171,14 @@
             self.run_calls,
             self._rng.random,
         )
+        self.departure_store = departure_store.DepartureStore(
+            own.name,
+            self.store,
+            self.clock,
+            self._rng,
+            self.spawn,
+            lambda: self.directory.alive(),
+        )
         self.target_registry = target_registry.TargetRegistry(
             self.settings,
             self._header_names,
@@ -177,6 +187,7 @@
             self.clock,
             lambda: self.control_protocols.publish_targets(),
             self.notices,
+            self.departure_store.record,
         )
         self.quarantine_store = quarantine_store.QuarantineStore(
             own.name,
@@ -200,6 +211,8 @@
             self.quarantine,
             self.quarantine_store.load,
             self.notices,
+            self._load_departure,
+            self.target_registry.accept_held,
         )
         self.directory = self.control_protocols.directory
         self.idle_targets = idle_targets.IdleTargets(
@@ -310,7 +323,13 @@
         )
         self.spawn(self.follower.run())
         self.spawn(self.control_protocols.join(self.store))
-        self.spawn(self.target_registry.discover_local_target())
+        discovery = target_discovery.TargetDiscovery(
+            self.target_registry,
+            self.active_catalog,
+            self._header_names,
+            self.clock.monotonic,
+        )
+        self.spawn(discovery.run())
         self.ticker.start()
         _log.info(
             "started",
@@ -414,11 +433,12 @@
             or age >= READY_WITHOUT_PEERS_SECONDS
         )
 
-    def spawn(self, coroutine) -> None:
+    def spawn(self, coroutine) -> asyncio.Task:
         """Runs a coroutine in the background until the process ends."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     # Configuration.
 
@@ -439,6 +459,13 @@
         self.follower.restart_read()
         self.control_protocols.store_data_lost.set()
         self.quarantine_store.rewrite_all()
+        self.departure_store.rewrite_all()
+
+    def _load_departure(self, record_name: str, data: bytes) -> None:
+        """Handles the stored departure of a target."""
+        target = self.departure_store.load(record_name, data)
+        if target is not None:
+            self.target_registry.record_stored_departure(target)
 
     def _apply_activated_catalog(
         self, activated: catalog.Catalog, source: str
--- /dev/null
+++ b/forklift/shell/target_discovery.py
@@ -0,0 +1,113 @@
+"""Finds the local target of a process that has started, by health checks.
+
+A process that has restarted would otherwise know its target only after the
+target's next heartbeat.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from forklift import catalog
+from forklift import header_fields
+from forklift import heartbeats
+from forklift.shell import health_probe
+from forklift.shell import target_registry
+
+# Maximum number of health checks by which a new process discovers its target.
+MAX_ATTEMPTS = 3
+# Seconds between two of these health checks.
+RETRY_DELAY = 0.3
+# Seconds between two checks whether a configuration is loaded.
+POLL_INTERVAL = 0.05
+# Seconds after which health checks begin even if the stored departures are not
+# known. The target may have left then, but its health check says so.
+MAX_STORE_WAIT = 1.0
+
+
+class TargetDiscovery:
+    """Checks the health of targets that may have left before the start.
+
+    A target that leaves does not report that it is healthy.
+    """
+
+    def __init__(
+        self,
+        registry: target_registry.TargetRegistry,
+        active_catalog: catalog.ActiveCatalog,
+        header_names: header_fields.HeaderNames,
+        now: Callable[[], float],
+    ):
+        """Creates an instance that has checked nothing.
+
+        Args:
+            registry: Registry that targets are added to.
+            active_catalog: The catalog that the process uses.
+            header_names: Names of the platform's header fields.
+            now: Returns monotonic seconds.
+        """
+        self._registry = registry
+        self._active_catalog = active_catalog
+        self._header_names = header_names
+        self._now = now
+        # Sequence numbers of the last heartbeats that led to a health check.
+        self._sequence_by_target: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Checks targets until the stored departures are known."""
+        read_by = self._now() + MAX_STORE_WAIT
+        while not self._registry.departures_known and self._now() < read_by:
+            await asyncio.sleep(POLL_INTERVAL)
+        await self._find_configured_target()
+        while not self._registry.departures_known:
+            for heartbeat in self._registry.held_heartbeats:
+                await self._check_held(heartbeat)
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _find_configured_target(self) -> None:
+        """Adds the configured target if its health endpoint answers."""
+        registry = self._registry
+        platform = registry.settings.platform
+        if not platform.target or not platform.service:
+            return
+        for _ in range(MAX_ATTEMPTS):
+            while not self._active_catalog.loaded:
+                await asyncio.sleep(POLL_INTERVAL)
+            if registry.has_targets or registry.stopping:
+                return
+            if not self._health_path(platform.service):
+                return
+            result = await self._check(platform.target, platform.service)
+            usable = result is not None and result.target and result.slots
+            if usable and result.healthy:
+                registry.add_discovered(result)
+                return
+            await asyncio.sleep(RETRY_DELAY)
+
+    async def _check_held(self, heartbeat: heartbeats.Heartbeat) -> None:
+        """Accepts a target that is healthy; checks it once a heartbeat."""
+        name = heartbeat.incarnation.name
+        if heartbeat.sequence <= self._sequence_by_target.get(
+            name, -1
+        ) or not self._health_path(heartbeat.service):
+            return
+        self._sequence_by_target[name] = heartbeat.sequence
+        result = await self._check(heartbeat.address, heartbeat.service)
+        if (
+            result is not None
+            and result.healthy
+            and not result.notice.leaving
+            and result.target == heartbeat.incarnation.target
+        ):
+            self._registry.accept_healthy(name)
+
+    def _health_path(self, service: str) -> str:
+        """Path of the health endpoint; empty if none is configured."""
+        found = self._active_catalog.catalog.services_by_name.get(service)
+        return found.health_path if found is not None else ""
+
+    async def _check(
+        self, address: str, service: str
+    ) -> health_probe.ProbeResult | None:
+        return await health_probe.check(
+            address, self._health_path(service), self._header_names
+        )
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -8,6 +8,7 @@
 
 from forklift import admission
 from forklift import catalog
+from forklift import departures
 from forklift import fair_queueing
 from forklift import header_fields
 from forklift import heartbeats
@@ -27,12 +28,6 @@
 # Seconds added to the time after which a target expires, as heartbeats may be
 # late.
 HEARTBEAT_TOLERANCE = 3.5
-# Maximum number of health checks by which a new process discovers its target.
-DISCOVERY_ATTEMPTS = 3
-# Seconds between two of these health checks.
-DISCOVERY_RETRY_DELAY = 0.3
-# Seconds between two checks whether a configuration is loaded.
-CONFIGURATION_POLL_INTERVAL = 0.05
 # Maximum connections to a target whose service is not configured.
 DEFAULT_MAX_CONNECTIONS = 100
 
@@ -55,6 +50,9 @@
         clock: clocks.SystemClock,
         on_change: Callable[[], None],
         notices: notice_memory.NoticeMemory | None = None,
+        store_departure: Callable[[str], asyncio.Future | None] = (
+            lambda name: None
+        ),
     ):
         """Creates a registry without targets.
 
@@ -66,6 +64,9 @@
             clock: Source of time.
             on_change: Called when a target was added, removed or renamed.
             notices: What targets have announced in responses.
+            store_departure: Stores that an incarnation has left or is leaving.
+                Returns a future that is done once that is stored; None if it
+                is stored already.
         """
         self.settings = initial
         self._header_names = header_names
@@ -83,6 +84,10 @@
         self._incarnations = heartbeats.IncarnationTracker(
             self._heartbeat_interval + HEARTBEAT_TOLERANCE
         )
+        self._held = departures.HeldHeartbeats(
+            clock.monotonic(), self._incarnations.max_delay
+        )
+        self._store_departure = store_departure
         self.stopping = False
 
     @property
@@ -90,6 +95,14 @@
         """Seconds between two heartbeats of a target."""
         return self.settings.platform.heartbeat_ms / 1000
 
+    @property
+    def _expiry_seconds(self) -> float:
+        """Seconds without a heartbeat after which a target expires."""
+        return (
+            MAX_MISSED_HEARTBEATS * self._heartbeat_interval
+            + HEARTBEAT_TOLERANCE
+        )
+
     def _is_overload_control_on(self) -> bool:
         return overload.is_enabled(
             self.settings.overload.mode,
@@ -101,9 +114,39 @@
         found = self._active_catalog.catalog.organisation(organisation)
         return found.weight if found else fair_queueing.DEFAULT_WEIGHT
 
-    def record_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
-        """Records a heartbeat and adds, replaces or drains its target."""
+    @property
+    def has_targets(self) -> bool:
+        """Whether any target is registered."""
+        return bool(self._local_targets.by_name)
+
+    @property
+    def departures_known(self) -> bool:
+        """Whether the stored departures of local targets were read."""
+        return self._held.departures_known
+
+    def record_heartbeat(
+        self, heartbeat: heartbeats.Heartbeat
+    ) -> asyncio.Future | None:
+        """Records a heartbeat and adds, replaces or drains its target.
+
+        Returns:
+            A future that must be done before the heartbeat is acknowledged;
+            None if it may be acknowledged at once.
+        """
         now = self._clock.monotonic()
+        target = heartbeat.incarnation.target
+        is_known = self._incarnations.current_name(target) is not None
+        if (
+            heartbeat.leaving
+            or is_known
+            or not self._held.holds(heartbeat, now)
+        ):
+            self._apply(heartbeat, now)
+        if not heartbeat.leaving:
+            return None
+        return self._store_departure(heartbeat.incarnation.name)
+
+    def _apply(self, heartbeat: heartbeats.Heartbeat, now: float) -> None:
         previous = self._incarnations.current_name(heartbeat.incarnation.target)
         if not self._accepts_service(heartbeat.service):
             # Earlier heartbeats of the target stay in effect.
@@ -112,11 +155,13 @@
                 f"the configuration has no service {heartbeat.service}",
                 target=heartbeat.incarnation.name,
             )
+            self._end_if_leaving(heartbeat)
             return
         kind = self._incarnations.record_heartbeat(
             heartbeat.incarnation, heartbeat.sequence, now
         )
         if kind is heartbeats.HeartbeatKind.LATE:
+            self._end_if_leaving(heartbeat)
             return
         name = heartbeat.incarnation.name
         if previous is not None and previous != name:
@@ -135,13 +180,70 @@
         if self.stopping:
             self._local_targets.pause(name)
 
-    def record_leave(self, incarnation: heartbeats.TargetIncarnation) -> None:
-        """Records that a target announced that it leaves or has left."""
-        self._leave(
-            self._incarnations.record_leave(
-                incarnation, self._clock.monotonic()
-            )
+    def _end_if_leaving(self, heartbeat: heartbeats.Heartbeat) -> None:
+        """Ends an incarnation whose heartbeat has no other effect."""
+        if heartbeat.leaving:
+            self.end_incarnation(heartbeat.incarnation.name)
+
+    def record_leave(
+        self, incarnation: heartbeats.TargetIncarnation
+    ) -> asyncio.Future | None:
+        """Records that a target announced that it leaves or has left.
+
+        Returns:
+            See `record_heartbeat`.
+        """
+        name = self._incarnations.record_leave(
+            incarnation, self._clock.monotonic()
         )
+        self._leave(name)
+        return self._store_departure(name or incarnation.name)
+
+    def drain(self, name: str) -> asyncio.Future | None:
+        """Stops sending new requests to a registered target for good.
+
+        Returns:
+            See `record_heartbeat`.
+        """
+        self._local_targets.drain(name)
+        return self._store_departure(name)
+
+    def record_stored_departure(self, name: str) -> None:
+        """Records a departure that an earlier run of this process stored.
+
+        Args:
+            name: Name of the target's incarnation.
+        """
+        _log.info("departure_loaded", target=name)
+        incarnation = heartbeats.parse_incarnation(name)
+        if incarnation.started_ms:
+            self.end_incarnation(name)
+        else:
+            now = self._clock.monotonic()
+            self._leave(self._incarnations.record_leave(incarnation, now))
+
+    @property
+    def held_heartbeats(self) -> list[heartbeats.Heartbeat]:
+        """Heartbeats of targets of which it is unknown whether they left."""
+        return self._held.newest
+
+    def accept_healthy(self, name: str) -> None:
+        """Accepts a target that was held back and whose health check succeeds.
+
+        Args:
+            name: Name of the target's incarnation.
+        """
+        heartbeat = self._held.take(name)
+        if heartbeat is not None:
+            self._apply(heartbeat, self._clock.monotonic())
+
+    def accept_held(self) -> None:
+        """Accepts the targets that have not left by the stored departures."""
+        if self._held.departures_known:
+            return
+        now = self._clock.monotonic()
+        for heartbeat in self._held.release(now - self._expiry_seconds):
+            self._apply(heartbeat, now)
 
     def end_incarnation(self, name: str) -> None:
         """Marks an incarnation as gone without a leave message from it.
@@ -248,10 +350,7 @@
 
     def expire(self, now: float) -> None:
         """Removes targets whose heartbeats stopped."""
-        timeout = (
-            MAX_MISSED_HEARTBEATS * self._heartbeat_interval
-            + HEARTBEAT_TOLERANCE
-        )
+        timeout = self._expiry_seconds
         for name, last_seen in list(self._last_seen_by_target.items()):
             if now - last_seen <= timeout:
                 continue
@@ -262,33 +361,8 @@
                 local_target.pool.retire()
                 self._on_change()
 
-    async def discover_local_target(self) -> None:
-        """Adds the configured local target if its health endpoint answers.
-
-        A process that has restarted would otherwise know its target only after
-        the target's next heartbeat.
-        """
-        platform = self.settings.platform
-        if not platform.target or not platform.service:
-            return
-        for _ in range(DISCOVERY_ATTEMPTS):
-            while not self._active_catalog.loaded:
-                await asyncio.sleep(CONFIGURATION_POLL_INTERVAL)
-            service = self._active_catalog.catalog.services_by_name.get(
-                platform.service
-            )
-            if self._local_targets.by_name or self.stopping or service is None:
-                return
-            result = await health_probe.check(
-                platform.target, service.health_path, self._header_names
-            )
-            usable = result is not None and result.target and result.slots
-            if usable and result.healthy:
-                self._add_discovered(result)
-                return
-            await asyncio.sleep(DISCOVERY_RETRY_DELAY)
-
-    def _add_discovered(self, result: health_probe.ProbeResult) -> None:
+    def add_discovered(self, result: health_probe.ProbeResult) -> None:
+        """Adds the configured target, whose health endpoint has answered."""
         current = self.settings
         now = self._clock.monotonic()
         is_leaving = result.notice.leaving or self._notices.is_leaving(
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -691,11 +691,14 @@
         )
         fleet.proxies.insert(0, new)
         await new.start()
+        # The health check proves that the target has not left.
         fleet.announce(new, 0)
         await helper.until(fleet.is_ready)
         assert (await fleet.ask(0)).status == 200
 
-    processes.play(work, [[], []])
+    services = {"s": {"health-check": "/health"}}
+    first = processes.record(1) | {"services": services}
+    processes.play(work, [[], []], first=first)
 
 
 def test_restarted_process_is_reminded_of_targets_that_left():
--- a/test/test_returned.py
+++ b/test/test_returned.py
@@ -157,7 +157,7 @@
         )
         one.local_targets.by_name.clear()
         one.target_registry._incarnations = heartbeats.IncarnationTracker(5.0)
-        one.target_registry._add_discovered(
+        one.target_registry.add_discovered(
             target_registry.health_probe.ProbeResult(True, "t0", slots=3)
         )
         local_target = one.local_targets.by_name["t0"]
@@ -198,7 +198,9 @@
         # Without a configuration the service cannot be checked.
         assert not one.active_catalog.loaded
         announce(fleet, OLD, service="unheard-of", sequence=7)
-        assert OLD.name in one.local_targets.by_name
+        # It is held back until the process knows that it has not left.
+        await helper.until(lambda: OLD.name in one.local_targets.by_name)
+        assert not one.active_catalog.loaded
         fleet.store.configure(processes.record(1))
         await helper.until(lambda: one.active_catalog.loaded)
         assert OLD.name not in one.local_targets.by_name
--- a/test/test_target_limits.py
+++ b/test/test_target_limits.py
@@ -300,7 +300,7 @@
             fleet.targets[0].address, "/health", header_fields.DEFAULT
         )
         registry._incarnations = heartbeats.IncarnationTracker(1.0)
-        registry._add_discovered(result)
+        registry.add_discovered(result)
         rates = {
             name: local_target.controller.rate_limit.rate
             for name, local_target in process.local_targets.by_name.items()
