A long body that one attempt has read is not sent to a hedge

With a declared length the second target got a message that breaks off.

Cause: a body beyond 16 KB is streamed from the caller's connection, once. Whether it can be sent again was asked before the first attempt had read it, and not when the hedge started. `Body.chunks` then yielded the prefix once more, found the rest read, and ended as if the body were whole.

Change: a body with a rest can be read once; any further or concurrent read raises, before it yields anything, and so does a further read of a stream from a peer. The error counts as an incomplete body, for which the uploads to targets and to peers break the message off. A request with such a body is not hedged, as an attempt that is queued may still read the body. Retries and resends from a silent peer ask at the time at which the earlier attempt has ended, and now see a body as read from its first byte on.

The scripted target reads bodies in chunks now; test_upstream.py asks it not to where it tests an early response.

--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -34,12 +34,21 @@
         super().__init__("it exceeds the size limit", "send a smaller one")
 
 
+class BodyAlreadyRead(IncompleteBody):
+    """A streamed body was read before, so its start is gone."""
+
+    def __init__(self):
+        super().__init__("another attempt has read it")
+
+
 class Body:
     """The body of a request: a prefix and a stream of the rest.
 
+    A body with a rest can be read only once.
+
     Attributes:
         prefix: The first bytes of the body, or the whole body.
-        consumed: Whether reading of the rest has begun.
+        consumed: Whether a body with a rest was read, at least in part.
     """
 
     def __init__(
@@ -65,12 +74,15 @@
         """Yields the whole body in chunks.
 
         Raises:
+            BodyAlreadyRead: The body has a rest, and was or is being read.
             IncompleteBody: The body ended early.
         """
+        if self.consumed:
+            raise BodyAlreadyRead()
+        self.consumed = self._rest is not None
         if self.prefix:
             yield self.prefix
         if self._rest is not None:
-            self.consumed = True
             async for chunk in self._rest:
                 yield chunk
 
@@ -251,6 +263,7 @@
         self._ended = False
         self._failure_detail = ""
         self._changed = asyncio.Event()
+        self._is_read = False
         self.buffered_bytes = 0
 
     def feed(self, chunk: bytes, end: bool) -> None:
@@ -271,8 +284,12 @@
         """Yields the chunks in order.
 
         Raises:
+            BodyAlreadyRead: The stream was or is being read.
             IncompleteBody: The producer failed before the end.
         """
+        if self._is_read:
+            raise BodyAlreadyRead()
+        self._is_read = True
         while True:
             while self._chunks:
                 chunk = self._chunks.pop(0)
--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -382,9 +382,10 @@
     def _hedge_delay(self) -> float | None:
         """Returns the seconds until the hedged request; None for no hedge."""
         request = self._request
-        not_retryable = not request.idempotent or not request.body.replayable
+        # Only one attempt can read a body that is streamed.
+        can_run_twice = request.idempotent and request.body.complete
         if (
-            not_retryable
+            not can_run_twice
             or self._retry_state.attempts + 2 > request.max_attempts
         ):
             return None
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -26,6 +26,7 @@
 # Last bytes of a large answer, which are sent once they are released.
 HELD_BYTES = 100_000
 _LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
+_CHUNKED = re.compile(rb"\r\ntransfer-encoding: *chunked", re.IGNORECASE)
 _END = b"\r\n\r\n"
 _HEALTH = b"GET /health "
 # Milliseconds between the births of two lives of one name.
@@ -82,18 +83,32 @@
         self.names = names
         # Fields that all answers hold.
         self.notices = notices
+        # Whether a body in chunks is read before the answer.
+        self.reads_chunks = True
 
     async def read(self) -> Received | None:
         """The next request; None at the end of the connection."""
         try:
             head = await self.reader.readuntil(_END)
-            found = _LENGTH.search(head)
-            size = int(found[1]) if found else 0
-            body = await self.reader.readexactly(size)
+            if self.reads_chunks and _CHUNKED.search(head):
+                body = await self._read_chunks()
+            else:
+                found = _LENGTH.search(head)
+                size = int(found[1]) if found else 0
+                body = await self.reader.readexactly(size)
         except (asyncio.IncompleteReadError, ConnectionError):
             return None
         return Received(head, body, self.number)
 
+    async def _read_chunks(self) -> bytes:
+        """The body of a request that comes in chunks."""
+        body = b""
+        while True:
+            size = int(await self.reader.readuntil(b"\r\n"), 16)
+            body += (await self.reader.readexactly(size + 2))[:-2]
+            if not size:
+                return body
+
     def answer(
         self,
         received: Received,
@@ -286,6 +301,7 @@
         # and that it leaves.
         self.rate_limit: float | None = None
         self.says_leaving = False
+        self.reads_chunks = True
         self.script = list(script)
         self.names = names
         self.received: list[Received] = []
@@ -436,6 +452,7 @@
             self.crash,
             self._notices,
         )
+        connection.reads_chunks = self.reads_chunks
         self._connections.add(connection)
         try:
             while not writer.is_closing():
--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -220,8 +220,8 @@
         async with scripted.ScriptedTarget() as target:
             pool = new_pool(target)
             sink = Sink()
-            # The scripted target reads bodies by their length and responds at
-            # once if there is none.
+            # It responds before it has read the body.
+            target.reads_chunks = False
             streamed = exchange.Body(b"", rest())
             sent = request(1, length=-1, body=streamed)
             assert await execute(pool, sent, sink) == 200
