A caller that leaves while its connection is not read is noticed

What callers saw: targets worked on requests whose callers had left.

Cause: while a request is queued, or its upload waits, the connection of its caller is not read beyond 64 KB. A transport whose reading is paused is not told of the end or the reset of its connection, which is what cancels the request. With a short body the same callers were noticed.

Nothing more is buffered than before. Pipelined requests and uploads that wait for a target or for a peer's credit pause the same connection, so that the check covers them. Weighed: reading on into a larger buffer (memory for each upload), a second selector that reports the end at once (a descriptor and more calls for each pause of an upload).

--- a/forklift/shell/tcp_stream.py
+++ b/forklift/shell/tcp_stream.py
@@ -4,6 +4,8 @@
 import socket
 from collections.abc import Callable
 
+from forklift.shell import hangup_check
+
 # Number of received and unread bytes above which reading is paused.
 MAX_READ_BUFFER_BYTES = 65_536
 # Milliseconds without acknowledgment after which the kernel closes a
@@ -55,7 +57,8 @@
     """A byte stream with backpressure in both directions.
 
     Attributes:
-        on_lost: Called at the end of the input and when the connection closes.
+        on_lost: Called at the end of the input and when the connection closes,
+            also if the input ends while reading is paused.
         error: The exception that ended the connection, if any.
         peer_ip: IP address of the other side.
     """
@@ -68,6 +71,7 @@
         self._eof = False
         self._lost = False
         self._reading_paused = False
+        self._hangup_check = hangup_check.HangupCheck(self._handle_hangup)
         self._read_closed = False
         self._read_error: Exception | None = None
         self._read_waiter: asyncio.Future[None] | None = None
@@ -100,6 +104,8 @@
         ):
             self._reading_paused = True
             self.transport.pause_reading()
+            if self.on_lost is not None:
+                self._hangup_check.start(self.transport)
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -114,6 +120,7 @@
         """See `asyncio.Protocol`."""
         self._lost = True
         self._eof = True
+        self._hangup_check.stop()
         self.error = error
         self._can_write.set()
         self._closed_event.set()
@@ -176,9 +183,8 @@
         self._buffer.clear()
         # An error from `interrupt` does not apply to later reads.
         self._read_error = None
-        if self._reading_paused and not self._lost:
-            self._reading_paused = False
-            self.transport.resume_reading()
+        if not self._lost:
+            self._resume_reading()
         return data
 
     def write(self, data: bytes) -> None:
@@ -220,9 +226,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         self._stop_reading()
-        if self._reading_paused:
-            self._reading_paused = False
-            self.transport.resume_reading()
+        self._resume_reading()
         self.transport.write_eof()
 
     def close(self) -> None:
@@ -237,6 +241,16 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _resume_reading(self) -> None:
+        if self._reading_paused:
+            self._reading_paused = False
+            self._hangup_check.stop()
+            self.transport.resume_reading()
+
+    def _handle_hangup(self) -> None:
+        if self.on_lost is not None:
+            self.on_lost()
+
     def _stop_reading(self) -> None:
         # The response to a request that is read now could not be sent.
         self._read_closed = True
