The registry of targets hands their creation to a factory

Departures made target_registry.py and proxy.py grow. What creates a target (its controller, its pool, how it divides its room) moves to target_factory.py; what a process derives from its settings moves to loaded_settings.py; the departure store calls the registry itself. No change of behaviour: tests of departures, restarts, limits, overload wiring, reload and layout pass.

--- a/forklift/shell/departure_store.py
+++ b/forklift/shell/departure_store.py
@@ -44,6 +44,7 @@
         rng: random.Random,
         spawn: Callable[[Coroutine], asyncio.Task],
         other_processes: Callable[[], list[str]],
+        on_loaded: Callable[[str], None],
     ):
         """Creates an instance that has written nothing.
 
@@ -54,6 +55,8 @@
             rng: Random numbers for the backoff.
             spawn: Runs a coroutine in the background.
             other_processes: Returns the names of the other processes.
+            on_loaded: Called with the name of each incarnation of a target of
+                this process that an earlier run of the process has recorded.
         """
         self._name = name
         self._store = store
@@ -61,6 +64,7 @@
         self._rng = rng
         self._spawn = spawn
         self._other_processes = other_processes
+        self._on_loaded = on_loaded
         # Wall time of each departure, seconds since the epoch.
         self._left_at_by_target: dict[str, float] = {}
         # Writes of the departures that are not known to be stored.
@@ -88,7 +92,7 @@
             if target not in self._write_by_target:
                 self._start_write(target)
 
-    def load(self, record_name: str, data: bytes) -> str | None:
+    def load(self, record_name: str, data: bytes) -> None:
         """Reads a stored record, and deletes it if it is no longer needed.
 
         An invalid record is counted and ignored.
@@ -96,10 +100,6 @@
         Args:
             record_name: Name of the record.
             data: Contents of the record.
-
-        Returns:
-            Name of the incarnation if it is a target of this process that an
-            earlier run of the process has recorded.
         """
         try:
             stored = departures.decode(data)
@@ -107,16 +107,14 @@
             invalid_input.record(
                 invalid_input.Source.MEMBER, str(error), name=record_name
             )
-            return None
+            return
         if self._clock.wall() - stored.at > RETENTION_SECONDS:
             self._delete_if_owned(record_name)
-            return None
-        if stored.process != self._name:
-            return None
-        if stored.target in self._left_at_by_target:
-            return None
-        self._left_at_by_target[stored.target] = stored.at
-        return stored.target
+            return
+        is_own = stored.process == self._name
+        if is_own and stored.target not in self._left_at_by_target:
+            self._left_at_by_target[stored.target] = stored.at
+            self._on_loaded(stored.target)
 
     def _start_write(self, target: str) -> None:
         write = self._spawn(self._write(target))
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -22,7 +22,6 @@
 from forklift import overload
 from forklift import policy
 from forklift import quarantine
-from forklift import rate_limits
 from forklift import run_calls
 from forklift import settings
 from forklift.shell import call_results
@@ -36,6 +35,7 @@
 from forklift.shell import framing
 from forklift.shell import idle_targets
 from forklift.shell import ingress
+from forklift.shell import loaded_settings
 from forklift.shell import local_targets
 from forklift.shell import peer_connections
 from forklift.shell import peer_requests
@@ -112,7 +112,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[asyncio.Server] = []
         self.server_connections: set[peer_server.ServerConnection] = set()
-        self.policy = load_policy(initial)
+        self.policy = loaded_settings.load_policy(initial)
         self._started_at = self.clock.monotonic()
         self._last_pause_check = self._started_at
         self._next_keepalive = self._started_at
@@ -178,6 +178,7 @@
             self._rng,
             self.spawn,
             lambda: self.directory.alive(),
+            lambda target: self.target_registry.record_stored_departure(target),
         )
         self.target_registry = target_registry.TargetRegistry(
             self.settings,
@@ -211,7 +212,7 @@
             self.quarantine,
             self.quarantine_store.load,
             self.notices,
-            self._load_departure,
+            self.departure_store.load,
             self.target_registry.accept_held,
         )
         self.directory = self.control_protocols.directory
@@ -222,7 +223,7 @@
         )
         self.rate_limiter = rate_limiting.AsyncLimiter(
             self.directory,
-            _rate_limit_bounds(self.settings),
+            loaded_settings.rate_limit_bounds(self.settings),
             self.active_catalog,
             lambda: self.control_protocols.size_known,
             self.control_channel.send,
@@ -396,11 +397,13 @@
             errors.UserError: The policy file can't be read or is invalid;
                 nothing has changed then.
         """
-        self.policy = load_policy(changed)
+        self.policy = loaded_settings.load_policy(changed)
         self.settings = changed
         self.target_registry.settings = changed
         self.balancer.retry_budgets.set_limits(changed.budget.limits())
-        self.rate_limiter.limiter.set_bounds(_rate_limit_bounds(changed))
+        self.rate_limiter.limiter.set_bounds(
+            loaded_settings.rate_limit_bounds(changed)
+        )
         self.balancer.cross_domain_cost_per_kilobyte = changed.limits.far_cost
 
     def running(self) -> int:
@@ -461,12 +464,6 @@
         self.quarantine_store.rewrite_all()
         self.departure_store.rewrite_all()
 
-    def _load_departure(self, record_name: str, data: bytes) -> None:
-        """Handles the stored departure of a target."""
-        target = self.departure_store.load(record_name, data)
-        if target is not None:
-            self.target_registry.record_stored_departure(target)
-
     def _apply_activated_catalog(
         self, activated: catalog.Catalog, source: str
     ) -> None:
@@ -730,20 +727,3 @@
         for local_target in self.local_targets.by_name.values():
             local_target.controller.exclude_pause(pause_seconds)
         self.control_protocols.handle_pause()
-
-
-def load_policy(current: settings.Settings) -> policy.Policy:
-    """Loads the policy file in the settings, or returns the built-in policy.
-
-    Raises:
-        errors.UserError: The file can't be read or is invalid.
-    """
-    file = current.process.policy
-    if not file:
-        return policy.BUILT_IN
-    return policy.parse(file, settings.read_file(file))
-
-
-def _rate_limit_bounds(current: settings.Settings) -> rate_limits.Bounds:
-    bounds = current.organisations
-    return rate_limits.Bounds(bounds.window, bounds.overshoot, bounds.slack)
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -6,20 +6,18 @@
 
 import structlog
 
-from forklift import admission
 from forklift import catalog
 from forklift import departures
-from forklift import fair_queueing
 from forklift import header_fields
 from forklift import heartbeats
 from forklift import invalid_input
 from forklift import notice_memory
-from forklift import overload
 from forklift import settings
 from forklift.shell import clock as clocks
 from forklift.shell import connection_pool
 from forklift.shell import health_probe
 from forklift.shell import local_targets
+from forklift.shell import target_factory
 
 _log = structlog.get_logger(__name__)
 
@@ -28,8 +26,6 @@
 # Seconds added to the time after which a target expires, as heartbeats may be
 # late.
 HEARTBEAT_TOLERANCE = 3.5
-# Maximum connections to a target whose service is not configured.
-DEFAULT_MAX_CONNECTIONS = 100
 
 
 class TargetRegistry:
@@ -75,10 +71,8 @@
         self._clock = clock
         self._on_change = on_change
         self._notices = notices or notice_memory.NoticeMemory(clock.wall)
-        self._queueing_rules = fair_queueing.Rules(
-            self._is_overload_control_on,
-            self._weight,
-            lambda: self.settings.overload.floor,
+        self._factory = target_factory.TargetFactory(
+            active_catalog, lambda: self.settings.overload, clock.monotonic
         )
         self._last_seen_by_target: dict[str, float] = {}
         self._incarnations = heartbeats.IncarnationTracker(
@@ -103,17 +97,6 @@
             + HEARTBEAT_TOLERANCE
         )
 
-    def _is_overload_control_on(self) -> bool:
-        return overload.is_enabled(
-            self.settings.overload.mode,
-            self._active_catalog.catalog.has_bulk_routes,
-        )
-
-    def _weight(self, organisation: str) -> float:
-        """Weight of an organisation by the configuration in force."""
-        found = self._active_catalog.catalog.organisation(organisation)
-        return found.weight if found else fair_queueing.DEFAULT_WEIGHT
-
     @property
     def has_targets(self) -> bool:
         """Whether any target is registered."""
@@ -397,24 +380,7 @@
                 # The other target has ended, as a new one has its address.
                 self._handle_crash(other)
                 self.end_incarnation(other)
-        service = self._active_catalog.catalog.services_by_name.get(
-            heartbeat.service
-        )
-        max_connections = (
-            service.max_connections if service else DEFAULT_MAX_CONNECTIONS
-        )
-        local_target = local_targets.LocalTarget(
-            heartbeat.incarnation.target,
-            admission.Controller(
-                name,
-                heartbeat.service,
-                heartbeat.slots,
-                self._queueing_rules,
-            ),
-            connection_pool.Pool(
-                heartbeat.address, max_connections, self._clock.monotonic
-            ),
-        )
+        local_target = self._factory.create(heartbeat)
         self._local_targets.add(name, local_target)
         rate_limit = self._notices.rate_limit(name, self._clock.monotonic())
         if rate_limit is not None:
--- a/test/test_departures.py
+++ b/test/test_departures.py
@@ -246,6 +246,7 @@
     def __init__(self):
         self.store, self.clock = Store(), helper.FakeClock()
         self.tasks: list[asyncio.Task] = []
+        self.loaded: list[str] = []
         self.one, self.other = self.start("p0"), self.start("p1")
 
     def start(self, name: str) -> departure_store.DepartureStore:
@@ -256,6 +257,7 @@
             random.Random(1),
             self.spawn,
             lambda: [],
+            self.loaded.append,
         )
 
     def spawn(self, work) -> asyncio.Task:
@@ -263,12 +265,11 @@
         return self.tasks[-1]
 
     def load(self, process: departure_store.DepartureStore) -> list[str]:
-        loaded = [
-            process.load(name, data)
-            for name, data in self.store.data_by_name.items()
-            if data
-        ]
-        return [name for name in loaded if name is not None]
+        self.loaded.clear()
+        for name, data in list(self.store.data_by_name.items()):
+            if data:
+                process.load(name, data)
+        return self.loaded[:]
 
 
 def test_departure_belongs_to_one_process_and_is_written_once(monkeypatch):
@@ -336,7 +337,9 @@
     ],
 )
 def test_invalid_record_is_ignored(data):
-    assert Rig().one.load("left/x", data) is None
+    rig = Rig()
+    rig.one.load("left/x", data)
+    assert rig.loaded == []
 
 
 def record_with_health_checks() -> dict:
--- a/test/test_fair_queueing_wiring.py
+++ b/test/test_fair_queueing_wiring.py
@@ -162,7 +162,7 @@
             room = reports.explain_target(process, "t0").room
             assert room.fair == (mode is overload.Mode.ON)
             assert room.waiting_by_organisation == {"a": 1, "b": 1}
-        assert process.target_registry._queueing_rules.floor() == 0.3
+        assert process.target_registry._factory.queueing_rules.floor() == 0.3
         fleet.targets[0].release.set()
         assert await asyncio.gather(*callers.tasks) == [200] * (SLOTS + 2)
 
--- a/test/test_returned.py
+++ b/test/test_returned.py
@@ -7,6 +7,7 @@
 import pytest
 
 from forklift import header_fields
+from forklift import health
 from forklift import heartbeats
 from forklift import load_balancer
 from forklift import membership
@@ -71,7 +72,7 @@
                 number, before.controller.latencies.for_route("r", 1.0), now
             )
             before.controller.health.record_end(
-                number, target_registry.admission.Signal.BROKEN, now
+                number, health.Signal.BROKEN, now
             )
         assert before.controller.health.ejected
         announce(fleet, NEW, cold=30.0)
