An upload that its caller ends says nothing about the target

Cause: the target gets a part of the body and then a connection that breaks off, so it sends no response. That counted as a broken response of the target (`Signal.BROKEN`) where the body was read at this process. At a peer the body just stopped: the attempt of a request that may run once only goes on without its sender, waited for the rest up to the deadline, and counted as overdue.

Change: an upload that fails as the body can't be read to its end (the caller left, stalled or sent invalid chunks) ends the attempt as cancelled, without a signal on the target. A cancel frame ends the body at the peer, so that the attempt ends at once.

Test: test_callers_that_leave_in_mid_upload_do_not_eject_the_target fails before for both requests that may run once only (BROKEN at this process, a request that runs on at a peer).

--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -373,8 +373,8 @@
             )
             result = exchange.not_run(error.reason, quarantined_for)
         except upstream.IncompleteResponse as error:
-            signal = Signal.BROKEN
             reason = error.reason
+            signal = None if reason is Reason.CANCELLED else Signal.BROKEN
             candidates.mark_ended(ticket.id, self._clock.monotonic())
             if reason is Reason.TARGET_BROKE and await self._has_crashed(
                 local_target, ticket
--- a/forklift/shell/peer_server.py
+++ b/forklift/shell/peer_server.py
@@ -211,14 +211,21 @@
             if sink is not None:
                 sink.window.add_credit(frame.size)
         elif isinstance(frame, messages.Cancel):
-            task = self._task_by_id.get(frame.id)
-            if task is not None:
-                task.cancel()
+            self._cancel(frame.id)
         elif isinstance(frame, messages.KeepAlive) and not frame.is_reply:
             self._frames.send(messages.KeepAlive(frame.number, True))
         elif isinstance(frame, messages.FenceRequest):
             self._handle_fence(frame)
 
+    def _cancel(self, stream: int) -> None:
+        """Cancels a request of the peer, which sends no more of its body."""
+        body_stream = self._body_by_id.get(stream)
+        if body_stream is not None:
+            body_stream.fail("the peer cancelled the request")
+        task = self._task_by_id.get(stream)
+        if task is not None:
+            task.cancel()
+
     def _handle_fence(self, fence: messages.FenceRequest) -> None:
         if not fence.forward_to:
             not_run = self._fence(fence)
--- a/forklift/shell/upstream.py
+++ b/forklift/shell/upstream.py
@@ -50,7 +50,12 @@
 
 
 class IncompleteResponse(errors.ForkliftError):
-    """A request was sent, but no complete valid response was received."""
+    """A request was sent, but no complete valid response was received.
+
+    Attributes:
+        reason: Why; `CANCELLED` if the caller did not send the whole body,
+            which says nothing about the target.
+    """
 
     def __init__(self, reason: Reason, detail: str):
         self.reason = reason
@@ -118,6 +123,8 @@
         self._sent_at = math.inf
         self._stray_count = 0
         self._reusable = True
+        # Why the body of the request could not be read to its end.
+        self._body_error: Exception | None = None
         self.head: ResponseHead | None = None
 
     async def execute(
@@ -153,6 +160,13 @@
                 )
             await self._send_and_receive(connection, load, sink)
             is_complete = True
+        except IncompleteResponse as error:
+            if self._body_error is None:
+                raise
+            # The target got a part of the body, and cannot respond to it.
+            raise IncompleteResponse(
+                Reason.CANCELLED, str(self._body_error)
+            ) from error
         finally:
             if is_complete and self._reusable and not self.head.closes:
                 self._pool.release(connection, self.head.keep_alive)
@@ -242,6 +256,10 @@
             TimeoutError,
         ) as error:
             # Otherwise the target might take the body for complete.
+            if not isinstance(
+                error, h11.LocalProtocolError | tcp_stream.ConnectionLost
+            ):
+                self._body_error = error
             _log.info(
                 "upload_failed", request=self._request.id, detail=str(error)
             )
--- a/test/test_callers_that_leave.py
+++ b/test/test_callers_that_leave.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from forklift import admission
+from forklift import health
 from forklift.shell import exchange
 from forklift.shell import proxy
 from forklift.shell import tcp_stream
@@ -19,6 +21,7 @@
 BODY = b"x" * 200_000
 # Enough for the request to be queued.
 START_BYTES = 20_000
+LEAVING_CALLERS = 6
 # Queued requests wait for longer than the tests take.
 PATIENT = {"timeout-ms": 60_000, "target-latency-ms": 50_000}
 ABORT = struct.pack("ii", 1, 0)
@@ -145,3 +148,47 @@
         writer.close()
 
     processes.play(work, [[]])
+
+
+@pytest.mark.parametrize("is_remote", [False, True])
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+def test_callers_that_leave_in_mid_upload_do_not_eject_the_target(
+    kind, is_remote
+):
+    """Guards against an attempt that its caller ended counting as broken."""
+
+    async def work(fleet):
+        number_of_owner = 1 if is_remote else 0
+        other = 1 - number_of_owner
+        fleet.proxies[other].local_targets.drain(f"t{other}")
+        owner = fleet.proxies[number_of_owner]
+        (local_target,) = owner.local_targets.by_name.values()
+        controller = local_target.controller
+        ends = record_ends(controller)
+        for number in range(LEAVING_CALLERS):
+            address = fleet.proxies[0].caller_address
+            writer = await send(address)
+            await helper.until(lambda: controller.running == 1)
+            # The upload has begun.
+            await helper.until(lambda: local_target.pool.open_count == 1)
+            leave(writer, with_reset=number % 2 == 1)
+            await helper.until(lambda: controller.running == 0)
+        assert ends == [None] * LEAVING_CALLERS
+        assert not controller.health.ejected
+
+    # Beyond the time that the test takes, so that no attempt is overdue.
+    first = processes.record(1, r=processes.route(kind, **PATIENT))
+    processes.play(work, [[], []], first=first)
+
+
+def record_ends(controller: admission.Controller) -> list[health.Signal | None]:
+    """Records what the end of each request says about a target."""
+    signals = []
+    finish = controller.finish
+
+    def record(ticket, signal, now):
+        signals.append(signal)
+        return finish(ticket, signal, now)
+
+    controller.finish = record
+    return signals
