Interim responses and tiny chunks without end no longer hold the event loop

Cause: each interim response and each chunk is an event of its own, and all events of what had arrived were handled in one turn of the event loop. Interim responses had no limit. A response of the store had no limit of its size.

Change: one reader of response events for targets, health checks and the store. A response to the small client has at most 16 MiB.

--- a/forklift/shell/client.py
+++ b/forklift/shell/client.py
@@ -7,8 +7,13 @@
 import h11
 
 from forklift.shell import http
+from forklift.shell import response_events
 from forklift.shell import tcp_stream
 
+# Maximum size of a response body in bytes. The largest pages of the store and
+# the state of a large fleet have a few megabytes.
+MAX_BODY_BYTES = 16_777_216
+
 
 class RequestFailed(ConnectionError):
     """No complete response arrived.
@@ -145,14 +150,15 @@
     ) -> Response:
         head = None
         body = bytearray()
+        events = response_events.ResponseEvents(connection)
         while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await connection.read())
-            elif isinstance(event, h11.Response):
+            event = await events.next(protocol)
+            if isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
+                if len(body) > MAX_BODY_BYTES:
+                    raise ConnectionError("the response has too many bytes")
             elif isinstance(event, h11.EndOfMessage):
                 headers = http.fields(head)
                 return Response(head.status_code, headers, bytes(body))
--- a/forklift/shell/health_probe.py
+++ b/forklift/shell/health_probe.py
@@ -11,6 +11,7 @@
 from forklift import invalid_input
 from forklift import target_notices
 from forklift.shell import http
+from forklift.shell import response_events
 from forklift.shell import tcp_stream
 
 _log = structlog.get_logger(__name__)
@@ -77,14 +78,10 @@
     request = h11.Request(method="GET", target=path, headers=headers)
     data = protocol.send(request) + protocol.send(h11.EndOfMessage())
     connection.write(data)
-    while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            protocol.receive_data(await connection.read())
-        elif isinstance(event, h11.Response):
-            return _parse_response(event, header_names)
-        elif isinstance(event, h11.ConnectionClosed):
-            return None
+    event = await response_events.ResponseEvents(connection).next(protocol)
+    if isinstance(event, h11.Response):
+        return _parse_response(event, header_names)
+    return None
 
 
 def _parse_response(
--- a/forklift/shell/upstream.py
+++ b/forklift/shell/upstream.py
@@ -24,6 +24,7 @@
 from forklift.shell import connection_pool
 from forklift.shell import exchange
 from forklift.shell import http
+from forklift.shell import response_events
 from forklift.shell import tcp_stream
 
 _log = structlog.get_logger(__name__)
@@ -273,12 +274,13 @@
         sink: exchange.Sink,
     ) -> None:
         response_protocol = protocol
+        events = response_events.ResponseEvents(connection)
         while True:
-            response = await self._next_response(connection, response_protocol)
+            response = await self._next_response(events, response_protocol)
             if self._is_own_response(response):
                 break
             response_protocol = await self._skip_stray_response(
-                connection, response_protocol
+                events, response_protocol
             )
         request_id = http.value(
             http.fields(response), self._header_names.request_id
@@ -293,25 +295,20 @@
         response_forwarder = _ResponseForwarder(
             sink, self.head, self._incarnation, load
         )
-        await self._forward_body(
-            connection, response_protocol, response_forwarder
-        )
+        await self._forward_body(events, response_protocol, response_forwarder)
 
     async def _next_response(
-        self, connection: tcp_stream.Connection, protocol: h11.Connection
+        self, events: response_events.ResponseEvents, protocol: h11.Connection
     ) -> h11.Response:
-        while True:
-            event = await self._next_event(connection, protocol)
-            if isinstance(event, h11.Response):
-                return event
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            raise IncompleteResponse(
-                Reason.TARGET_BROKE, "connection closed without a response"
-            )
+        event = await self._next_event(events, protocol)
+        if isinstance(event, h11.Response):
+            return event
+        raise IncompleteResponse(
+            Reason.TARGET_BROKE, "connection closed without a response"
+        )
 
     async def _skip_stray_response(
-        self, connection: tcp_stream.Connection, protocol: h11.Connection
+        self, events: response_events.ResponseEvents, protocol: h11.Connection
     ) -> h11.Connection:
         """Skips a response to another request.
 
@@ -327,7 +324,7 @@
                 Reason.WRONG_ANSWER, "too many stray responses"
             )
         while True:
-            event = await self._next_event(connection, protocol)
+            event = await self._next_event(events, protocol)
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
@@ -349,12 +346,12 @@
 
     async def _forward_body(
         self,
-        connection: tcp_stream.Connection,
+        events: response_events.ResponseEvents,
         protocol: h11.Connection,
         response_forwarder: "_ResponseForwarder",
     ) -> None:
         while True:
-            event = await self._next_event(connection, protocol)
+            event = await self._next_event(events, protocol)
             if isinstance(event, h11.Data):
                 await response_forwarder.data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -368,22 +365,11 @@
         await response_forwarder.end()
 
     async def _next_event(
-        self, connection: tcp_stream.Connection, protocol: h11.Connection
+        self, events: response_events.ResponseEvents, protocol: h11.Connection
     ) -> h11.Event:
         try:
-            while True:
-                event = protocol.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                data = await connection.read()
-                if not data and connection.error is not None:
-                    # A response without a length is incomplete if it ends with
-                    # a reset.
-                    raise IncompleteResponse(
-                        Reason.TARGET_BROKE, str(connection.error)
-                    )
-                protocol.receive_data(data)
-        except h11.RemoteProtocolError as error:
+            return await events.next(protocol)
+        except (h11.RemoteProtocolError, OSError) as error:
             raise IncompleteResponse(Reason.TARGET_BROKE, str(error)) from error
 
     def _is_own_response(self, response: h11.Response) -> bool:
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -31,6 +31,8 @@
 _HEALTH = b"GET /health "
 # Milliseconds between the births of two lives of one name.
 RESTART_MS = 1000
+# How often a part that is sent without end is sent at once.
+REPEATED_PARTS = 100
 # Seconds that a slow answer takes.
 SLOW = 0.05
 # Field of all answers that names the target, as a hedged request reaches two.
@@ -272,6 +274,26 @@
     connection.crash()
 
 
+@fault("interim-forever")
+async def _interim_forever(connection: Connection, received: Received) -> None:
+    await _send_forever(connection, b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+@fault("chunks-forever")
+async def _chunks_forever(connection: Connection, received: Received) -> None:
+    fields = (b"transfer-encoding: chunked",)
+    answer = connection.answer(received, body=b"", fields=fields, framed=False)
+    connection.send(answer)
+    await _send_forever(connection, b"1\r\nx\r\n")
+
+
+async def _send_forever(connection: Connection, part: bytes) -> None:
+    """Sends bytes until the other side closes the connection."""
+    while not connection.writer.is_closing():
+        connection.send(part * REPEATED_PARTS)
+        await connection.writer.drain()
+
+
 @fault("hold")
 async def _hold(connection: Connection, received: Received) -> None:
     await connection.release.wait()
