A drained target stays drained after it expired, and beyond ten minutes

Cause, found by reading the change on departures once more: a target that an operator has drained goes on to send heartbeats as ready. If they stopped for some seconds, it was removed, and its next heartbeat added it anew, in service; ten minutes after the drain its record was deleted, so that a restarted process would have accepted it.

Change: a target whose departure was recorded is not added again, and each heartbeat of it keeps the record in the store.

Tests: test_drained_target_that_expires_does_not_come_back, test_departure_is_kept_while_the_target_sends_heartbeats. The first fails on the product before this change.

--- a/forklift/shell/departure_store.py
+++ b/forklift/shell/departure_store.py
@@ -28,8 +28,8 @@
 
 # Prefix of the records' names; no name of a process starts with it.
 RECORD_PREFIX = "left/"
-# Seconds for which a departure is stored. It is many times the delay of a
-# heartbeat.
+# Seconds for which a departure is stored after the last heartbeat. It is many
+# times the delay of a heartbeat.
 RETENTION_SECONDS = 600.0
 
 
@@ -86,6 +86,22 @@
             self._start_write(target)
         return self._write_by_target.get(target)
 
+    def has_left(self, target: str) -> bool:
+        """Whether the departure of an incarnation was recorded."""
+        return target in self._left_at_by_target
+
+    def refresh(self, target: str) -> None:
+        """Extends the retention of a departure, as the target still runs.
+
+        A target that an operator has drained sends heartbeats as before.
+        """
+        left_at = self._left_at_by_target.get(target)
+        if left_at is None or target in self._write_by_target:
+            return
+        if self._clock.wall() - left_at > RETENTION_SECONDS / 2:
+            self._left_at_by_target[target] = self._clock.wall()
+            self._start_write(target)
+
     def rewrite_all(self) -> None:
         """Writes all departures again after the store lost records."""
         for target in self._left_at_by_target:
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -188,7 +188,7 @@
             self.clock,
             lambda: self.control_protocols.publish_targets(),
             self.notices,
-            self.departure_store.record,
+            self.departure_store,
         )
         self.quarantine_store = quarantine_store.QuarantineStore(
             own.name,
--- a/forklift/shell/target_registry.py
+++ b/forklift/shell/target_registry.py
@@ -15,6 +15,7 @@
 from forklift import settings
 from forklift.shell import clock as clocks
 from forklift.shell import connection_pool
+from forklift.shell import departure_store
 from forklift.shell import health_probe
 from forklift.shell import local_targets
 from forklift.shell import target_factory
@@ -45,10 +46,8 @@
         targets: local_targets.LocalTargets,
         clock: clocks.SystemClock,
         on_change: Callable[[], None],
-        notices: notice_memory.NoticeMemory | None = None,
-        store_departure: Callable[[str], asyncio.Future | None] = (
-            lambda name: None
-        ),
+        notices: notice_memory.NoticeMemory,
+        stored_departures: departure_store.DepartureStore,
     ):
         """Creates a registry without targets.
 
@@ -60,9 +59,7 @@
             clock: Source of time.
             on_change: Called when a target was added, removed or renamed.
             notices: What targets have announced in responses.
-            store_departure: Stores that an incarnation has left or is leaving.
-                Returns a future that is done once that is stored; None if it
-                is stored already.
+            stored_departures: Stores which targets have left.
         """
         self.settings = initial
         self._header_names = header_names
@@ -70,7 +67,8 @@
         self._local_targets = targets
         self._clock = clock
         self._on_change = on_change
-        self._notices = notices or notice_memory.NoticeMemory(clock.wall)
+        self._notices = notices
+        self._stored_departures = stored_departures
         self._factory = target_factory.TargetFactory(
             active_catalog, lambda: self.settings.overload, clock.monotonic
         )
@@ -81,7 +79,6 @@
         self._held = departures.HeldHeartbeats(
             clock.monotonic(), self._incarnations.max_delay
         )
-        self._store_departure = store_departure
         self.stopping = False
 
     @property
@@ -118,6 +115,7 @@
         """
         now = self._clock.monotonic()
         target = heartbeat.incarnation.target
+        self._stored_departures.refresh(heartbeat.incarnation.name)
         is_known = self._incarnations.current_name(target) is not None
         if (
             heartbeat.leaving
@@ -127,7 +125,7 @@
             self._apply(heartbeat, now)
         if not heartbeat.leaving:
             return None
-        return self._store_departure(heartbeat.incarnation.name)
+        return self._stored_departures.record(heartbeat.incarnation.name)
 
     def _apply(self, heartbeat: heartbeats.Heartbeat, now: float) -> None:
         previous = self._incarnations.current_name(heartbeat.incarnation.target)
@@ -152,7 +150,11 @@
         self._last_seen_by_target[name] = now
         local_target = self._local_targets.by_name.get(name)
         if local_target is None:
-            if heartbeat.leaving or self._notices.is_leaving(name):
+            if (
+                heartbeat.leaving
+                or self._notices.is_leaving(name)
+                or self._stored_departures.has_left(name)
+            ):
                 # The target was never added, so there is nothing to drain.
                 self._incarnations.record_leave(heartbeat.incarnation, now)
                 return
@@ -180,7 +182,7 @@
             incarnation, self._clock.monotonic()
         )
         self._leave(name)
-        return self._store_departure(name or incarnation.name)
+        return self._stored_departures.record(name or incarnation.name)
 
     def drain(self, name: str) -> asyncio.Future | None:
         """Stops sending new requests to a registered target for good.
@@ -189,7 +191,7 @@
             See `record_heartbeat`.
         """
         self._local_targets.drain(name)
-        return self._store_departure(name)
+        return self._stored_departures.record(name)
 
     def record_stored_departure(self, name: str) -> None:
         """Records a departure that an earlier run of this process stored.
--- a/test/test_departures.py
+++ b/test/test_departures.py
@@ -165,6 +165,19 @@
     processes.play(work, [[]])
 
 
+def test_drained_target_that_expires_does_not_come_back():
+    """Its heartbeats stop for a while, and go on as before."""
+
+    async def work(fleet):
+        assert await drain_by_operator(fleet) == 200
+        process = fleet.proxies[0]
+        process.target_registry.expire(process.clock.monotonic() + 1000.0)
+        fleet.announce(process, 0, sequence=2)
+        assert process.local_targets.by_name == {}
+
+    processes.play(work, [[]])
+
+
 def test_draining_target_of_an_unknown_service_is_not_accepted_later():
     """The heartbeat is acknowledged, so it must have an effect."""
 
@@ -326,6 +339,22 @@
     helper.run(work())
 
 
+def test_departure_is_kept_while_the_target_sends_heartbeats():
+    """An operator may have drained it; a restart must not undo that."""
+
+    async def work():
+        rig = Rig()
+        await rig.one.record("i-7")
+        for _ in range(10):
+            rig.clock.now += departure_store.RETENTION_SECONDS / 4
+            rig.one.refresh("i-7")
+            await asyncio.gather(*rig.tasks)
+        assert rig.store.writes == 1 + 3
+        assert rig.load(rig.start("p0")) == ["i-7"]
+
+    helper.run(work())
+
+
 @pytest.mark.parametrize(
     "data",
     [
