--- a/review/fleet.py
+++ b/review/fleet.py
@@ -171,12 +171,15 @@
     """The log store: appends, reads and the newest record of each key.
 
     Attributes:
-        silent: Whether calls get no answer.
+        away: Whether connections are closed without an answer.
+        era: Rises each time that the store comes back from a copy.
     """
 
     def __init__(self, ip: str):
         self.address = (ip, STORE)
-        self.silent = False
+        self.away = False
+        self.era = 0
+        self._writers: set[asyncio.StreamWriter] = set()
         self._records: dict[str, list[bytes]] = {}
         self._news = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -194,6 +197,23 @@
         """Writes the configuration."""
         self.put("keyed.op", "config", json.dumps(record).encode())
 
+    def copied(self) -> dict[str, list[bytes]]:
+        """A copy of all records."""
+        return {topic: list(log) for topic, log in self._records.items()}
+
+    def go_away(self) -> None:
+        """Closes all connections, and each new one, without an answer."""
+        self.away = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def come_back(self, copy: dict[str, list[bytes]] | None = None) -> None:
+        """Answers again; with a copy, what was written since is gone."""
+        self.away = False
+        if copy is not None:
+            self._records = copy
+            self.era += 1
+
     def _append(self, topic: str, records: list[bytes]) -> tuple[int, int]:
         log = self._records.setdefault(topic, [])
         offset = len(log)
@@ -203,18 +223,20 @@
         return offset, len(log)
 
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while (request := await read_head(reader)) is not None:
                 await read_body(reader, request)
-                if self.silent:
-                    await asyncio.sleep(3600)
+                if self.away:
+                    break
                 status, media, body = await self._answer(request)
-                headers = {"Content-Type": media, "Store-Era": 0}
+                headers = {"Content-Type": media, "Store-Era": self.era}
                 writer.write(encode(f"HTTP/1.1 {status} Done", headers, body))
                 await writer.drain()
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request: Message) -> tuple[int, str, bytes]:
@@ -268,6 +290,8 @@
             except TimeoutError:
                 break
         log = self._records.get(topic, [])
+        if start > len(log):
+            return 410, "application/json", b'{"first":0}'
         raw = _BOUNDS.pack(len(log), 0)
         for record in log[start:]:
             raw += _LENGTH.pack(len(record)) + record
@@ -347,8 +371,28 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def stop_heartbeats(self) -> None:
+        """Sends no further heartbeats by itself."""
+        if self._beats is not None:
+            self._beats.cancel()
+
+    async def deregister(self) -> Message | None:
+        """Says that it leaves; it goes on serving."""
+        self.stop_heartbeats()
+        self.state = "leaving"
+        headers = {"Host": "control", "Content-Type": "application/json"}
+        start = f"POST /Instances.Deregister/{self.id} HTTP/1.1"
+        data = encode(start, headers, b"{}")
+        return await call((self.machine.ip, CONTROL), data, 1.0)
+
     async def heartbeat(self) -> Message | None:
         """Sends one heartbeat."""
+        return await call(
+            (self.machine.ip, CONTROL), self.encoded_heartbeat(), 1.0
+        )
+
+    def encoded_heartbeat(self) -> bytes:
+        """The next heartbeat."""
         self._sequence += 1
         body = {
             "address": f"{self.machine.ip}:{APP}",
@@ -364,12 +408,11 @@
                 "cold-remaining-ms": 0,
             },
         }
-        data = encode(
+        return encode(
             f"POST /Instances.Heartbeat/{self.id} HTTP/1.1",
             {"Host": "control", "Content-Type": "application/json"},
             json.dumps(body).encode(),
         )
-        return await call((self.machine.ip, CONTROL), data, 1.0)
 
     async def _beat(self) -> None:
         while True:
