--- a/review/fleet.py
+++ b/review/fleet.py
@@ -823,6 +823,12 @@
     written = Record(pathlib.Path(folder) / "record.txt")
     written.write("case", trouble=int(is_troubled()))
 
+    def end(number: int, frame: object) -> None:
+        # The deployment is closed on the way out.
+        raise SystemExit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, end)
+
     async def play() -> int:
         deployment = Deployment(written, count, slots)
         try:
