Review: case 7, a store's new address in the settings is not taken over

Claimed: after the settings files changed, with a signal and without, processes go on asking the store at its old address, and handle requests by an old version of the configuration from then on (CONFIG).

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -183,11 +183,25 @@
         self._records: dict[str, list[bytes]] = {}
         self._news = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._first: asyncio.Server | None = None
 
     async def open(self) -> None:
         """Starts to listen."""
         self._server = await asyncio.start_server(self._serve, *self.address)
 
+    async def open_also(self, ip: str) -> None:
+        """Listens at a second address, too; see `leave_first`."""
+        self._first = self._server
+        self.address = (ip, STORE)
+        await self.open()
+
+    def leave_first(self) -> None:
+        """Ends the first of two addresses and its connections."""
+        self._first.close()
+        for writer in list(self._writers):
+            if writer.get_extra_info("sockname")[0] != self.address[0]:
+                writer.transport.abort()
+
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Writes a keyed record, as the operator does."""
         name = key.encode()
@@ -518,11 +532,9 @@
 
     def start(self) -> None:
         """Starts the process with the deploy file's command and settings."""
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        role = deploy["roles"]["forklift"]
+        role = _role()
         settings = self.work / f"{self.name}.ini"
-        template = (ROOT / role["template"]).read_text()
-        settings.write_text(_fill(template, self._fields()))
+        self.write_settings()
         command = [
             str(settings) if word == "/etc/forklift/boot.toml" else word
             for word in role["run"].split(" ")
@@ -543,6 +555,14 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    def write_settings(self) -> None:
+        """Fills the template of the settings, as the platform does."""
+        template = (ROOT / _role()["template"]).read_text()
+        settings = self.work / f"{self.name}.ini"
+        filled = settings.with_suffix(".new")
+        filled.write_text(_fill(template, self._fields()))
+        filled.replace(settings)
+
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
         if self.process is not None and self.process.poll() is None:
@@ -579,6 +599,12 @@
         }
 
 
+def _role() -> dict:
+    """The role of the deploy file."""
+    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    return deploy["roles"]["forklift"]
+
+
 def _look_up(fields: dict, path: str):
     value = fields
     for part in path.strip().split("."):
@@ -647,6 +673,8 @@
         self.work = pathlib.Path(tempfile.mkdtemp(prefix="forklift-review-"))
         self._net = _free_net(count + 1)
         self.store = Store(f"{self._net}.250")
+        # Another address that the store may move to.
+        self.other_store_ip = f"{self._net}.251"
         zones = ("plateau", "almadies", "diamniadio")
         self.machines = [
             Machine(
@@ -710,7 +738,7 @@
     for _ in range(50):
         net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
         try:
-            for last in (10, 10 + count, 250):
+            for last in (10, 10 + count, 250, 251):
                 with socket.socket() as probe:
                     probe.bind((f"{net}.{last}", OUTBOUND))
             return net
