The stand-ins load without development packages

Cause: `forklift_lab/__init__.py` imported all of its commands, and `fuzz` imports hypothesis, a development package that the deploy file does not install. So each of the 17 modules of the package failed to load with the libraries of the deploy file alone, the stand-in of the store among them.

Change: the lab imports a command only when it is invoked, as `forklift` does (the group moved to `ui/lazy_group.py` and serves both).

--- a/forklift/ui/__init__.py
+++ b/forklift/ui/__init__.py
@@ -1,12 +1,12 @@
 """Command-line interface, with one module per command."""
 
-import importlib
 import sys
 
 import click
 
 import forklift
 from forklift import errors
+from forklift.ui import lazy_group
 
 # Each command is a module of this package, imported only when it is invoked,
 # so that `run` does not load the modules of the other commands.
@@ -26,24 +26,11 @@
 """
 
 
-class _LazyGroup(click.Group):
-    """Command group that imports a command when it is invoked."""
-
-    def list_commands(self, ctx: click.Context) -> list[str]:
-        """Lists the names of all commands."""
-        return list(COMMANDS)
-
-    def get_command(
-        self, ctx: click.Context, cmd_name: str
-    ) -> click.Command | None:
-        """Imports the command with the given name; None if it is unknown."""
-        if cmd_name not in COMMANDS:
-            return None
-        module = importlib.import_module(f"{__name__}.{cmd_name}")
-        return module.command
-
-
-@click.group(cls=_LazyGroup, epilog=EPILOG)
+@click.group(
+    cls=lazy_group.LazyGroup,
+    module_by_command={name: f"{__name__}.{name}" for name in COMMANDS},
+    epilog=EPILOG,
+)
 @click.version_option(forklift.VERSION, prog_name="forklift")
 def cli() -> None:
     """A proxy fleet for targets with gray failures."""
--- a/forklift_lab/__init__.py
+++ b/forklift_lab/__init__.py
@@ -6,24 +6,27 @@
 
 import forklift
 from forklift import errors
-from forklift_lab import demo
-from forklift_lab import fuzz
-from forklift_lab import play
-from forklift_lab import store
-
-
-@click.group()
+from forklift.ui import lazy_group
+
+# Imported only when they are invoked, as some need development packages, and
+# the stand-ins of this package must load without them.
+MODULE_BY_COMMAND = {
+    "demo": "forklift_lab.demo",
+    "fuzz": "forklift_lab.fuzz",
+    "soak": "forklift_lab.play",
+    "store": "forklift_lab.store",
+}
+
+
+@click.group(
+    cls=lazy_group.LazyGroup,
+    module_by_command=MODULE_BY_COMMAND,
+)
 @click.version_option(forklift.VERSION, prog_name="forklift-lab")
 def cli() -> None:
     """Stand-ins of the platform and targets, and a demo."""
 
 
-cli.add_command(store.command)
-cli.add_command(demo.command)
-cli.add_command(play.command)
-cli.add_command(fuzz.command)
-
-
 def main() -> None:
     """Runs the program; a mistake of the operator is shown as one line."""
     try:
