The build replaces libraries that were made for something else

Cause: the build kept `target/deps` if it was newer than the requirements, so it kept libraries that were carried over from another kind of machine, from older requirements with a later time, or from an interrupted installation.

The virtual environment of the Makefile is named after the kind, too.

--- a/Makefile
+++ b/Makefile
@@ -2,19 +2,22 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# An environment of another kind of machine or another Python is made anew.
+KIND := $(shell $(PYTHON) -c 'import sys, sysconfig; print(sysconfig.get_platform(), sys.implementation.cache_tag, sep="-")')
+MADE := $(VENV)/.made-$(KIND)
 
 .PHONY: demo test format binary clean
 
-$(VENV)/.made: requirements.lock pyproject.toml
-	$(PYTHON) -m venv $(VENV)
+$(MADE): requirements.lock pyproject.toml
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
-demo: $(VENV)/.made
+demo: $(MADE)
 	$(BIN)/forklift-lab demo
 
-test: $(VENV)/.made
+test: $(MADE)
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/pytest
@@ -22,7 +25,7 @@
 # One executable file. docs/DESIGN.md weighs the packagers.
 binary: build/forklift
 
-build/forklift: $(VENV)/.made $(wildcard forklift/*.py forklift/*/*.py)
+build/forklift: $(MADE) $(wildcard forklift/*.py forklift/*/*.py)
 	$(BIN)/pyinstaller --onefile --name forklift --noconfirm --log-level ERROR \
 	  --collect-submodules forklift --collect-all cel --exclude-module IPython --exclude-module matplotlib \
 	  --exclude-module numpy --copy-metadata opentelemetry-sdk \
@@ -30,7 +33,7 @@
 	  --distpath build --workpath build/work --specpath build \
 	  forklift/__main__.py
 
-format: $(VENV)/.made
+format: $(MADE)
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
--- a/test/test_deploy_build.py
+++ b/test/test_deploy_build.py
@@ -5,6 +5,9 @@
 """
 
 import ast
+import os
+import pathlib
+import shutil
 
 import pytest
 
@@ -108,6 +111,73 @@
     assert "needs the package hypothesis" in done.stdout
 
 
+# The folder of the libraries.
+
+
+@pytest.fixture
+def tree(tmp_path) -> pathlib.Path:
+    """A tree with a copy of the built libraries, which a test may spoil."""
+    built = deploy_tree.built()
+    for name in ("deploy", "target"):
+        shutil.copytree(built / name, tmp_path / name)
+    return tmp_path
+
+
+def loads(tree: pathlib.Path) -> bool:
+    code = "import sys; sys.path[0] = 'target/deps'; import msgspec, xxhash"
+    return deploy_tree.run(tree, "python3", "-S", "-c", code).returncode == 0
+
+
+def made_for(tree: pathlib.Path) -> pathlib.Path:
+    return tree / "target/deps/.made-for"
+
+
+def test_libraries_of_another_kind_of_machine_are_replaced(tree):
+    """Libraries that were carried over can't be loaded on another processor."""
+    platform, rest = made_for(tree).read_text().split("\n", 1)
+    made_for(tree).write_text(f"{platform}-other\n{rest}")
+    for library in (tree / "target/deps").rglob("*.so"):
+        library.write_bytes(b"not for this machine")
+    assert not loads(tree)
+    deploy_tree.build(tree)
+    assert loads(tree)
+
+
+def test_libraries_of_older_requirements_are_replaced(tree):
+    """The folder may be newer than the requirements that it lacks."""
+    shutil.rmtree(tree / "target/deps/xxhash")
+    older = (tree / "deploy/requirements.txt").read_text() + "# older\n"
+    (tree / "deploy/requirements.txt").write_text(older)
+    os.utime(tree / "deploy/requirements.txt", (0, 0))
+    deploy_tree.build(tree)
+    assert loads(tree)
+
+
+def test_libraries_of_an_interrupted_build_are_replaced(tree):
+    """A folder without its statement is not complete."""
+    shutil.rmtree(tree / "target/deps/xxhash")
+    made_for(tree).unlink()
+    deploy_tree.build(tree)
+    assert loads(tree)
+
+
+def test_current_libraries_are_kept(tree):
+    mark = tree / "target/deps/mark"
+    mark.touch()
+    deploy_tree.build(tree)
+    assert mark.exists()
+
+
+def test_failed_build_leaves_the_libraries_as_they_were(tree):
+    (tree / "deploy/requirements.txt").write_text("forklift-no-such==0\n")
+    done = deploy_tree.run(
+        tree, "python3", "deploy/install_libraries.py", "target/deps"
+    )
+    assert done.returncode != 0
+    assert "can't be installed" in done.stderr
+    assert loads(tree)
+
+
 def test_requirements_are_those_of_the_lock_file():
     lines = (ROOT / "deploy/requirements.txt").read_text().splitlines()
     required = [line for line in lines if not line.startswith("#")]
