No request is sent to a target so late in a stop that the exit cuts it off

What callers saw: one process stops in calm; requests whose bodies ended late in the grace period were passed on to targets that work for 1.5 s, and answered with 502 as the process exited, non-idempotent ones among them.

Cause: a stop had one deadline for two questions. `reject_at`, until which a request may be sent to a target, was equal to `abandon_at`, at which those at a target are cut off.

Change: a request is sent only while most requests of its route would still end in time, and at most until half of the grace period, counted from the first signal; one whose own timeout ends before the exit may be sent at any time. Others get 503 "not run" at once. The same bound holds for all that can begin late: bodies that are passed on while they arrive (callers' and peers') are ended early, requests in the queues of peers are withdrawn by a fence, and nothing is retried, resent or hedged later. Decisions: `stop_deadlines.py`.

The tests of `test_shutdown.py` name the module that the deadlines moved to; their checks are the same, and one more holds for the second signal.

--- a/forklift/retries.py
+++ b/forklift/retries.py
@@ -87,7 +87,8 @@
             budget.
         reserved_retries: Number of attempts in flight whose retry has been
             charged already.
-        process_exits_at: Monotonic seconds at which this process exits.
+        latest_start: Monotonic seconds from which on no attempt starts, as this
+            process stops; infinite before that.
         max_queue_rejections: Number of targets whose queue is too long, after
             which the request is given up.
         accepts_unproven: Whether the request accepts targets that are not
@@ -110,7 +111,7 @@
     ran_last: bool = False
     budget_charged: bool = False
     reserved_retries: int = 0
-    process_exits_at: float = math.inf
+    latest_start: float = math.inf
     max_queue_rejections: int = MAX_QUEUE_REJECTIONS
     accepts_unproven: bool = False
     wait: bool = False
@@ -139,17 +140,17 @@
         During overload, a slot given to a request that misses its objective
         makes another request miss its own. So a request is refused as soon as
         it can't meet the objective any more. Requests that have reached a
-        target may start until the process exits.
+        target may start later.
 
         Args:
             distribution: Latency distribution of the route.
             soft_deadline: Monotonic seconds up to which the objective is met.
         """
         if self.attempts:
-            return self.process_exits_at
+            return self.latest_start
         time_limit = self.deadline - self.started
         latest_start = min(
-            self.process_exits_at,
+            self.latest_start,
             self.started + START_DEADLINE_FRACTION * time_limit,
         )
         latest_for_objective = max(
@@ -245,7 +246,7 @@
             and now >= self.start_by(distribution, soft_deadline)
         ):
             return True
-        if now >= min(self.deadline, self.process_exits_at):
+        if now >= min(self.deadline, self.latest_start):
             return True
         # The first attempt is made regardless of the remaining time.
         return self.attempts > 0 and not self.has_time_for_retry(
@@ -262,7 +263,7 @@
             now: Monotonic seconds.
         """
         return (
-            now < min(self.deadline, self.process_exits_at)
+            now < min(self.deadline, self.latest_start)
             and now + distribution.median / 2 <= self.deadline
         )
 
--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -40,6 +41,23 @@
 RETRY_AFTER_SECONDS = 0.5
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class _InFlight:
+    """A request that was sent to a peer.
+
+    Attributes:
+        connection: The connection to the peer.
+        start: First frame of the request.
+        request: The request.
+        sink: Receives the response.
+    """
+
+    connection: peer_client.ClientConnection
+    start: messages.RequestStart
+    request: exchange.Request
+    sink: exchange.Sink
+
+
 class Dispatcher:
     """Sends requests to targets of other processes."""
 
@@ -62,6 +80,33 @@
         self._next_seq = next_seq
         self._clock = clock
         self._rng = rng
+        self._in_flight: set[_InFlight] = set()
+        self._withdrawals: set[asyncio.Task] = set()
+
+    def withdraw_waiting(
+        self, is_late: Callable[[exchange.Request], bool]
+    ) -> None:
+        """Withdraws requests that peers have queued, each of them once.
+
+        A request that has started goes on.
+
+        Args:
+            is_late: Whether a request must not start any more.
+        """
+        for in_flight in list(self._in_flight):
+            if is_late(in_flight.request):
+                self._in_flight.discard(in_flight)
+                task = asyncio.create_task(self._withdraw(in_flight))
+                self._withdrawals.add(task)
+                task.add_done_callback(self._withdrawals.discard)
+
+    async def _withdraw(self, in_flight: "_InFlight") -> None:
+        connection, start = in_flight.connection, in_flight.start
+        if in_flight.sink.has_started or connection.lost:
+            return
+        boot = connection.peer_hello.boot
+        if await connection.fence(self._boot, start.seq, boot):
+            connection.end_fenced(start, RETRY_AFTER_SECONDS)
 
     async def send(
         self,
@@ -147,6 +192,8 @@
             rate_limit=selection.rate_limit,
         )
         to_boot = connection.peer_hello.boot
+        in_flight = _InFlight(connection, start, request, sink)
+        self._in_flight.add(in_flight)
         try:
             async with asyncio.timeout(remaining + DEADLINE_GRACE_SECONDS):
                 if request.idempotent:
@@ -158,6 +205,8 @@
                 )
         except TimeoutError:
             result = exchange.unknown(Reason.TIMEOUT)
+        finally:
+            self._in_flight.discard(in_flight)
         if request.idempotent or sink.has_started:
             return result
         if await self._fence(selection.process, seq, to_boot):
--- a/forklift/shell/exchange.py
+++ b/forklift/shell/exchange.py
@@ -59,6 +59,9 @@
         self.prefix = prefix
         self._rest = rest
         self.consumed = False
+        # Why the rest is not read to its end; empty if it is.
+        self._early_end = ""
+        self._read_timeout: asyncio.Timeout | None = None
 
     @property
     def complete(self) -> bool:
@@ -83,9 +86,35 @@
         if self.prefix:
             yield self.prefix
         if self._rest is not None:
-            async for chunk in self._rest:
+            while (chunk := await self._next_chunk()) is not None:
                 yield chunk
 
+    def end_early(self, detail: str) -> None:
+        """Fails the current or next read of the rest that has to wait.
+
+        Args:
+            detail: Why the rest is not read to its end.
+        """
+        self._early_end = detail
+        timeout = self._read_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
+
+    async def _next_chunk(self) -> bytes | None:
+        """Returns the next chunk of the rest; None at its end."""
+        # What has arrived is read even then: the end of the body may be part of
+        # it, and the receiver may have the whole body already.
+        timeout = 0.0 if self._early_end else None
+        try:
+            async with asyncio.timeout(timeout) as self._read_timeout:
+                return await anext(self._rest, None)
+        except TimeoutError:
+            if not self._early_end:
+                raise
+            raise IncompleteBody(self._early_end) from None
+        finally:
+            self._read_timeout = None
+
 
 @dataclasses.dataclass(frozen=True)
 class Request:
--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import dataclasses
-import math
 
 import structlog
 
@@ -22,7 +21,6 @@
 from forklift.shell import exchange
 from forklift.shell import hedging
 from forklift.shell import response_buffer
-from forklift.shell import shutdown
 from forklift.shell import stop_timeout
 from forklift.shell import targets_in_flight
 
@@ -52,9 +50,8 @@
         self._request = request
         self._sink = sink
         self._retry_state = forwarder.new_retry_state(request)
-        self._stop_timeout = stop_timeout.StopTimeout(
-            forwarder.stop_deadlines, self._now
-        )
+        self._stop_timeout = stop_timeout.StopTimeout(self._now)
+        self.apply_stop_deadlines()
         # The complete response of a failed attempt; a retry may replace it.
         self._withheld: response_buffer.BufferedResponse | None = None
         self._claim = response_buffer.ResponseClaim()
@@ -113,10 +110,13 @@
         ending = dataclasses.replace(result.ending, retry_after=jittered)
         return dataclasses.replace(result, ending=ending)
 
-    def set_stop_deadlines(self, deadlines: shutdown.Deadlines) -> None:
-        """Sets the deadlines for responding, as the process stops."""
-        self._retry_state.process_exits_at = deadlines.reject_at
-        self._stop_timeout.set_deadlines(deadlines)
+    def apply_stop_deadlines(self) -> None:
+        """Applies the deadlines of the forwarder, as the process stops."""
+        latest_start = self._forwarder.latest_start(self._request)
+        self._retry_state.latest_start = latest_start
+        self._stop_timeout.set_deadlines(
+            latest_start, self._forwarder.stop_deadlines.abandon_at
+        )
 
     async def _run_with_stop_deadline(self) -> exchange.Result:
         """Runs attempts until one has a final result or the stop deadline."""
@@ -171,6 +171,11 @@
             self._distribution, self._request.soft_deadline
         )
 
+    @property
+    def _may_start(self) -> bool:
+        """Whether another attempt can end before this process exits."""
+        return self._now() < self._retry_state.latest_start
+
     @property
     def _kilobytes(self) -> float:
         """Expected size of the request and its response, in kilobytes."""
@@ -210,6 +215,7 @@
         """
         return (
             self._can_resend
+            and self._may_start
             and self._claim.owner is None
             and not self._quarantined_for()
             and self._policy_allows_retry(
@@ -411,6 +417,7 @@
         """
         if (
             self._exclusive
+            or not self._may_start
             or self._retry_state.attempts + in_flight
             >= self._request.max_attempts
         ):
@@ -454,8 +461,10 @@
             self._retry_state.required_health(self._now()),
             selection.required_health,
         )
-        # A hedge may start at any time, as the first attempt still runs.
-        start_by = math.inf if is_hedge else self._start_by
+        start_by = self._start_by
+        if is_hedge:
+            # It may start late, as the first attempt still runs.
+            start_by = self._retry_state.latest_start
         result = None
         try:
             if selection.process == self._forwarder.name:
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -13,6 +13,7 @@
 from forklift import quarantine as quarantines
 from forklift import retries
 from forklift import retry_allocation
+from forklift import stop_deadlines
 from forklift import target_notices
 from forklift.shell import dispatch
 from forklift.shell import exchange
@@ -21,9 +22,8 @@
 from forklift.shell import ingress_admission
 from forklift.shell import local_targets
 from forklift.shell import peer_connections
-from forklift.shell import shutdown
 
-_NO_DEADLINES = shutdown.Deadlines(math.inf, math.inf, math.inf)
+_NO_DEADLINES = stop_deadlines.Deadlines(*[math.inf] * 4)
 
 
 class Forwarder:
@@ -94,7 +94,6 @@
         state = retries.RetryState(
             self.clock.monotonic(),
             request.deadline,
-            process_exits_at=self.stop_deadlines.reject_at,
         )
         if self.ingress_admission.is_within_part(request):
             state.max_queue_rejections = (
@@ -148,16 +147,46 @@
             elapsed = self.clock.monotonic() - sent_at
             self.balancer.record_leaving(service, head.target, elapsed)
 
-    def set_stop_deadlines(self, deadlines: shutdown.Deadlines) -> None:
+    def set_stop_deadlines(self, deadlines: stop_deadlines.Deadlines) -> None:
         """Ensures that all requests end before this process stops.
 
-        At the deadline, requests that were not sent to a target are rejected
-        as not run; all others end with an unknown outcome. Otherwise callers
-        would only see a closed connection.
+        Requests that were not sent to a target in time are rejected as not
+        run; at the deadline, all others end with an unknown outcome. Otherwise
+        callers would only see a closed connection.
 
         Args:
             deadlines: Deadlines for responding to requests.
         """
         self.stop_deadlines = deadlines
         for forwarded in self._in_flight:
-            forwarded.set_stop_deadlines(deadlines)
+            forwarded.apply_stop_deadlines()
+
+    def usual_seconds(self, route: str) -> float:
+        """Seconds that most requests of a route take; 0 if unknown.
+
+        Args:
+            route: Name of the route.
+        """
+        distribution = self.balancer.latencies.get(route)
+        if distribution is None:
+            return 0.0
+        return distribution.learned_quantile(stop_deadlines.RUN_DEVIATIONS)
+
+    def latest_start(self, request: exchange.Request) -> float:
+        """Monotonic seconds from which on a request is sent to no target.
+
+        Infinite unless this process stops.
+        """
+        return self.stop_deadlines.latest_start(
+            request.deadline, self.usual_seconds(request.route)
+        )
+
+    def withdraw_waiting(self, now: float) -> None:
+        """Withdraws requests that wait at peers and must not start any more.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self.dispatcher.withdraw_waiting(
+            lambda request: self.latest_start(request) <= now
+        )
--- a/forklift/shell/peer_client.py
+++ b/forklift/shell/peer_client.py
@@ -177,6 +177,32 @@
         finally:
             del self._fence_reply_by_id[stream]
 
+    def end_fenced(
+        self, start: messages.RequestStart, retry_after: float
+    ) -> None:
+        """Ends a request that the peer was asked never to start.
+
+        Args:
+            start: First frame of the request.
+            retry_after: Seconds until a retry may succeed.
+        """
+        pending = self._pending_by_id.get(start.id)
+        if pending is None or pending.has_response:
+            return
+        # The peer is told, so that it does not keep the request in its queue.
+        pending.is_given_up = True
+        pending.end_by_peer(
+            messages.Failure(
+                start.id,
+                messages.Outcome.NOT_RUN,
+                messages.Reason.FENCED,
+                retry_after,
+                self.incarnation,
+                start.target,
+                None,
+            )
+        )
+
     def send_keepalive(self) -> None:
         """Sends a keep-alive frame, to which the peer replies."""
         self._keepalive_number += 1
--- a/forklift/shell/proxy.py
+++ b/forklift/shell/proxy.py
@@ -24,6 +24,7 @@
 from forklift import quarantine
 from forklift import run_calls
 from forklift import settings
+from forklift import stop_deadlines
 from forklift.shell import call_results
 from forklift.shell import clock as clocks
 from forklift.shell import configuration_loader
@@ -44,6 +45,7 @@
 from forklift.shell import rate_limiting
 from forklift.shell import shutdown
 from forklift.shell import store_follower
+from forklift.shell import streamed_bodies
 from forklift.shell import target_discovery
 from forklift.shell import target_registry
 from forklift.shell import tcp_stream
@@ -119,7 +121,7 @@
         self._next_slow_tick = self._started_at
         self.incarnation = 1
         self.stopping = False
-        self.stop_deadlines: shutdown.Deadlines | None = None
+        self.stop_deadlines: stop_deadlines.Deadlines | None = None
         self.counters = counters.Counters()
         self.active_catalog = catalog.ActiveCatalog()
         self.configuration_loader = configuration_loader.ConfigurationLoader(
@@ -266,6 +268,9 @@
             self._header_names,
             self.overload_control,
         )
+        self.streamed_bodies = streamed_bodies.StreamedBodies(
+            self.clock.monotonic, self.forwarder.usual_seconds
+        )
         self.forwarder.ingress_admission.connect(
             self.overload_control,
             lambda: self.settings.overload.floor,
@@ -362,14 +367,19 @@
         now, grace = self.clock.monotonic(), self.settings.platform.grace
         if not self.stopping:
             self.stopping = True
-            self.stop_deadlines = shutdown.initial_deadlines(now, grace)
+            self.stop_deadlines = stop_deadlines.initial_deadlines(now, grace)
             return
-        self.stop_deadlines = shutdown.extended_deadlines(
+        self.stop_deadlines = stop_deadlines.extended_deadlines(
             self.stop_deadlines, now, grace
         )
-        self.forwarder.set_stop_deadlines(self.stop_deadlines)
+        self.apply_stop_deadlines()
         _log.info("stop_requested_again", running=self.running())
 
+    def apply_stop_deadlines(self) -> None:
+        """Applies the deadlines of the shutdown to all requests."""
+        self.forwarder.set_stop_deadlines(self.stop_deadlines)
+        self.streamed_bodies.set_deadlines(self.stop_deadlines)
+
     def stop_accepting(self) -> None:
         """Stops accepting connections of callers."""
         self._servers[0].close()
@@ -491,7 +501,8 @@
         if wait is not None:
             self.rate_limiter.log_rejection(request, wait)
             return exchange.not_run(Reason.LIMITED, wait)
-        result = await self.forwarder.run(request, sink)
+        with self.streamed_bodies.track(request):
+            result = await self.forwarder.run(request, sink)
         if result.ending.outcome is messages.Outcome.NOT_RUN:
             self.rate_limiter.refund(request.organisation)
         return result
@@ -565,7 +576,10 @@
         self.idle_targets.record_sender(
             start.target, sender, start.idempotent, now
         )
-        return await self.local_targets.run(start.target, ticket, request, sink)
+        with self.streamed_bodies.track(request):
+            return await self.local_targets.run(
+                start.target, ticket, request, sink
+            )
 
     def _handle_fence(self, fence: messages.FenceRequest) -> bool:
         if fence.to_boot != self.boot:
--- a/forklift/shell/shutdown.py
+++ b/forklift/shell/shutdown.py
@@ -1,11 +1,11 @@
 """Graceful shutdown of a process: every caller gets its response first."""
 
 import asyncio
-import dataclasses
 
 import structlog
 
 from forklift import invariants
+from forklift import stop_deadlines
 
 _log = structlog.get_logger(__name__)
 
@@ -13,70 +13,14 @@
 # exceed the time until the platform stops sending callers, which is after two
 # failed readiness checks.
 LAME_DUCK_SECONDS = 2.6
-# Fraction of the grace period after which the process exits, even if requests
-# are still in flight.
-USABLE_GRACE_FRACTION = 0.9
 # Seconds between two checks whether a step of the shutdown is complete.
 POLL_INTERVAL = 0.05
-# Seconds before the exit that are reserved for sending the last responses.
-FINAL_RESPONSE_SECONDS = 0.2
 # Maximum seconds to wait until the peers have received what is still in the
 # socket buffers and have closed their connections. Peers that were sent a
 # response during the shutdown have until the exit, as they may be paused.
 PEER_CLOSE_TIMEOUT = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Deadlines:
-    """Deadlines of a shutdown, in monotonic seconds.
-
-    Attributes:
-        reject_at: From then on, requests that were not sent to a target are
-            rejected.
-        abandon_at: Requests that are still at a target end then, with an
-            unknown outcome.
-        exit_at: The process exits, even if responses are pending.
-    """
-
-    reject_at: float
-    abandon_at: float
-    exit_at: float
-
-
-def initial_deadlines(now: float, grace: float) -> Deadlines:
-    """Returns the deadlines of a shutdown that was requested now.
-
-    Args:
-        now: Monotonic seconds.
-        grace: Seconds after which the platform may kill the process.
-    """
-    exit_at = now + USABLE_GRACE_FRACTION * grace
-    return Deadlines(
-        exit_at - FINAL_RESPONSE_SECONDS,
-        exit_at - FINAL_RESPONSE_SECONDS,
-        exit_at,
-    )
-
-
-def extended_deadlines(
-    current: Deadlines, now: float, grace: float
-) -> Deadlines:
-    """Returns the deadlines after another shutdown signal.
-
-    The platform may count the grace period from the first or from the last
-    signal. Requests at a target get the time from the last signal. Requests
-    that were not sent to a target are still rejected at the first deadline, as
-    they would be lost if the platform counted from the first signal.
-
-    Args:
-        current: Deadlines before this signal.
-        now: Monotonic seconds.
-        grace: Seconds after which the platform may kill the process.
-    """
-    extended = initial_deadlines(now, grace)
-    return dataclasses.replace(extended, reject_at=current.reject_at)
-
-
 async def stop(proxy) -> None:
     """Shuts a process down gracefully.
 
@@ -94,7 +38,7 @@
     proxy.ingress.stopping = True
     _log.info("stopping", running=proxy.running())
     proxy.target_registry.pause_targets()
-    proxy.forwarder.set_stop_deadlines(proxy.stop_deadlines)
+    proxy.apply_stop_deadlines()
     while proxy.clock.monotonic() < lame_duck_end:
         await asyncio.sleep(POLL_INTERVAL)
     proxy.stop_accepting()
@@ -123,6 +67,7 @@
         proxy.ingress.close_idle()
         if now >= proxy.stop_deadlines.reject_at:
             proxy.ingress.reject_incomplete_requests()
+        proxy.forwarder.withdraw_waiting(now)
         if not proxy.pending_responses() or now >= proxy.stop_deadlines.exit_at:
             return
         await asyncio.sleep(POLL_INTERVAL)
@@ -150,7 +95,7 @@
     await _wait_for_peers(
         proxy,
         stopping_since,
-        FINAL_RESPONSE_SECONDS,
+        stop_deadlines.FINAL_RESPONSE_SECONDS,
         lambda connection: connection.unsent_bytes,
     )
 
--- a/forklift/shell/stop_timeout.py
+++ b/forklift/shell/stop_timeout.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from forklift.shell import shutdown
-
 _Result = TypeVar("_Result")
 
 
@@ -18,21 +16,26 @@
         is_dispatched: Whether an attempt is in flight, which has more time.
     """
 
-    def __init__(self, deadlines: shutdown.Deadlines, now: Callable[[], float]):
+    def __init__(self, now: Callable[[], float]):
         """Creates the timeout of a request without an attempt in flight.
 
         Args:
-            deadlines: Deadlines for responding; infinite before a stop.
             now: Returns monotonic seconds.
         """
         self.is_dispatched = False
-        self._deadlines = deadlines
+        self._latest_start = self._abandon_at = math.inf
         self._now = now
         self._timeout: asyncio.Timeout | None = None
 
-    def set_deadlines(self, deadlines: shutdown.Deadlines) -> None:
-        """Sets the deadlines for responding, as the process stops."""
-        self._deadlines = deadlines
+    def set_deadlines(self, latest_start: float, abandon_at: float) -> None:
+        """Sets the deadlines, as the process stops.
+
+        Args:
+            latest_start: Monotonic seconds at which the request ends if no
+                attempt is in flight; infinite before the shutdown.
+            abandon_at: Monotonic seconds at which it ends otherwise.
+        """
+        self._latest_start, self._abandon_at = latest_start, abandon_at
         self._reschedule()
 
     def set_dispatched(self, is_dispatched: bool) -> None:
@@ -54,9 +57,8 @@
             self._timeout = None
 
     def _reschedule(self) -> None:
-        deadlines = self._deadlines
         deadline = (
-            deadlines.abandon_at if self.is_dispatched else deadlines.reject_at
+            self._abandon_at if self.is_dispatched else self._latest_start
         )
         if (
             self._timeout is None
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -9,6 +9,7 @@
 import pytest
 
 from forklift import messages
+from forklift import stop_deadlines
 from forklift.shell import exchange
 from forklift.shell import peer_server
 from forklift.shell import proxy
@@ -76,7 +77,7 @@
 def test_requests_still_in_flight_at_the_deadline_are_answered(monkeypatch):
     """The status tells the callers whether their request may have run."""
     # Leaves the responses ample time to arrive before the exit.
-    monkeypatch.setattr(shutdown, "FINAL_RESPONSE_SECONDS", 4.0)
+    monkeypatch.setattr(stop_deadlines, "FINAL_RESPONSE_SECONDS", 4.0)
 
     async def work(fleet):
         one = fleet.proxies[0]
@@ -104,10 +105,10 @@
     processes.play(work, [[]], first=first)
 
 
-def deadlines_in(one: proxy.Proxy, seconds: float) -> shutdown.Deadlines:
+def deadlines_in(one: proxy.Proxy, seconds: float) -> stop_deadlines.Deadlines:
     """Returns deadlines that all pass after the same time."""
     at = one.clock.monotonic() + seconds
-    return shutdown.Deadlines(at, at, at)
+    return stop_deadlines.Deadlines(at, at, at, at)
 
 
 def test_second_signal_gives_running_requests_more_time(monkeypatch):
@@ -116,7 +117,7 @@
     The platform may count the grace period from the first signal and kill the
     process right after it.
     """
-    monkeypatch.setattr(shutdown, "FINAL_RESPONSE_SECONDS", 4.0)
+    monkeypatch.setattr(stop_deadlines, "FINAL_RESPONSE_SECONDS", 4.0)
 
     async def work(fleet):
         one = fleet.proxies[0]
@@ -150,12 +151,13 @@
 
 
 def test_second_signal_extends_all_but_the_first_deadline():
-    first = shutdown.initial_deadlines(100.0, 6.0)
-    extended = shutdown.extended_deadlines(first, 102.1, 6.0)
+    first = stop_deadlines.initial_deadlines(100.0, 6.0)
+    extended = stop_deadlines.extended_deadlines(first, 102.1, 6.0)
     assert extended.reject_at == first.reject_at
+    assert extended.finish_by == first.finish_by
     assert extended.abandon_at > first.abandon_at
     assert extended.exit_at == pytest.approx(
-        102.1 + shutdown.USABLE_GRACE_FRACTION * 6.0
+        102.1 + stop_deadlines.USABLE_GRACE_FRACTION * 6.0
     )
 
 
@@ -407,7 +409,7 @@
         peer_server.ServerConnection, "unsent_bytes", property(record_poll)
     )
     # The peer reads slowly; the timeout must not pass meanwhile.
-    monkeypatch.setattr(shutdown, "FINAL_RESPONSE_SECONDS", 3.0)
+    monkeypatch.setattr(stop_deadlines, "FINAL_RESPONSE_SECONDS", 3.0)
 
     async def work(fleet):
         peer, one = fleet.proxies
@@ -574,7 +576,9 @@
     stopping = types.SimpleNamespace(
         clock=clock,
         server_connections=[silent_peer],
-        stop_deadlines=shutdown.Deadlines(exit_at, exit_at, exit_at),
+        stop_deadlines=stop_deadlines.Deadlines(
+            exit_at, exit_at, exit_at, exit_at
+        ),
     )
     asyncio.run(shutdown._close_peer_connections(stopping, STOP_AT))
     waited = clock.monotonic() - began
