A priority that no message can hold makes a configuration invalid

What callers would see: each request of a route with such a priority fails at every process but the target's own, as it can't be encoded for a peer.

Cause: any integer was accepted, while messages between processes hold 64 bits. Change: priorities of routes and organisations are at most 2^53, as versions are; else the record is invalid and the current version stays in force. Found by reading.

--- a/forklift/platform/configuration.py
+++ b/forklift/platform/configuration.py
@@ -28,6 +28,8 @@
 
 # Integers that JSON numbers represent exactly.
 _Version = Annotated[int, msgspec.Meta(ge=1, le=2**53)]
+# Integers that messages between processes can hold.
+_Priority = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
 _Weight = Annotated[float, msgspec.Meta(ge=0)]
 _PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
@@ -63,7 +65,7 @@
     target_latency_ms: float = DEFAULT_OBJECTIVE * MILLISECONDS_PER_SECOND
     # Maximum number of targets that a request is sent to, including the first.
     retry_attempts: int = DEFAULT_ATTEMPTS
-    priority: int = DEFAULT_PRIORITY
+    priority: _Priority = DEFAULT_PRIORITY
     # Whether requests are accepted without an API key.
     public: bool = False
 
@@ -73,7 +75,7 @@
     # Replace `api_keys` in records that are sent to peers.
     key_digests: tuple[_Digest, ...] = ()
     # Overrides the priority of the route.
-    priority: int | None = None
+    priority: _Priority | None = None
     # Rate limit across all processes; 0 means no limit.
     rate_per_s: _NonNegativeFloat = 0.0
     # Number of requests allowed in excess of the rate.
