Odd or many records of another writer no longer stop a process from reading

What operators saw: processes stopped following their members, or had no descriptors left, after another program had written next to their records.

Cause: a record was decoded without regard to what is done with it later. A crash with a negative number can't be hashed, which ended the task that reads the records, and failed the handler of pings. A departure under a name that the store can't take back raised an error at each read. Old departures were deleted all at once, each over a connection of its own. All records were kept in memory until the end of a read.

Change: one place decodes all records, and each counts only under its own name. Invalid ones are dropped as they arrive. Old departures are deleted one after the other, at most 100 a read; at most 16 announcements are written at a time.

The lab's store ends pages at 1 MB, as the platform's does.

--- a/forklift/interfaces.py
+++ b/forklift/interfaces.py
@@ -28,7 +28,7 @@
     """Result of reading the records written by `Registry.announce`.
 
     Attributes:
-        data_by_name: Contents of each record, by its name.
+        data_by_name: Contents of each accepted record, by its name.
         epoch: Epoch of the store in which all of them were read.
     """
 
@@ -71,9 +71,16 @@
                 position.
         """
 
-    async def members(self) -> MembersRead:
+    async def members(
+        self, accepts: Callable[[str, bytes], bool] = lambda name, data: True
+    ) -> MembersRead:
         """Returns the records written by `announce`.
 
+        Args:
+            accepts: Whether to keep a record, by its name and its contents.
+                Other programs can write any number of records, so the others
+                are dropped as they arrive.
+
         Raises:
             errors.RegistryUnavailable: The store did not answer.
         """
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -7,6 +7,7 @@
 
 import enum
 import math
+from typing import Annotated
 from typing import TypeAlias
 
 import msgspec
@@ -598,7 +599,7 @@
         void: Whether the request was found not to be the cause.
     """
 
-    id: int
+    id: Annotated[int, msgspec.Meta(ge=0)]
     age: float
     alone: bool
     void: bool
--- a/forklift/platform/store.py
+++ b/forklift/platform/store.py
@@ -5,6 +5,7 @@
 operator's configuration, another the addresses of forklift processes.
 """
 
+import asyncio
 import base64
 import dataclasses
 import struct
@@ -49,6 +50,9 @@
 # Timeout in seconds of the first append and of publishing. All processes of a
 # fleet may start at the same time, and the store serializes appends.
 FIRST_APPEND_TIMEOUT = 2.0
+# Maximum number of announcements that are written at a time; each has a
+# connection. The store serializes appends.
+MAX_CONCURRENT_APPENDS = 16
 # Seconds added to the wait time of a long poll to get its timeout. It is five
 # times what a slow store takes.
 LONG_POLL_MARGIN = 1.0
@@ -97,6 +101,7 @@
         self.calls = 0
         self.failures = 0
         self._append_timeout = FIRST_APPEND_TIMEOUT
+        self._appends = asyncio.Semaphore(MAX_CONCURRENT_APPENDS)
         # Whether no response has arrived since the address was changed.
         self._moved = False
 
@@ -149,7 +154,9 @@
         after = position + len(records) if records else max(position, end)
         return interfaces.ConfigurationRead(found, after)
 
-    async def members(self) -> interfaces.MembersRead:
+    async def members(
+        self, accepts: Callable[[str, bytes], bool] = lambda name, data: True
+    ) -> interfaces.MembersRead:
         """See `interfaces.Registry`."""
         members: dict[str, bytes] = {}
         after, first_epoch = "", None
@@ -163,7 +170,11 @@
                 )
             first_epoch = epoch
             value_by_key, last = _decode_items(page)
-            members.update(value_by_key)
+            members.update(
+                (name, data)
+                for name, data in value_by_key.items()
+                if accepts(name, data)
+            )
             if not page.has_more or last in ("", after):
                 return interfaces.MembersRead(members, epoch)
             after = last
@@ -172,8 +183,12 @@
         """See `interfaces.Registry`."""
         body = _encode_record(name, data)
         query = {"topic": _MEMBERS_TOPIC, "part": _PARTITION}
-        timeout, self._append_timeout = self._append_timeout, REQUEST_TIMEOUT
-        found = await self._call("POST", "/log-append", query, timeout, body)
+        async with self._appends:
+            timeout = self._append_timeout
+            self._append_timeout = REQUEST_TIMEOUT
+            found = await self._call(
+                "POST", "/log-append", query, timeout, body
+            )
         return found.epoch
 
     async def publish(self, data: bytes, position: int) -> bool:
--- a/forklift/quarantine.py
+++ b/forklift/quarantine.py
@@ -276,6 +276,10 @@
             }
             self._add(one.fingerprint, crash_by_id, now, own=False)
 
+    def has_evidence(self, fingerprint: bytes) -> bool:
+        """Whether any evidence against a request is kept."""
+        return fingerprint in self._case_by_fingerprint
+
     def digest(self) -> int:
         """Digest of all evidence, without times; 0 if there is none."""
         if self._digest is None:
--- a/forklift/shell/control_protocols.py
+++ b/forklift/shell/control_protocols.py
@@ -27,10 +27,9 @@
 from forklift import quarantine as quarantines
 from forklift import quarantine_sync
 from forklift import store_readers
+from forklift import stored_records
 from forklift.shell import clock as clocks
-from forklift.shell import departure_store
 from forklift.shell import local_targets
-from forklift.shell import quarantine_store
 from forklift.shell import store_follower
 
 _log = structlog.get_logger(__name__)
@@ -38,6 +37,8 @@
 
 # Number of peers that a new process asks for the complete membership.
 JOIN_PEER_COUNT = 3
+# Maximum number of characters of the name of an invalid record in a log line.
+MAX_LOGGED_NAME_CHARACTERS = 80
 # Maximum size in bytes of a configuration record that a peer offers.
 MAX_RECORD_BYTES = 1 << 25
 # Minimum number of other processes in a failure domain for idle targets to be
@@ -167,6 +168,7 @@
             self._handle_store_members,
             self.store_data_lost,
             lambda: len(self.directory.member_by_name) + 1,
+            _accepts_record,
         )
 
     def tick(self, now: float) -> None:
@@ -258,19 +260,17 @@
         for name, data in read.data_by_name.items():
             if name == self.directory.own.name:
                 continue
-            if name.startswith(quarantine_store.RECORD_PREFIX):
+            try:
+                record = stored_records.decode(name, data)
+            except messages.MalformedMessage as error:
+                _record_invalid(name, error)
+                continue
+            if isinstance(record, messages.StoredEvidence):
                 self._on_stored_evidence(name, data)
                 continue
-            if name.startswith(departure_store.RECORD_PREFIX):
+            if not isinstance(record, messages.Announcement):
                 self._on_stored_departure(name, data)
                 continue
-            try:
-                record = messages.decode_announcement(name, data)
-            except messages.MalformedMessage as error:
-                invalid_input.record(
-                    invalid_input.Source.MEMBER, str(error), name=name
-                )
-                continue
             # The record may be older than what gossip has reported.
             rumor = messages.Rumor(messages.Liveness.ALIVE, record.info)
             self.directory.apply(rumor, now)
@@ -278,10 +278,7 @@
             "store_records_read",
             epoch=read.epoch,
             records=len(read.data_by_name),
-            departures=sum(
-                name.startswith(departure_store.RECORD_PREFIX)
-                for name in read.data_by_name
-            ),
+            departures=sum(map(stored_records.is_departure, read.data_by_name)),
         )
         self._on_records_read(read.epoch)
         self._fleet_size.record_store_read(
@@ -443,3 +440,21 @@
         if self.update_own_targets():
             self._apply_membership_changes()
             self.gossip.queue_rumor(self.directory.own.name)
+
+
+def _accepts_record(name: str, data: bytes) -> bool:
+    """Whether a record in the store is valid."""
+    try:
+        stored_records.decode(name, data)
+    except messages.MalformedMessage as error:
+        _record_invalid(name, error)
+        return False
+    return True
+
+
+def _record_invalid(name: str, error: messages.MalformedMessage) -> None:
+    invalid_input.record(
+        invalid_input.Source.MEMBER,
+        str(error),
+        name=name[:MAX_LOGGED_NAME_CHARACTERS],
+    )
--- a/forklift/shell/departure_store.py
+++ b/forklift/shell/departure_store.py
@@ -14,7 +14,6 @@
 from collections.abc import Coroutine
 
 import structlog
-import xxhash
 
 from forklift import departures
 from forklift import errors
@@ -22,16 +21,18 @@
 from forklift import invalid_input
 from forklift import messages
 from forklift import rendezvous
+from forklift import stored_records
 from forklift.shell import clock as clocks
 from forklift.shell import store_follower
 
 _log = structlog.get_logger(__name__)
 
-# Prefix of the records' names; no name of a process starts with it.
-RECORD_PREFIX = "left/"
 # Seconds for which a departure is stored after the last heartbeat. It is many
 # times the delay of a heartbeat.
 RETENTION_SECONDS = 600.0
+# Maximum number of old records that are deleted after a read. Each deletion
+# costs the store a write.
+MAX_DELETIONS_PER_READ = 100
 # Stands in place of a target's name for the checkpoint of a process.
 _CHECKPOINT = ""
 
@@ -93,6 +94,8 @@
         self._was_read = False
         # Whether a task waits to write a checkpoint.
         self._checkpoint_pending = False
+        # Names of old records that are being deleted.
+        self._deletions: list[str] = []
 
     def record(self, target: str) -> asyncio.Future | None:
         """Stores that a target has left or is leaving.
@@ -146,7 +149,7 @@
             data: Contents of the record.
         """
         try:
-            stored = departures.decode(data)
+            stored = stored_records.decode(record_name, data)
         except messages.MalformedMessage as error:
             invalid_input.record(
                 invalid_input.Source.MEMBER, str(error), name=record_name
@@ -229,7 +232,7 @@
 
     async def _write(self, target: str, departure: _Departure) -> None:
         """Writes a record; retries with backoff until the store answers."""
-        record_name = _record_name(self._name, target)
+        record_name = stored_records.departure_name(self._name, target)
         stored = departures.StoredDeparture(self._name, target, departure.at)
         data = departures.encode(stored)
         departure.epoch = await self._announce_until_stored(
@@ -269,7 +272,7 @@
                 epoch = self._store.epoch
                 checkpoint = departures.Checkpoint(self._name, epoch)
                 await self._announce_until_stored(
-                    _record_name(self._name, _CHECKPOINT),
+                    stored_records.departure_name(self._name, _CHECKPOINT),
                     departures.encode(checkpoint),
                     target=_CHECKPOINT,
                 )
@@ -282,16 +285,25 @@
 
         The process that wrote the record may be gone for good.
         """
+        if len(self._deletions) >= MAX_DELETIONS_PER_READ:
+            # The record is read, and deleted, again later.
+            return
         names = [self._name, *self._other_processes()]
-        if rendezvous.select(record_name, names, 1) == [self._name]:
-            self._spawn(self._delete(record_name))
+        if rendezvous.select(record_name, names, 1) != [self._name]:
+            return
+        self._deletions.append(record_name)
+        if len(self._deletions) == 1:
+            self._spawn(self._delete_old())
 
-    async def _delete(self, record_name: str) -> None:
+    async def _delete_old(self) -> None:
+        """Deletes old records, one at a time."""
         try:
-            await self._store.announce(record_name, b"")
+            for record_name in self._deletions:
+                await self._store.announce(record_name, b"")
         except errors.RegistryUnavailable as error:
-            # The record is read, and deleted, again later.
             _log.info("departure_delete_failed", detail=str(error))
+        finally:
+            self._deletions.clear()
 
     def _forget_old(self) -> None:
         oldest = self._clock.wall() - RETENTION_SECONDS
@@ -320,9 +332,3 @@
 
 def _is_successful(write: asyncio.Future) -> bool:
     return not write.cancelled() and write.exception() is None
-
-
-def _record_name(process: str, target: str) -> str:
-    """Returns the name of a record; hashed, as the store bounds its length."""
-    digest = xxhash.xxh3_128_hexdigest(f"{process}\0{target}".encode())
-    return RECORD_PREFIX + digest
--- a/forklift/shell/quarantine_store.py
+++ b/forklift/shell/quarantine_store.py
@@ -17,14 +17,12 @@
 from forklift import messages
 from forklift import quarantine as quarantines
 from forklift import rendezvous
+from forklift import stored_records
 from forklift.shell import clock as clocks
 from forklift.shell import store_follower
 
 _log = structlog.get_logger(__name__)
 
-# Prefix of the records' names; no name of a process starts with it.
-RECORD_PREFIX = "held/"
-
 
 class QuarantineStore:
     """Writes and loads the evidence of the quarantine of a process."""
@@ -101,7 +99,7 @@
             data: Contents of the record.
         """
         try:
-            stored = messages.decode_evidence(data)
+            stored = stored_records.decode(name, data)
         except messages.MalformedMessage as error:
             invalid_input.record(
                 invalid_input.Source.MEMBER, str(error), name=name
@@ -110,6 +108,9 @@
         age = max(0.0, self._clock.wall() - stored.at)
         evidence = quarantines.age_evidence(stored.evidence, age)
         self._quarantine.merge([evidence], self._clock.monotonic())
+        if not self._quarantine.has_evidence(evidence.fingerprint):
+            # There is evidence against more requests than are kept.
+            return
         crashes = frozenset(crash.id for crash in evidence.crashes)
         self._crash_ids_by_fingerprint[evidence.fingerprint] = crashes
 
@@ -141,7 +142,7 @@
                 data = messages.encode(messages.StoredEvidence(wall, evidence))
             try:
                 await self._store.announce(
-                    RECORD_PREFIX + fingerprint.hex(), data
+                    stored_records.evidence_name(fingerprint), data
                 )
                 return
             except errors.RegistryUnavailable as error:
--- a/forklift/shell/store_follower.py
+++ b/forklift/shell/store_follower.py
@@ -228,6 +228,7 @@
     on_members: Callable[[interfaces.MembersRead], None],
     records_lost: asyncio.Event,
     process_count: Callable[[], int] = lambda: 1,
+    accepts: Callable[[str, bytes], bool] = lambda name, data: True,
 ) -> None:
     """Announces this process in the store and reads the members, repeatedly.
 
@@ -244,10 +245,11 @@
         on_members: Called with the records of all members.
         records_lost: Set when the store has lost records.
         process_count: Returns the number of processes in the fleet.
+        accepts: See `interfaces.Registry.members`.
     """
     while True:
         records_lost.clear()
-        await _join_fleet_once(store, rng, name, data, on_members)
+        await _join_fleet_once(store, rng, name, data, on_members, accepts)
         interval = ANNOUNCE_INTERVAL * (0.5 + rng.random() / 2)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(interval):
@@ -272,6 +274,7 @@
     name: str,
     data: bytes,
     on_members: Callable[[interfaces.MembersRead], None],
+    accepts: Callable[[str, bytes], bool],
 ) -> None:
     backoff = Backoff(rng)
     announced = False
@@ -280,7 +283,7 @@
             if not announced:
                 await store.announce(name, data)
                 announced = True
-            on_members(await store.members())
+            on_members(await store.members(accepts))
             return
         except errors.RegistryUnavailable as error:
             _log.info("join_failed", detail=str(error))
--- a/forklift_lab/store.py
+++ b/forklift_lab/store.py
@@ -18,6 +18,7 @@
 
 MAX_WAIT = 30.0
 MAX_PAGE = 500
+MAX_PAGE_BYTES = 1 << 20
 RAW = b"application/octet-stream"
 # Tells in which era the store answers.
 ERA = b"store-era"
@@ -238,7 +239,12 @@
         partition = self._partition(query)
         after = query.get("after", "")
         keys = [k for k in sorted(partition.newest_by_key) if k > after]
-        page = keys[:MAX_PAGE]
+        page, size = [], 0
+        for key in keys[:MAX_PAGE]:
+            size += len(partition.newest_by_key[key][1])
+            if page and size > MAX_PAGE_BYTES:
+                break
+            page.append(key)
         items = [
             {
                 "key": key,
--- a/test/test_quarantine_store.py
+++ b/test/test_quarantine_store.py
@@ -7,6 +7,7 @@
 from forklift import invalid_input
 from forklift import messages
 from forklift import quarantine as quarantines
+from forklift import stored_records
 from forklift.shell import quarantine_store
 from forklift.shell import store_follower
 from test import helper
@@ -146,7 +147,7 @@
         )
         for data in (b"", b"\xff", b"{}", not_finite):
             one.quarantine_store.load(
-                quarantine_store.RECORD_PREFIX + "x", data
+                stored_records.EVIDENCE_PREFIX + "x", data
             )
         assert not quarantined_for(one)
         after = invalid_input.count_by_source[invalid_input.Source.MEMBER]
--- a/test/test_query_of_death.py
+++ b/test/test_query_of_death.py
@@ -11,10 +11,10 @@
 from forklift import fingerprint
 from forklift import header_fields
 from forklift import heartbeats
+from forklift import stored_records
 from forklift.shell import clock
 from forklift.shell import http
 from forklift.shell import logs
-from forklift.shell import quarantine_store
 from forklift.shell import shutdown
 from forklift.ui import run
 from forklift_lab import scripted
@@ -202,7 +202,7 @@
             await fleet.ask(0, "/a/deadly")
             await restart_crashed_targets(fleet)
         before = total_crashes(fleet)
-        await helper.until(lambda: stored_records(fleet))
+        await helper.until(lambda: evidence_records(fleet))
         for one in fleet.proxies:
             await one.close()
         fleet.proxies.clear()
@@ -225,13 +225,13 @@
     processes.play(work, [[], [], []])
 
 
-def stored_records(fleet: processes.Fleet) -> list[str]:
+def evidence_records(fleet: processes.Fleet) -> list[str]:
     """Names of the records of quarantined requests in the store."""
     return [
         key
         for partition in fleet.store.partition_by_place.values()
         for key in partition.newest_by_key
-        if key.startswith(quarantine_store.RECORD_PREFIX)
+        if key.startswith(stored_records.EVIDENCE_PREFIX)
     ]
 
 
@@ -485,7 +485,7 @@
     async def work(fleet):
         for one in fleet.proxies:
             quarantine_locally(one)
-        await helper.until(lambda: stored_records(fleet))
+        await helper.until(lambda: evidence_records(fleet))
 
     processes.play(work, [[], [], []])
 
--- a/test/test_restored_departures.py
+++ b/test/test_restored_departures.py
@@ -11,6 +11,7 @@
 
 from forklift import departures
 from forklift import messages
+from forklift import stored_records
 from forklift.shell import departure_store
 from forklift.shell import store_follower
 from forklift.shell import target_registry
@@ -147,7 +148,7 @@
     return [
         record.epoch
         for name, (_, data) in partition.newest_by_key.items()
-        if name.startswith(departure_store.RECORD_PREFIX)
+        if name.startswith(stored_records.DEPARTURE_PREFIX)
         and isinstance(record := departures.decode(data), departures.Checkpoint)
     ]
 
--- a/test/test_store_restored.py
+++ b/test/test_store_restored.py
@@ -12,9 +12,8 @@
 
 from forklift import errors
 from forklift import interfaces
+from forklift import stored_records
 from forklift.platform import store as platform_store
-from forklift.shell import departure_store
-from forklift.shell import quarantine_store
 from forklift.shell import server
 from forklift.shell import store_follower
 from forklift_lab import store as fake_store
@@ -282,7 +281,7 @@
 
 
 def announced_processes(fleet) -> set[str]:
-    prefixes = (departure_store.RECORD_PREFIX, quarantine_store.RECORD_PREFIX)
+    prefixes = (stored_records.DEPARTURE_PREFIX, stored_records.EVIDENCE_PREFIX)
     return {
         name for name in announced_names(fleet) if not name.startswith(prefixes)
     }
@@ -324,7 +323,7 @@
     return [
         name
         for name in announced_names(fleet)
-        if name.startswith(quarantine_store.RECORD_PREFIX)
+        if name.startswith(stored_records.EVIDENCE_PREFIX)
     ]
 
 
@@ -337,7 +336,7 @@
             async def announce(self, name, data):
                 announced.append(name)
 
-            async def members(self):
+            async def members(self, accepts):
                 return interfaces.MembersRead({}, 0)
 
         async def record_sleep(seconds):
