A response without end is broken off once its caller is gone

Cause: the response to a request that must run once is read to its end after its caller has left, so that its result is known, whatever its length.

Change: at most 1 MB is read then.

--- a/forklift/shell/local_targets.py
+++ b/forklift/shell/local_targets.py
@@ -23,6 +23,7 @@
 from forklift import target_notices
 from forklift.shell import connection_pool
 from forklift.shell import exchange
+from forklift.shell import tcp_stream
 from forklift.shell import upstream
 
 _log = structlog.get_logger(__name__)
@@ -31,6 +32,8 @@
 
 # Size of a random crash ID, in bits; IDs are unique in the fleet.
 _CRASH_ID_BITS = 63
+# Maximum number of bytes of a response that are read after its sender is gone.
+MAX_DISCARDED_BYTES = 1 << 20
 _SIGNAL_BY_REASON = {
     Reason.CONNECT_FAILED: Signal.UNREACHABLE,
     Reason.SHED: Signal.SHED,
@@ -61,11 +64,13 @@
     """Sink of a request that may outlive its sender.
 
     Once the sender is gone, the response is read to its end and discarded, so
-    that its result is recorded and the connection can be reused.
+    that its result is recorded and the connection can be reused. A long one is
+    broken off.
     """
 
     def __init__(self, sink: exchange.Sink):
         self._sink = sink
+        self._discarded_bytes = 0
         self.is_detached = False
 
     @property
@@ -82,6 +87,10 @@
         """See `exchange.Sink`."""
         if not self.is_detached:
             await self._sink.data(chunk)
+            return
+        self._discarded_bytes += len(chunk)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            raise tcp_stream.ConnectionLost("the sender is gone")
 
     async def end(self) -> None:
         """See `exchange.Sink`."""
