An idle target without idempotent requests asks for any request

What callers saw: with only requests that must run once, a sound target got one request and then none, while all others shared its part.

Cause: an idle target becomes unproven, and a request that must run once prefers proven targets. An announcement of an idle target was answered with idempotent requests only, so without any nothing could prove it.

Change: a target that has had no idempotent request for 5 s, and is not suspect, asks for any request, until three have started. Where idempotent requests come, they go first as before. The message has one more field, whose default is what earlier versions send.

--- a/forklift/admission.py
+++ b/forklift/admission.py
@@ -36,6 +36,9 @@
 # Highest unhealthy probability at which a target counts as proven. A target
 # that responded successfully a second ago is below it.
 MAX_PROVEN_PROBABILITY = 0.15
+# Seconds without an idempotent request after which a target counts as one that
+# gets none. Many times the idle time after which it asks others for one.
+IDEMPOTENT_MEMORY_SECONDS = 5.0
 # Idle time reported by a target that has run no request yet. Longer idle times
 # are reported as this value.
 UNUSED_IDLE_SECONDS = 1000.0
@@ -164,6 +167,8 @@
         )
         self.starts = 0
         self._last_start = float("-inf")
+        # Counted from the first start, as idempotent requests may follow.
+        self._last_idempotent_start = math.inf
         self.queue = request_queue.Queue(self._distribution, rules)
 
     @property
@@ -190,6 +195,10 @@
         """Seconds since the last start, at most `UNUSED_IDLE_SECONDS`."""
         return round(min(UNUSED_IDLE_SECONDS, now - self._last_start), 2)
 
+    def lacks_idempotent_requests(self, now: float) -> bool:
+        """Whether no idempotent request has started for long."""
+        return now - self._last_idempotent_start > IDEMPOTENT_MEMORY_SECONDS
+
     def load(self, now: float, route: str = "") -> messages.Load:
         """Load and state of the target, for load balancers.
 
@@ -414,6 +423,8 @@
         distribution = self._distribution(ticket, now)
         self._slots_in_use.take(ticket, distribution, now)
         self._last_start = now
+        if ticket.idempotent or self._last_idempotent_start > now:
+            self._last_idempotent_start = now
         self.starts += 1
         self.queue.record_start(ticket, now)
         self.rate_limit.take(now, ticket.priority)
--- a/forklift/idle_phases.py
+++ b/forklift/idle_phases.py
@@ -32,6 +32,9 @@
 LATER_FANOUT = 2
 # Seconds between later announcements.
 LATER_INTERVAL_SECONDS = 0.5
+# Number of requests of any kind that a target asks for if it gets no idempotent
+# ones. As many successes show that it is as healthy as those in use.
+ANY_KIND_REQUESTS = 3
 # Seconds for which the sender of a request counts as one that has callers.
 SENDER_SECONDS = 10.0
 # Maximum number of senders that are remembered for a target.
@@ -102,6 +105,65 @@
             del self._phase_by_target[name]
 
 
+@dataclasses.dataclass
+class _Proof:
+    """Requests by which a target shows its health.
+
+    Attributes:
+        until_starts: Number of started requests at which it has shown it.
+        next_at: Time of the next announcement, monotonic seconds.
+    """
+
+    until_starts: int
+    next_at: float = float("-inf")
+
+
+class Proofs:
+    """Local targets that go on asking for requests after they were idle.
+
+    Without idempotent requests, only those that must run once can show the
+    health of a target. One of them is too few, as the target would be unproven
+    again before another process chooses it.
+    """
+
+    def __init__(self):
+        self._proof_by_target: dict[str, _Proof] = {}
+
+    def begin(self, target: str, starts: int) -> None:
+        """Records that an idle target asks for requests of any kind.
+
+        Args:
+            target: Name of the target.
+            starts: Requests that the target has started.
+        """
+        proof = _Proof(starts + ANY_KIND_REQUESTS)
+        self._proof_by_target.setdefault(target, proof)
+
+    def is_due(self, target: str, starts: int, now: float) -> bool:
+        """Whether to announce a target that is no longer idle again.
+
+        Args:
+            target: Name of the target.
+            starts: Requests that the target has started.
+            now: Monotonic seconds.
+        """
+        proof = self._proof_by_target.get(target)
+        if proof is None:
+            return False
+        if starts >= proof.until_starts:
+            del self._proof_by_target[target]
+            return False
+        if now < proof.next_at:
+            return False
+        proof.next_at = now + FIRST_INTERVAL_SECONDS
+        return True
+
+    def retain(self, targets: Iterable[str]) -> None:
+        """Forgets all other targets."""
+        for name in self._proof_by_target.keys() - set(targets):
+            del self._proof_by_target[name]
+
+
 def choose_peers(
     candidates: Collection[str],
     preferred: Collection[str],
--- a/forklift/idle_selection.py
+++ b/forklift/idle_selection.py
@@ -111,22 +111,21 @@
         """Returns a target that another process announced as idle, if any.
 
         An idempotent request can be retried if the target turns out to be
-        unhealthy. Any other goes there only while requests fail anyway, or if
-        the target has never received one.
+        unhealthy. Any other goes there only while requests fail anyway, if the
+        target has never received one, or if it asks for any, as no idempotent
+        request has reached it that could show its health.
         """
         announced = [
             view
             for view in healthy
             if view.wants_work(now) and view.probably_accepts(now)
         ]
-        must_be_unused = (
-            not idempotent and failure_rate.combined(now) < HIGH_FAILURE_SHARE
-        )
-        if must_be_unused:
+        if not idempotent:
+            is_failing = failure_rate.combined(now) >= HIGH_FAILURE_SHARE
             announced = [
                 view
                 for view in announced
-                if view.idle_seconds(now) > MIN_UNUSED_IDLE_SECONDS
+                if _takes_any_kind(view, is_failing, now)
             ]
         if not announced:
             return None
@@ -147,6 +146,15 @@
         self.count_by_source[source] += 1
 
 
+def _takes_any_kind(view: TargetView, is_failing: bool, now: float) -> bool:
+    """Whether an announced target gets a request that must run once."""
+    idle_seconds = view.idle_seconds(now)
+    if not view.asks_for_any_kind:
+        return is_failing or idle_seconds > MIN_UNUSED_IDLE_SECONDS
+    # One that goes on asking after a first success is not idle.
+    return not is_failing or idle_seconds > MAX_LOCAL_IDLE_SECONDS
+
+
 def _max_idle_seconds(failure_rate: rates.FailureRate, now: float) -> float:
     """Returns the idle time after which a target gets the next request.
 
--- a/forklift/load_balancer.py
+++ b/forklift/load_balancer.py
@@ -241,9 +241,21 @@
             view.mark_draining()
 
     def record_work_request(
-        self, target: str, load: messages.Load, now: float
+        self,
+        target: str,
+        load: messages.Load,
+        now: float,
+        any_kind: bool = False,
     ) -> None:
-        """Records that an idle target asks for a request."""
+        """Records that an idle target asks for a request.
+
+        Args:
+            target: Name of the target.
+            load: Its current load.
+            now: Monotonic seconds.
+            any_kind: Whether it asks for any request, and not for an idempotent
+                one only.
+        """
         self.update_load(target, load, now)
         for service_state in self._state_by_service.values():
             view = service_state.view_by_target.get(target)
@@ -251,6 +263,7 @@
                 view.work_requested_until = (
                     now + idle_selection.WORK_REQUEST_SECONDS
                 )
+                view.asks_for_any_kind = any_kind
                 service_state.subset.announce(target)
 
     # Selection.
--- a/forklift/messages.py
+++ b/forklift/messages.py
@@ -641,11 +641,13 @@
         sender: Process that owns the target.
         target: Name of the target.
         load: Current load of the target.
+        any_kind: Whether it asks for any request, as no idempotent one comes.
     """
 
     sender: Sender
     target: str
     load: Load
+    any_kind: bool = False
 
 
 class StoredEvidence(_Message, tag=23):
--- a/forklift/shell/control_protocols.py
+++ b/forklift/shell/control_protocols.py
@@ -202,6 +202,7 @@
         load: messages.Load,
         count: int,
         preferred: Collection[str] = (),
+        any_kind: bool = False,
     ) -> None:
         """Announces an idle target to some processes, near ones if possible.
 
@@ -211,13 +212,15 @@
             count: Number of processes to ask.
             preferred: Names of processes that are known to have callers. Half
                 of the announcements are sent to them.
+            any_kind: Whether to ask for any request, and not for an idempotent
+                one only.
         """
         address_by_name = self._near_peers()
         names = idle_phases.choose_peers(
             address_by_name, preferred, count, self._rng
         )
         sender = messages.sender_of(self.directory.own)
-        message = messages.IdleTarget(sender, target, load)
+        message = messages.IdleTarget(sender, target, load, any_kind)
         self._send(
             [gossip.Send(address_by_name[name], message) for name in names]
         )
@@ -307,7 +310,7 @@
             return
         if isinstance(message, messages.IdleTarget):
             self._balancer.record_work_request(
-                message.target, message.load, now
+                message.target, message.load, now, message.any_kind
             )
             return
         if isinstance(message, messages.LeavingTargets):
--- a/forklift/shell/idle_targets.py
+++ b/forklift/shell/idle_targets.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from forklift import admission
 from forklift import idle_phases
 from forklift import idle_selection
 from forklift import load_balancer
@@ -32,7 +33,7 @@
         self,
         targets: local_targets.LocalTargets,
         balancer: load_balancer.LoadBalancer,
-        send: Callable[[str, messages.Load, int, list[str]], None],
+        send: Callable[[str, messages.Load, int, list[str], bool], None],
     ):
         """Creates an observer of the local targets.
 
@@ -40,12 +41,14 @@
             targets: The local targets.
             balancer: Knows the requests that this process receives.
             send: Sends the name and the load of an idle target to a number of
-                processes, preferably to the named ones.
+                processes, preferably to the named ones, and whether it asks for
+                any request.
         """
         self._targets = targets
         self._balancer = balancer
         self._send = send
         self._phases = idle_phases.IdlePhases()
+        self._proofs = idle_phases.Proofs()
         self._senders_by_target: dict[str, idle_phases.RecentSenders] = {}
         self.announcements = 0
 
@@ -56,6 +59,7 @@
             controller = local_target.controller
             if controller.idle_seconds(now) <= idle_phases.IDLE_TARGET_SECONDS:
                 self._end_phase(name)
+                self._prove(name, controller, now)
                 continue
             load = controller.load(now)
             if not idle_phases.is_usable(load):
@@ -63,7 +67,9 @@
                 continue
             requests = self._balancer.request_count(controller.service)
             phase = self._phases.observe(name, requests)
-            self._announce(name, load, phase, now)
+            fanout = phase.next_fanout(now)
+            if fanout:
+                self._announce(name, controller, fanout, now)
             self._log_phase(controller.service, name, load, phase, now)
 
     def record_sender(
@@ -78,24 +84,43 @@
     def _retain(self, targets: Iterable[str]) -> None:
         """Forgets all other targets."""
         self._phases.retain(targets)
+        self._proofs.retain(targets)
         for name in self._senders_by_target.keys() - set(targets):
             del self._senders_by_target[name]
 
+    def _prove(
+        self, name: str, controller: admission.Controller, now: float
+    ) -> None:
+        """Announces a target that has not shown its health since it was idle.
+
+        The end of a request that it runs shows it, so it asks for no other
+        meanwhile.
+        """
+        if (
+            _asks_for_any_kind(controller, now)
+            and not controller.running
+            and self._proofs.is_due(name, controller.starts, now)
+        ):
+            self._announce(name, controller, idle_phases.LATER_FANOUT, now)
+
     def _announce(
         self,
         name: str,
-        load: messages.Load,
-        phase: idle_phases.IdlePhase,
+        controller: admission.Controller,
+        fanout: int,
         now: float,
     ) -> None:
-        """Announces an idle target if an announcement is due."""
-        fanout = phase.next_fanout(now)
-        if not fanout:
-            return
+        """Asks a number of processes for a request."""
+        load = controller.load(now)
+        any_kind = _asks_for_any_kind(controller, now)
+        if any_kind:
+            self._proofs.begin(name, controller.starts)
+            # The callers of this process know of it, too.
+            self._balancer.record_work_request(name, load, now, any_kind)
         senders = self._senders_by_target.get(name)
         names = senders.names(load.state, now) if senders is not None else []
         self.announcements += 1
-        self._send(name, load, fanout, names)
+        self._send(name, load, fanout, names, any_kind)
 
     def _log_phase(
         self,
@@ -128,3 +153,9 @@
             _log.info(
                 "target_used", target=name, announcements=phase.announcements
             )
+
+
+def _asks_for_any_kind(controller: admission.Controller, now: float) -> bool:
+    """Whether only requests that must run once can show a target's health."""
+    is_sound = controller.state is messages.TargetState.IN_SERVICE
+    return is_sound and controller.lacks_idempotent_requests(now)
--- a/forklift/target_view.py
+++ b/forklift/target_view.py
@@ -36,6 +36,8 @@
             while the target is ejected.
         work_requested_until: Monotonic seconds until which an announcement
             holds that the target is idle.
+        asks_for_any_kind: Whether the announcement asks for any request, and
+            not for an idempotent one only.
         version: Version of the last load report.
         rate_limit: Rate limit of the target as last reported; None if there
             is none.
@@ -58,6 +60,7 @@
         self.pick_count = 0
         self.next_trial_at = 0.0
         self.work_requested_until = float("-inf")
+        self.asks_for_any_kind = False
         self._state = info.state
         self.version = 0
         self.rate_limit: messages.RateLimitStatus | None = None
--- a/test/floor_simulation.py
+++ b/test/floor_simulation.py
@@ -179,6 +179,7 @@
         load: messages.Load,
         count: int,
         preferred: list[str],
+        any_kind: bool,
     ) -> None:
         """Delivers an announcement to processes of the same domain."""
         names = idle_phases.choose_peers(
@@ -191,7 +192,7 @@
                 self._now + self._load_of_service.delay,
                 lambda at, name=name: self.process_by_name[
                     name
-                ].balancer.record_work_request(target, load, at),
+                ].balancer.record_work_request(target, load, at, any_kind),
             )
 
     def _is_lost(self) -> bool:
--- a/test/test_proxy.py
+++ b/test/test_proxy.py
@@ -819,11 +819,11 @@
         other = fleet.proxies[1].balancer
         record_work_request = other.record_work_request
 
-        def record_announcement(target, load, now):
+        def record_announcement(target, load, now, any_kind):
             announced.append(
                 (target, load.idle > idle_phases.IDLE_TARGET_SECONDS)
             )
-            record_work_request(target, load, now)
+            record_work_request(target, load, now, any_kind)
 
         other.record_work_request = record_announcement
         await helper.until(lambda: announced)
