A request that must run once is answered by its timeout, whatever its peer does

Cause: the peer was asked never to start the request only once the timeout had passed, and the caller was answered after that: up to 0.5 s for a fence, 2 s for a new connection and 0.5 s for relays.

Change: the fence is sent before the timeout, at most a fifth of the time left when the request was sent, and nothing is awaited after the timeout.

`test_request_that_must_run_once_times_out_in_time` fails before: with a fence that does not end, the caller got no answer within 30 s.

--- a/forklift/shell/dispatch.py
+++ b/forklift/shell/dispatch.py
@@ -31,6 +31,9 @@
 # Time after the deadline of a request for which the target's process may still
 # report the result.
 DEADLINE_GRACE_SECONDS = 0.05
+# Maximum fraction of the time left at which a request that may run once only is
+# fenced before its timeout. Requests start earlier than that or not at all.
+MAX_FENCE_LEAD_FRACTION = 0.2
 # Bodies of this size or more, in bytes, are sent only after the request is
 # admitted, so that a rejection costs only the transfer of the head.
 MIN_DEFERRED_BODY_BYTES = 1024
@@ -191,7 +194,6 @@
             exclusive=exclusive,
             rate_limit=selection.rate_limit,
         )
-        to_boot = connection.peer_hello.boot
         in_flight = _InFlight(connection, start, request, sink)
         self._in_flight.add(in_flight)
         try:
@@ -204,14 +206,9 @@
                     connection, start, request, sink
                 )
         except TimeoutError:
-            result = exchange.unknown(Reason.TIMEOUT)
+            return exchange.unknown(Reason.TIMEOUT)
         finally:
             self._in_flight.discard(in_flight)
-        if request.idempotent or sink.has_started:
-            return result
-        if await self._fence(selection.process, seq, to_boot):
-            return exchange.not_run(Reason.FENCED, 0.0, result.load)
-        return result
 
     async def _send_non_idempotent(
         self,
@@ -222,27 +219,24 @@
     ) -> exchange.Result:
         """Sends a non-idempotent request and fences it if the connection fails.
 
-        If the peer is unresponsive, other processes relay the fence request, as
-        they may still reach the peer.
+        It is also fenced shortly before it times out, so that the caller is
+        told in time whether it has run.
         """
         process = connection.peer_hello.name
         response = asyncio.create_task(
             connection.send_request(start, request, sink)
         )
-        unresponsive = asyncio.create_task(connection.unresponsive.wait())
+        fencing = asyncio.create_task(self._fence_in_time(connection, start))
         try:
             await asyncio.wait(
-                (response, unresponsive), return_when=asyncio.FIRST_COMPLETED
+                (response, fencing), return_when=asyncio.FIRST_COMPLETED
             )
-            if not response.done() and not sink.has_started:
-                fencing = self._fence_through_relays(
-                    process, start.seq, connection.peer_hello.boot
-                )
-                if await fencing and not sink.has_started:
-                    return exchange.not_run(Reason.FENCED)
+            is_fenced = not response.done() and fencing.result()
+            if is_fenced and not sink.has_started:
+                return exchange.not_run(Reason.FENCED)
             result = await response
         finally:
-            unresponsive.cancel()
+            fencing.cancel()
             response.cancel()
         is_peer_lost = result.ending.reason is Reason.PEER_LOST
         is_unknown = result.ending.outcome is Outcome.UNKNOWN
@@ -252,6 +246,34 @@
             return exchange.not_run(Reason.FENCED, 0.0, result.load)
         return result
 
+    async def _fence_in_time(
+        self,
+        connection: peer_client.ClientConnection,
+        start: messages.RequestStart,
+    ) -> bool:
+        """Fences a request once its peer is silent, or before it times out.
+
+        If the peer is silent, other processes relay the fence request, as they
+        may still reach the peer.
+
+        Returns:
+            Whether it is certain that the request never starts there.
+        """
+        peer = connection.peer_hello
+        lead = min(
+            peer_client.FENCE_TIMEOUT, MAX_FENCE_LEAD_FRACTION * start.remaining
+        )
+        try:
+            async with asyncio.timeout(start.remaining - lead):
+                await connection.unresponsive.wait()
+                if await self._fence_through_relays(
+                    peer.name, start.seq, peer.boot
+                ):
+                    return True
+                await asyncio.Event().wait()
+        except TimeoutError:
+            return await self._fence(peer.name, start.seq, peer.boot)
+
     async def _fence(self, process: str, seq: int, to_boot: int) -> bool:
         """Fences a request at the target's process.
 
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -14,6 +14,7 @@
 
 from forklift import heartbeats
 from forklift.shell import flow_control
+from forklift.shell import peer_client
 from forklift.shell import peer_server
 from forklift.shell import shutdown
 from forklift.shell import tcp_stream
@@ -295,6 +296,46 @@
     helper.run(work())
 
 
+def test_request_that_must_run_once_times_out_in_time(monkeypatch):
+    """A fence of a silent peer was awaited after the timeout."""
+    # Longer than the test waits.
+    monkeypatch.setattr(peer_client, "FENCE_TIMEOUT", 1000.0)
+
+    async def work():
+        first = patient("non_idempotent", **{"timeout-ms": 1500})
+        async with relayed_fleet([[], []], first) as (fleet, link):
+            ingress = fleet.proxies[0]
+            assert (await fleet.ask()).status == 200
+            caller = Caller(ingress.caller_address)
+            silence(link)
+            await caller.send()
+            await helper.until(lambda: caller.status)
+            assert caller.status == 504
+            assert fleet.runs() == 1
+
+    helper.run(work())
+
+
+def test_request_in_a_queue_at_its_timeout_is_told_that_it_did_not_run():
+    async def work():
+        first = patient("non_idempotent", **{"timeout-ms": 3000})
+        async with relayed_fleet([[], ["hold"]], first) as (fleet, _):
+            ingress, owner = fleet.proxies
+            owner.local_targets.by_name["t1"].controller.slots = 1
+            running, waiting = (
+                Caller(ingress.caller_address) for _ in range(2)
+            )
+            await running.send()
+            await helper.until(lambda: fleet.runs() == 1)
+            await waiting.send()
+            await helper.until(lambda: running.status and waiting.status)
+            assert running.status == 504
+            assert waiting.status == 503
+            assert fleet.runs() == 1
+
+    helper.run(work())
+
+
 def test_lost_connection_never_makes_a_part_look_whole():
     """Guards against a response that ends early and appears complete."""
 
