The soak sends long bodies, and callers leave them

Callers leave in mid-upload, or after the whole body while they wait.

Not part of it yet: departures without `draining`, kills right after an acknowledgement, successors at one address.

--- a/forklift_lab/promises.py
+++ b/forklift_lab/promises.py
@@ -13,6 +13,7 @@
 from forklift_lab import records
 from forklift_lab import scripted
 from forklift_lab import soak as soaks
+from forklift_lab import uploads
 
 _NO_ROUTE = 404
 # Seconds after which a version must be in force, in addition to the time by
@@ -30,6 +31,9 @@
     store_follower.MAX_POLL_SECONDS * (1 + store_follower.POLL_JITTER)
     + store.LONG_POLL_MARGIN
 )
+# Seconds after its caller has left within which a request may still reach a
+# target, in addition to those by which this loop was late: the users' bound.
+GONE_WITHIN = 0.5
 # Seconds in which the requests of a limited target are counted, and what it may
 # get in these: a multiple of its limit, and a number. Answers bind a process
 # from so many seconds on.
@@ -82,6 +86,47 @@
     ]
 
 
+@soaks.promise("a run has the whole body that its caller sent")
+def _whole_bodies(soak: soaks.Soak) -> list[str]:
+    """No part of a body is run as if it were the whole."""
+    name = platform_headers.PLATFORM.request_id
+    return [
+        f"{own}: {len(received.body)} of {len(upload.body)} bytes, "
+        f"{'in chunks' if upload.is_chunked else 'with its length'}"
+        for target in soak.running.target_by_name.values()
+        for received in target.received
+        for own in [received.field(name).decode()]
+        for upload in [soak.upload_by_id.get(own)]
+        if upload and uploads.digest(received.body) != upload.digest
+    ]
+
+
+@soaks.promise("a request reaches no target long after its caller has left")
+def _nothing_after_callers(soak: soaks.Soak) -> list[str]:
+    """Unless a process or a link was harmed, which may have held it back."""
+    name = platform_headers.PLATFORM.request_id
+    late = []
+    for target in soak.running.target_by_name.values():
+        for received in target.received:
+            own = received.field(name).decode()
+            _, left = soak.left_at_by_id.get(own, ("", math.inf))
+            within = GONE_WITHIN + soak.late(left, received.at)
+            if received.at > left + within and not _was_held_up(
+                soak, left - soaks.CONTACT, received.at
+            ):
+                late.append(f"{own} {received.at - left:.1f} s after")
+    return late
+
+
+def _was_held_up(soak: soaks.Soak, since: float, until: float) -> bool:
+    """Whether any process or link was harmed in a span."""
+    return any(
+        _overlap(spans, since, until)
+        for spans_by_place in (soak.harms_by_place, soak.cuts_by_place)
+        for spans in spans_by_place.values()
+    )
+
+
 @soaks.promise("own answer")
 def _own(soak: soaks.Soak) -> list[str]:
     return [seen.id for seen in soak.seen if not seen.own]
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -35,6 +35,8 @@
 REPEATED_PARTS = 100
 # Seconds that a slow answer takes.
 SLOW = 0.05
+# Seconds that a late answer takes: long after one that is usual.
+LATE = 0.8
 # Seconds after a whole answer at which more bytes follow.
 LATER = 0.02
 # Field of all answers that names the target, as a hedged request reaches two.
@@ -346,6 +348,12 @@
     connection.send(connection.answer(received))
 
 
+@fault("late")
+async def _late(connection: Connection, received: Received) -> None:
+    await asyncio.sleep(LATE)
+    connection.send(connection.answer(received))
+
+
 @fault("crash")
 async def _crash(connection: Connection, received: Received) -> None:
     connection.crash()
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -26,6 +26,7 @@
 from forklift_lab import records
 from forklift_lab import relay
 from forklift_lab import scripted
+from forklift_lab import uploads
 
 DOMAINS = ("plateau", "almadies")
 # Processes of a seed: few, whose troubles meet, or more than one asks at once.
@@ -73,6 +74,10 @@
 # are slow or held back. They draw these troubles and planned ones alone, as
 # others would excuse an answer that was cut off.
 LARGE_ANSWERS_FROM = 80_000
+# Seeds from this one on send long bodies to targets that are slow at times.
+UPLOADS_FROM = 90_000
+# Callers for each process that send long bodies.
+UPLOADERS = 2.0
 LARGE_PATHS = tuple(f"/{name}/ ".encode() for name in records.LARGE_KINDS)
 # Requests that a target of such a seed runs at once: most wait for their bytes.
 LARGE_SLOTS = 12
@@ -122,6 +127,10 @@
         self.resets_by_place = _spans()
         # Large answers, as far as they arrived.
         self.large: list[observations.LargeAnswer] = []
+        # Uploads by identity.
+        self.upload_by_id: dict[str, uploads.Upload] = {}
+        # The process and the loop seconds at which callers left.
+        self.left_at_by_id: dict[str, tuple[str, float]] = {}
         # When connections of each process that were open fell silent.
         self.died_at_by_place: dict[str, list[float]] = collections.defaultdict(
             list
@@ -142,11 +151,14 @@
         self.ended_at_by_incarnation: dict[
             heartbeats.TargetIncarnation, float
         ] = {}
-        self._asks_large = seed >= LARGE_ANSWERS_FROM
+        self._asks_large = LARGE_ANSWERS_FROM <= seed < UPLOADS_FROM
+        self._uploads = seed >= UPLOADS_FROM
         self._returning = _adds(seed, RETURNS_FROM)
         themes = (*THEMES, RETURNS) if self._returning else THEMES
         if self._asks_large:
             themes = (LARGE_ANSWERS,)
+        if self._uploads:
+            themes = (UPLOADS,)
         self.theme = self.rng.choice(themes)
         self._troubles = list(names_by_theme[self.theme])
         if self._returning and self.theme != RETURNS:
@@ -154,6 +166,9 @@
         if self._asks_large:
             self._troubles *= LARGE_ANSWERS_SHARE
             self._troubles += names_by_theme[PLANNED]
+        if self._uploads:
+            self._troubles *= UPLOADS_SHARE
+            self._troubles += names_by_theme[ALL]
         self._deadly = _adds(seed, DEADLY_FROM)
         if self._deadly:
             self._troubles += names_by_theme[CRASHES] * DEADLY_SHARE
@@ -381,6 +396,34 @@
         )
         return answer.complete and asker.reuse()
 
+    async def upload(self, rng: random.Random) -> None:
+        """One caller that sends long bodies, and leaves some of them."""
+        while not self.over:
+            place = rng.choice(self.running.places)
+            kind = rng.choice(tuple(records.KINDS))
+            upload = uploads.draw(rng, self.new_id(kind), f"/{kind}/")
+            self.upload_by_id[upload.id] = upload
+            incarnation = self.runs_by_place[place.name]
+            began = self.now()
+            status, own = await uploads.send(place.caller, upload)
+            if upload.is_left:
+                self.left_at_by_id[upload.id] = (place.name, self.now())
+            else:
+                self.seen.append(
+                    observations.Seen(
+                        upload.id,
+                        place.name,
+                        began,
+                        self.now(),
+                        status,
+                        own,
+                        hung=not status
+                        and self.now() - began >= uploads.HANGS_AFTER,
+                        incarnation=incarnation,
+                    )
+                )
+            await asyncio.sleep(THINKS)
+
     async def ask_kept(
         self, asker: kept.Kept, place: programs.Place, gap: float = 0.0
     ) -> bool:
@@ -453,6 +496,11 @@
                 asyncio.create_task(self.download(random.Random(number)))
                 for number in range(int(count * DOWNLOADERS))
             ]
+        if self._uploads:
+            callers += [
+                asyncio.create_task(self.upload(random.Random(number)))
+                for number in range(int(count * UPLOADERS))
+            ]
         watching = asyncio.create_task(self.watch())
         troubles = [
             asyncio.create_task(self.trouble()) for _ in range(TROUBLES)
@@ -607,8 +655,19 @@
 # drawn.
 LARGE_ANSWERS = "large answers"
 LARGE_ANSWERS_SHARE = 3
+# Targets that are slow while long bodies are sent, and how often that is drawn.
+UPLOADS = "uploads"
+UPLOADS_SHARE = 8
 # Themes whose troubles only later seeds draw.
-_OWN_THEMES = {RETURNS, CRASHES, GOES_BACK, NOTICES, LARGE, LARGE_ANSWERS}
+_OWN_THEMES = {
+    RETURNS,
+    CRASHES,
+    GOES_BACK,
+    NOTICES,
+    LARGE,
+    LARGE_ANSWERS,
+    UPLOADS,
+}
 names_by_theme: dict[str, list[str]] = collections.defaultdict(list)
 
 
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -210,6 +210,13 @@
     await asyncio.sleep(0)
 
 
+@soaks.trouble("target-late", soaks.UPLOADS)
+async def _target_late(soak: soaks.Soak, place: programs.Place) -> None:
+    """A target is slow, so that requests which may be repeated are hedged."""
+    soak.target(place).script += ["late"] * soak.rng.randint(5, 40)
+    await asyncio.sleep(0)
+
+
 @soaks.trouble("target-leaves", soaks.PLANNED)
 async def _target_leaves(soak: soaks.Soak, place: programs.Place) -> None:
     """A target drains, and another begins at its address."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import socket
 import types
 
@@ -21,6 +22,7 @@
 from forklift_lab import relay
 from forklift_lab import scripted
 from forklift_lab import soak
+from forklift_lab import uploads
 from test import helper
 
 # Seeds that failed before, with the cause:
@@ -41,6 +43,7 @@
 #      was silent for a moment (issue 53).
 # Seeds that show what fails without it:
 #   40000: targets name limits; 40001: targets say in answers that they leave.
+#   90000: long bodies are sent while targets are slow.
 SEEDS = (
     2,
     4001,
@@ -59,6 +62,7 @@
     70_448,
     80_000,
     80_003,
+    90_000,
 )
 
 
@@ -110,6 +114,8 @@
     promises.NAMED_FACTOR * NAMED_LIMIT.rate * promises.NAMED_COUNTED
     + promises.NAMED_SLACK
 )
+# A request whose body does not arrive.
+UPLOAD = uploads.Upload("s-1", "/history/", b"body", True, None, 0.0)
 FAULT_SPANS = [(ACKNOWLEDGED_AT + 1.0, DUE_AT)]
 
 
@@ -135,7 +141,7 @@
     value = request_id.encode()
     head = HEAD_BY_ID.get(request_id, b"")
     return types.SimpleNamespace(
-        field=lambda name: value, at=received_at, head=head
+        field=lambda name: value, at=received_at, head=head, body=b""
     )
 
 
@@ -225,6 +231,8 @@
     found.large = changes.get("large", [])
     found.kills_by_place.update(changes.get("kills", {}))
     found.resets_by_place.update(changes.get("resets", {}))
+    found.upload_by_id = changes.get("uploads", {})
+    found.left_at_by_id = changes.get("callers_left", {})
     return soak.check(found)
 
 
@@ -239,6 +247,17 @@
                 "responses": [make_response("u-1", 503)],
             },
         ),
+        (
+            "a run has the whole body that its caller sent",
+            {"arrivals": [("s-1", 1.0)], "uploads": {"s-1": UPLOAD}},
+        ),
+        (
+            "a request reaches no target long after its caller has left",
+            {
+                "arrivals": [("s-1", 1.0 + promises.GONE_WITHIN + 0.1)],
+                "callers_left": {"s-1": ("p", 1.0)},
+            },
+        ),
         ("own answer", {"responses": [make_response("s-1", 200, own=False)]}),
         (
             "an organisation has no more run than it may",
@@ -470,11 +489,53 @@
     assert find_violations(large=[make_large(0, 0)]) == []
 
 
+def test_request_that_was_held_up_may_arrive_after_its_caller_left():
+    """The users' rule excuses links that were cut or harmed."""
+    late = {
+        "arrivals": [("s-1", 1.0 + promises.GONE_WITHIN + 0.1)],
+        "callers_left": {"s-1": ("p", 1.0)},
+    }
+    assert find_violations(**late, cuts={"q": [(0.5, 1.2)]}) == []
+    assert find_violations(**late, cuts={"q": [(9.5, 9.9)]}) != []
+
+
+def test_upload_that_arrives_whole_and_in_time_is_no_violation():
+    whole = dataclasses.replace(UPLOAD, body=b"")
+    assert (
+        find_violations(
+            arrivals=[("s-1", 1.0 + promises.GONE_WITHIN - 0.1)],
+            uploads={"s-1": whole},
+            callers_left={"s-1": ("p", 1.0)},
+        )
+        == []
+    )
+
+
+def test_uploads_are_drawn_with_both_framings_and_some_are_left():
+    rng = random.Random(1)
+    drawn = [uploads.draw(rng, f"s-{n}", "/history/") for n in range(100)]
+    assert {one.is_chunked for one in drawn} == {True, False}
+    assert {one.is_left for one in drawn} == {True, False}
+    assert any(one.waits is not None for one in drawn)
+    assert any(one.parts_sent is not None for one in drawn)
+
+
+def test_old_seeds_send_no_uploads():
+    own = set(soak.names_by_theme[soak.UPLOADS])
+    assert own <= set(soak.Soak(soak.UPLOADS_FROM, None)._troubles)
+    for seed in SEEDS:
+        if seed < soak.UPLOADS_FROM:
+            before = soak.Soak(seed, None)
+            assert not before._uploads
+            assert not own & set(before._troubles)
+
+
 def test_old_seeds_ask_for_no_large_answers():
     own = set(soak.names_by_theme[soak.LARGE_ANSWERS])
     later = soak.Soak(soak.LARGE_ANSWERS_FROM, None)
     assert own <= set(later._troubles)
     assert set(records.LARGE_KINDS) <= set(later.configuration()["routes"])
+    assert not own & set(soak.Soak(soak.UPLOADS_FROM, None)._troubles)
     for seed in SEEDS:
         if seed >= soak.LARGE_ANSWERS_FROM:
             continue
