--- a/test/test_late_requests.py
+++ b/test/test_late_requests.py
@@ -232,20 +232,34 @@
 # Requests that were sent before.
 
 
+async def run_one_and_queue_one(
+    fleet: processes.Fleet,
+) -> tuple[asyncio.Task, asyncio.Task]:
+    """Sends two requests from the first process to the target of the second.
+
+    Returns:
+        The request that the target runs, and the one that waits for its slot.
+    """
+    sender, owner = fleet.proxies
+    sender.local_targets.drain("t0")
+    controller = owner.local_targets.by_name["t1"].controller
+    controller.slots = 1
+    fleet.targets[1].script.append("hold")
+    running = asyncio.create_task(fleet.ask())
+    await helper.until(lambda: fleet.runs() == 1)
+    waiting = asyncio.create_task(fleet.ask())
+    await helper.until(lambda: controller.waiting == 1)
+    return running, waiting
+
+
 @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
 def test_request_in_the_queue_of_a_peer_does_not_start_late(kind):
     """It was queued before the stop, so it could start at any time."""
 
     async def work(fleet):
         sender, owner = fleet.proxies
-        sender.local_targets.drain("t0")
+        running, waiting = await run_one_and_queue_one(fleet)
         controller = owner.local_targets.by_name["t1"].controller
-        controller.slots = 1
-        fleet.targets[1].script.append("hold")
-        running = asyncio.create_task(fleet.ask())
-        await helper.until(lambda: fleet.runs() == 1)
-        waiting = asyncio.create_task(fleet.ask())
-        await helper.until(lambda: controller.waiting == 1)
         reject_now(sender)
         sender.forwarder.withdraw_waiting(sender.clock.monotonic())
         assert (await waiting).status == 503
@@ -325,15 +339,9 @@
     """Neither what a peer queued there, nor what a peer sends then."""
 
     async def work(fleet):
-        sender, owner = fleet.proxies
-        sender.local_targets.drain("t0")
+        owner = fleet.proxies[1]
+        running, waiting = await run_one_and_queue_one(fleet)
         controller = owner.local_targets.by_name["t1"].controller
-        controller.slots = 1
-        fleet.targets[1].script.append("hold")
-        running = asyncio.create_task(fleet.ask())
-        await helper.until(lambda: fleet.runs() == 1)
-        waiting = asyncio.create_task(fleet.ask())
-        await helper.until(lambda: controller.waiting == 1)
         owner.target_registry.pause_targets()
         assert controller.waiting == 0
         assert controller.state is messages.TargetState.PAUSED
