A request that has arrived may start as long as it can end before the exit

Cause: one bound for two cases. Half of the grace period is the bound for what arrives; what has arrived and waits needs only the time that its work takes.

`test_late_requests_processes.py` holds: no request is cut off.

--- a/forklift/shell/streamed_bodies.py
+++ b/forklift/shell/streamed_bodies.py
@@ -21,6 +21,7 @@
     """The body of a request, and the timer that ends it early."""
 
     request: exchange.Request
+    arrived_at: float
     timer: asyncio.TimerHandle | None = None
 
     def cancel_timer(self) -> None:
@@ -54,7 +55,7 @@
         if request.body.complete:
             yield
             return
-        body = _StreamedBody(request)
+        body = _StreamedBody(request, self._now())
         self._bodies.add(body)
         self._schedule(body)
         try:
@@ -75,7 +76,9 @@
             return
         request = body.request
         latest_end = self._deadlines.latest_start(
-            request.deadline, self._usual_seconds(request.route)
+            body.arrived_at,
+            request.deadline,
+            self._usual_seconds(request.route),
         )
         if math.isinf(latest_end):
             return
