--- a/forklift/shell/forwarded_request.py
+++ b/forklift/shell/forwarded_request.py
@@ -112,9 +112,7 @@
 
     def apply_stop_deadlines(self) -> None:
         """Applies the deadlines of the forwarder, as the process stops."""
-        latest_start = self._forwarder.latest_start(
-            self._request, self.arrived_at
-        )
+        latest_start = self._forwarder.latest_start(self._request)
         self._retry_state.latest_start = latest_start
         self._stop_timeout.set_deadlines(
             latest_start, self._forwarder.stop_deadlines.abandon_at
--- a/forklift/shell/forwarding.py
+++ b/forklift/shell/forwarding.py
@@ -172,19 +172,13 @@
             return 0.0
         return distribution.learned_quantile(stop_deadlines.RUN_DEVIATIONS)
 
-    def latest_start(
-        self, request: exchange.Request, arrived_at: float
-    ) -> float:
+    def latest_start(self, request: exchange.Request) -> float:
         """Monotonic seconds from which on a request is sent to no target.
 
         Infinite unless this process stops.
-
-        Args:
-            request: The request.
-            arrived_at: Monotonic seconds at which it arrived.
         """
         return self.stop_deadlines.latest_start(
-            arrived_at, request.deadline, self.usual_seconds(request.route)
+            request.deadline, self.usual_seconds(request.route)
         )
 
     def withdraw_waiting(self, now: float) -> None:
@@ -194,6 +188,5 @@
             now: Monotonic seconds.
         """
         self.dispatcher.withdraw_waiting(
-            # Those that arrived too late were sent to no peer.
-            lambda request: self.latest_start(request, -math.inf) <= now
+            lambda request: self.latest_start(request) <= now
         )
--- a/forklift/shell/streamed_bodies.py
+++ b/forklift/shell/streamed_bodies.py
@@ -21,7 +21,6 @@
     """The body of a request, and the timer that ends it early."""
 
     request: exchange.Request
-    arrived_at: float
     timer: asyncio.TimerHandle | None = None
 
     def cancel_timer(self) -> None:
@@ -55,7 +54,7 @@
         if request.body.complete:
             yield
             return
-        body = _StreamedBody(request, self._now())
+        body = _StreamedBody(request)
         self._bodies.add(body)
         self._schedule(body)
         try:
@@ -76,9 +75,7 @@
             return
         request = body.request
         latest_end = self._deadlines.latest_start(
-            body.arrived_at,
-            request.deadline,
-            self._usual_seconds(request.route),
+            request.deadline, self._usual_seconds(request.route)
         )
         if math.isinf(latest_end):
             return
--- a/forklift/stop_deadlines.py
+++ b/forklift/stop_deadlines.py
@@ -6,9 +6,9 @@
 # Fraction of the grace period after which the process exits, even if requests
 # are still in flight.
 USABLE_GRACE_FRACTION = 0.9
-# Fraction of the grace period after which no request is accepted any more,
-# unless its own timeout ends it before the process exits.
-ACCEPT_GRACE_FRACTION = 0.5
+# Fraction of the grace period after which no request is sent to a target any
+# more, unless its own timeout ends it before the process exits.
+START_GRACE_FRACTION = 0.5
 # Seconds before the exit that are reserved for sending the last responses.
 FINAL_RESPONSE_SECONDS = 0.2
 # Standard deviations above the median latency of a route that a request is
@@ -21,8 +21,8 @@
     """Deadlines of a shutdown, in monotonic seconds.
 
     Attributes:
-        reject_at: From then on, requests that have not arrived whole are
-            rejected, and those of which it is not known how long they take.
+        reject_at: From then on, requests that were not sent to a target are
+            rejected.
         finish_by: Requests are sent to a target only if they are expected to
             end by then.
         abandon_at: Requests that are still at a target end then, with an
@@ -35,25 +35,20 @@
     abandon_at: float
     exit_at: float
 
-    def latest_start(
-        self, arrived_at: float, deadline: float, usual_seconds: float
-    ) -> float:
+    def latest_start(self, deadline: float, usual_seconds: float) -> float:
         """Returns by when a target must have the whole request.
 
         From then on, no request is sent, and no body is passed on any more.
         Infinite if the request times out before this process exits.
 
         Args:
-            arrived_at: Monotonic seconds at which the request arrived.
             deadline: Monotonic seconds at which the request times out.
             usual_seconds: Seconds that most requests of the route take; 0 if
                 this is not known.
         """
         if deadline <= self.finish_by:
             return math.inf
-        if arrived_at >= self.reject_at or not usual_seconds:
-            return self.reject_at
-        return self.finish_by - usual_seconds
+        return min(self.reject_at, self.finish_by - usual_seconds)
 
 
 def initial_deadlines(now: float, grace: float) -> Deadlines:
@@ -66,7 +61,7 @@
     exit_at = now + USABLE_GRACE_FRACTION * grace
     abandon_at = exit_at - FINAL_RESPONSE_SECONDS
     return Deadlines(
-        min(abandon_at, now + ACCEPT_GRACE_FRACTION * grace),
+        min(abandon_at, now + START_GRACE_FRACTION * grace),
         abandon_at,
         abandon_at,
         exit_at,
--- a/test/test_stop_deadlines.py
+++ b/test/test_stop_deadlines.py
@@ -10,8 +10,6 @@
 GRACE = 6.0
 # Timeout of a request that outlasts the process.
 LATE = 200.0
-# When a request arrived that need not be rejected at once.
-EARLY = STOP_AT - 1.0
 
 
 @pytest.fixture
@@ -33,31 +31,22 @@
 
 def test_request_is_not_sent_so_late_that_the_exit_cuts_it_off(deadlines):
     """Requests were sent until the moment at which they are abandoned."""
-    latest = deadlines.latest_start(EARLY, LATE, 0.0)
+    latest = deadlines.latest_start(LATE, 0.0)
     assert latest == STOP_AT + GRACE / 2
     assert latest < deadlines.abandon_at
 
 
-def test_request_that_arrives_late_is_not_sent_though_it_may_be_short(
-    deadlines,
-):
-    for usual in (0.0, 0.01):
-        arrived_at = deadlines.reject_at
-        assert deadlines.latest_start(arrived_at, LATE, usual) <= arrived_at
-
-
 def test_request_that_usually_runs_for_long_must_start_earlier(deadlines):
     for usual in (0.1, 1.5, 2.5, 5.0):
-        latest = deadlines.latest_start(EARLY, LATE, usual)
+        latest = deadlines.latest_start(LATE, usual)
         assert latest + usual <= deadlines.finish_by
+        assert latest <= deadlines.reject_at
 
 
 def test_request_that_times_out_before_the_exit_may_start_at_any_time(
     deadlines,
 ):
-    for arrived_at in (EARLY, deadlines.reject_at):
-        latest = deadlines.latest_start(arrived_at, deadlines.finish_by, 1.0)
-        assert latest == math.inf
+    assert deadlines.latest_start(deadlines.finish_by, 1.0) == math.inf
 
 
 @pytest.mark.parametrize("usual", [0.0, 0.5, 4.0])
@@ -67,10 +56,9 @@
         deadlines, STOP_AT + 2.1, GRACE
     )
     for deadline in (STOP_AT + 5.1, STOP_AT + 6.0, LATE):
-        for arrived_at in (EARLY, deadlines.reject_at):
-            assert extended.latest_start(arrived_at, deadline, usual) == (
-                deadlines.latest_start(arrived_at, deadline, usual)
-            )
+        assert extended.latest_start(deadline, usual) == (
+            deadlines.latest_start(deadline, usual)
+        )
     assert extended.abandon_at > deadlines.abandon_at
 
 
