Old evidence in the store is deleted a few records at a time

What would happen: another writer leaves many records of evidence; a process that reads them deletes all that are not in quarantine at once, each by a task of its own that retries until the store answers.

Change: at most eight records a tick; the others stay remembered for the next.

`test_much_old_evidence_is_deleted_a_few_records_at_a_time` fails before: 1,024 tasks for 1,024 records. `test_announcements_use_few_connections` names its bound itself now; it took it from the code, and passed with any.

--- a/forklift/shell/quarantine_store.py
+++ b/forklift/shell/quarantine_store.py
@@ -5,6 +5,7 @@
 which each process reads when it starts.
 """
 
+import itertools
 import random
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -23,6 +24,10 @@
 
 _log = structlog.get_logger(__name__)
 
+# Maximum number of old records that are deleted in a tick. Other programs can
+# write any number of them.
+MAX_DELETIONS_PER_TICK = 8
+
 
 class QuarantineStore:
     """Writes and loads the evidence of the quarantine of a process."""
@@ -84,7 +89,8 @@
         for fingerprint in quarantined:
             if self._owns(fingerprint):
                 self._write_if_changed(fingerprint, now)
-        for fingerprint in set(self._crash_ids_by_fingerprint) - quarantined:
+        old = set(self._crash_ids_by_fingerprint) - quarantined
+        for fingerprint in itertools.islice(old, MAX_DELETIONS_PER_TICK):
             del self._crash_ids_by_fingerprint[fingerprint]
             if self._owns(fingerprint):
                 self._spawn(self._write(fingerprint))
--- a/test/test_odd_records.py
+++ b/test/test_odd_records.py
@@ -28,6 +28,8 @@
 TOPIC = {"topic": platform_store._MEMBERS_TOPIC, "part": "0"}
 FINGERPRINT = b"f" * 16
 NESTED = b"\x91" * 100_000
+# Descriptors that writes to the store may take.
+MAX_CONNECTIONS = 16
 # The longest key that the store takes, and one whose invalid bytes the store
 # replaces, so that it is longer than the store takes.
 LONGEST = "k" * 255
@@ -256,7 +258,30 @@
         await asyncio.gather(*(store.announce(f"n{i}", b"") for i in range(99)))
 
     helper.run(work())
-    assert most <= platform_store.MAX_CONCURRENT_APPENDS
+    assert most <= MAX_CONNECTIONS
+
+
+def test_much_old_evidence_is_deleted_a_few_records_at_a_time():
+    """All of it was deleted at once, each record by a task of its own."""
+    count = 2 * quarantines.MAX_CASES
+
+    async def work():
+        async with processes.Fleet([[]]) as fleet:
+            (one,) = fleet.proxies
+            store = one.quarantine_store
+            for number in range(count):
+                fingerprint = number.to_bytes(16, "big")
+                name = stored_records.evidence_name(fingerprint)
+                store.load(name, evidence(1, fingerprint))
+            tasks = len(one._tasks)
+            store.tick()
+            assert len(one._tasks) - tasks <= MAX_CONNECTIONS
+            # The others are deleted later.
+            left = len(store._crash_ids_by_fingerprint)
+            store.tick()
+            assert 0 < len(store._crash_ids_by_fingerprint) < left < count
+
+    helper.run(work())
 
 
 # The configuration.
