--- a/test/test_deploy_build.py
+++ b/test/test_deploy_build.py
@@ -5,9 +5,11 @@
 """
 
 import ast
+import importlib.util
 import os
 import pathlib
 import shutil
+from unittest import mock
 
 import pytest
 
@@ -132,10 +134,19 @@
     return tree / "target/deps/.made-for"
 
 
+def description_on(platform: str) -> str:
+    """What a build on another kind of machine states of its libraries."""
+    path = ROOT / "deploy/install_libraries.py"
+    spec = importlib.util.spec_from_file_location("install_libraries", path)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    with mock.patch.object(module.sysconfig, "get_platform", lambda: platform):
+        return module.describe(module.REQUIREMENTS.read_bytes())
+
+
 def test_libraries_of_another_kind_of_machine_are_replaced(tree):
     """Libraries that were carried over can't be loaded on another processor."""
-    platform, rest = made_for(tree).read_text().split("\n", 1)
-    made_for(tree).write_text(f"{platform}-other\n{rest}")
+    made_for(tree).write_text(description_on("linux-other"))
     for library in (tree / "target/deps").rglob("*.so"):
         library.write_bytes(b"not for this machine")
     assert not loads(tree)
--- a/test/test_late_requests.py
+++ b/test/test_late_requests.py
@@ -21,8 +21,10 @@
 
 BODY = b"x" * 40_000
 FIRST_BYTES = 30_000
-# A request that the exit would cut off, and one that ends by its own timeout.
+# Milliseconds until a request times out that the exit would cut off.
 TIMEOUT_MS = 60_000
+# Seconds until the end of a stop, in which a test that waits for it fails.
+ABANDONED_AFTER = 1000.0
 
 
 def play(work, scripts, kind: str = "non_idempotent", **changes) -> None:
@@ -42,7 +44,7 @@
     now = one.clock.monotonic()
     one.stopping = one.ingress.stopping = True
     one.stop_deadlines = stop_deadlines.Deadlines(
-        now, now + 10.0, now + 10.0, now + 11.0
+        now, now + 10.0, now + ABANDONED_AFTER, now + ABANDONED_AFTER
     )
     one.target_registry.pause_targets()
     one.apply_stop_deadlines()
@@ -192,6 +194,14 @@
         body.end_early("this process stops")
         with pytest.raises(exchange.IncompleteBody, match="process stops"):
             await read
+        other = exchange.Body(b"start", rest())
+        chunks = other.chunks()
+        await anext(chunks)
+        await anext(chunks)
+        other.end_early("this process stops")
+        with pytest.raises(exchange.IncompleteBody, match="process stops"):
+            async with asyncio.timeout(helper.DEFAULT_TIMEOUT):
+                await anext(chunks)
 
     helper.run(work())
 
@@ -272,6 +282,76 @@
     play(work, [[], []], kind, **{"retry-attempts": 1})
 
 
+def test_stop_withdraws_what_peers_have_queued():
+    async def work(fleet):
+        sender = fleet.proxies[0]
+        set_grace(sender, 4.0)
+        running, waiting = await run_one_and_queue_one(fleet)
+        stop = asyncio.create_task(sender.stop())
+        # Otherwise it ends with an unknown outcome, as the running one does.
+        assert (await waiting).status == 503
+        assert (await running).status == 502
+        fleet.targets[1].release.set()
+        await stop
+        assert fleet.runs() == 1
+
+    play(work, [[], []])
+
+
+@pytest.mark.parametrize("is_late", [True, False])
+def test_request_is_moved_from_a_silent_peer_unless_it_is_late(is_late):
+    async def work(fleet):
+        one = fleet.proxies[0]
+        one.local_targets.drain("t0")
+        for target in fleet.targets:
+            target.script.append("hold")
+        response = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 1)
+        (forwarded,) = one.forwarder._in_flight
+        if is_late:
+            reject_now(one)
+        assert forwarded._prepare_resend() is not is_late
+        for target in fleet.targets:
+            target.release.set()
+        assert (await response).status == 200
+
+    play(work, [[], [], []], "idempotent", **{"target-latency-ms": 30_000})
+
+
+def test_hedge_must_start_before_it_is_late(monkeypatch):
+    """Its target may have a queue."""
+    start_by_by_target = {}
+
+    async def work(fleet):
+        one = fleet.proxies[0]
+        one.local_targets.drain("t0")
+        for target in fleet.targets:
+            target.script.append("hold")
+        dispatcher = one.forwarder.dispatcher
+        send = dispatcher.send
+
+        def record(request, selection, sink, health, wait, start_by, *rest):
+            start_by_by_target[selection.target] = start_by
+            return send(request, selection, sink, health, wait, start_by, *rest)
+
+        monkeypatch.setattr(dispatcher, "send", record)
+        reject_now(one)
+        late = dataclasses.replace(
+            one.stop_deadlines, reject_at=one.stop_deadlines.finish_by - 1.0
+        )
+        one.stop_deadlines = late
+        one.apply_stop_deadlines()
+        response = asyncio.create_task(fleet.ask())
+        await helper.until(lambda: fleet.runs() == 2)
+        for target in fleet.targets:
+            target.release.set()
+        assert (await response).status == 200
+        assert len(start_by_by_target) == 2
+        assert max(start_by_by_target.values()) <= late.reject_at
+
+    play(work, [[], [], []], "idempotent", **{"target-latency-ms": 200})
+
+
 def test_request_that_runs_at_a_peer_is_not_withdrawn():
     async def work(fleet):
         sender = fleet.proxies[0]
--- a/test/test_silent_peers.py
+++ b/test/test_silent_peers.py
@@ -336,6 +336,32 @@
     helper.run(work())
 
 
+def test_request_that_must_run_once_is_fenced_before_its_timeout(monkeypatch):
+    """The fence was sent after the timeout."""
+    fenced = []
+
+    async def work():
+        first = patient("non_idempotent", **{"timeout-ms": 3000})
+        async with relayed_fleet([[], ["hold"]], first) as (fleet, _):
+            ingress = fleet.proxies[0]
+            dispatcher = ingress.forwarder.dispatcher
+            fence = dispatcher._fence
+            caller = Caller(ingress.caller_address)
+
+            async def record(*arguments):
+                fenced.append((caller.status, await fence(*arguments)))
+                return fenced[-1][1]
+
+            monkeypatch.setattr(dispatcher, "_fence", record)
+            await caller.send()
+            await helper.until(lambda: caller.status)
+            assert caller.status == 504
+            # It runs, so it can't be fenced, and its caller had no answer yet.
+            assert fenced == [(0, False)]
+
+    helper.run(work())
+
+
 def test_lost_connection_never_makes_a_part_look_whole():
     """Guards against a response that ends early and appears complete."""
 
