--- a/test/test_store.py
+++ b/test/test_store.py
@@ -330,3 +330,38 @@
         assert min(store.waits[31:]) + adapter.LONG_POLL_MARGIN < 2.0
 
     helper.run(work())
+
+
+def test_concurrent_writes_to_the_store_are_bounded(monkeypatch):
+    """Each write takes a connection of its own."""
+    writes = 2 * adapter.MAX_CONCURRENT_APPENDS
+    running = most = 0
+
+    async def work():
+        nonlocal running, most
+        gate = asyncio.Event()
+
+        async def append(store, query, body):
+            nonlocal running, most
+            running += 1
+            most = max(most, running)
+            await gate.wait()
+            running -= 1
+            return await store._append(query, body)
+
+        monkeypatch.setitem(standin._HANDLERS, ("POST", "/log-append"), append)
+        async with StoreFixture() as fixture:
+            tasks = [
+                asyncio.create_task(fixture.adapter.announce(f"p{n}", b"{}"))
+                for n in range(writes)
+            ]
+            await helper.until(
+                lambda: running == adapter.MAX_CONCURRENT_APPENDS
+            )
+            await asyncio.sleep(0.1)
+            assert most == adapter.MAX_CONCURRENT_APPENDS
+            gate.set()
+            await asyncio.gather(*tasks)
+            assert most == adapter.MAX_CONCURRENT_APPENDS
+
+    helper.run(work())
