The soak lets targets deregister and serve on, and callers leave full targets

In "departures" a target deregisters without `draining` and goes on serving for 9 s, or another one begins at its address at once; its process or all processes are killed right after the acknowledgement, and a heartbeat from before arrives 3 s late. In "full" each target runs one request at a time, 0.8 s each, on routes with an objective of 8 s, while callers with bodies of 300 KB leave. The existing promises check them.

Not part of it: the target that stays with a bad health check and must serve again after all processes were killed.

--- a/forklift_lab/programs.py
+++ b/forklift_lab/programs.py
@@ -12,6 +12,8 @@
 import socket
 import sys
 import tempfile
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 
 from forklift.platform import platform_headers
@@ -259,6 +261,7 @@
             strict=True,
             born=BORN,
         )
+        target.sequence = FIRST_SEQUENCE
         target.public = self._target_address_by_name.get(name, "")
         await self._stack.enter_async_context(target)
         self.target_by_name[name] = target
@@ -371,22 +374,56 @@
         finally:
             asker.close()
 
+    async def deregister(self, found: Place) -> Callable[[], Awaitable[None]]:
+        """The target beside a process says that it leaves, and serves on.
+
+        Returns:
+            Sends the heartbeat that it sent before, which is late.
+
+        Raises:
+            client.RequestFailed: That it leaves was not acknowledged.
+        """
+        target = self.target_by_name[found.name]
+        incarnation = target.incarnation
+        late = target.heartbeat(found.service, found.domain)
+        target.leaving = target.silent = True
+
+        async def call(method: str, body: bytes) -> client.Response:
+            asker = client.Client(found.heartbeats)
+            path = f"/Instances.{method}/{incarnation.target}"
+            try:
+                return await asker.request("POST", path, body, timeout=1.0)
+            finally:
+                asker.close()
+
+        async def send_late() -> None:
+            with contextlib.suppress(client.RequestFailed):
+                await call("Heartbeat", late)
+
+        answer = await call("Deregister", b"")
+        if answer.status != 200:
+            raise client.RequestFailed(f"status {answer.status}")
+        target.left_at_by_incarnation.setdefault(
+            incarnation, asyncio.get_running_loop().time()
+        )
+        return send_late
+
     async def _beat(
         self, found: Place, target: scripted.ScriptedTarget
     ) -> None:
         """Announces a target to the process beside it, for ever."""
         asker = client.Client(found.heartbeats)
         loop = asyncio.get_running_loop()
-        sequence = FIRST_SEQUENCE
         incarnation = target.incarnation
         while True:
-            if target.down:
+            if target.down or target.silent:
                 await asyncio.sleep(HEARTBEAT_EVERY)
                 continue
-            # The numbers of each life begin anew.
-            sequence = sequence + 1 if incarnation == target.incarnation else 1
+            if incarnation != target.incarnation:
+                # The numbers of each life begin anew.
+                target.sequence = 0
             incarnation, leaving = target.incarnation, target.leaving
-            body = target.heartbeat(found.service, found.domain, sequence)
+            body = target.heartbeat(found.service, found.domain)
             with contextlib.suppress(client.RequestFailed):
                 path = f"/Instances.Heartbeat/{incarnation.target}"
                 answer = await asker.request("POST", path, body, timeout=1.0)
--- a/forklift_lab/records.py
+++ b/forklift_lab/records.py
@@ -12,6 +12,9 @@
 LARGE_KINDS = {"statement": "download", "report": "idempotent"}
 LARGE_TIMEOUT_MS = 60_000
 LARGE_TARGET_LATENCY_MS = 20_000
+# Bounds of routes whose requests may wait for long.
+LONG_TIMEOUT_MS = 10_000
+LONG_TARGET_LATENCY_MS = 8_000
 # Number of earlier versions whose own route a record keeps.
 KEPT_VERSIONS = 40
 # An organisation with a rate limit, its key, and its requests per second.
@@ -55,6 +58,19 @@
     return record | {"routes": record["routes"] | large}
 
 
+def with_long_objectives(record: dict) -> dict:
+    """Lets requests wait for seconds before they are refused."""
+    routes = {
+        name: route
+        | {
+            "timeout-ms": LONG_TIMEOUT_MS,
+            "target-latency-ms": LONG_TARGET_LATENCY_MS,
+        }
+        for name, route in record["routes"].items()
+    }
+    return record | {"routes": routes}
+
+
 def with_limited_organisation(record: dict) -> dict:
     """Adds an organisation with a rate limit.
 
--- a/forklift_lab/scripted.py
+++ b/forklift_lab/scripted.py
@@ -404,6 +404,9 @@
         self.strict = strict
         self.slots = slots
         self.leaving = False
+        # Whether it sends no heartbeats, and the number of its last one.
+        self.silent = False
+        self.sequence = 0
         # What its answers say: requests a second that it takes, or nothing,
         # and that it leaves.
         self.rate_limit: float | None = None
@@ -505,8 +508,9 @@
             return "large-in-pieces"
         return self.script.pop(0) if self.script else "well"
 
-    def heartbeat(self, service: str, domain: str, sequence: int) -> bytes:
-        """The body of a heartbeat, as the platform's targets send it."""
+    def heartbeat(self, service: str, domain: str) -> bytes:
+        """The body of its next heartbeat, as the platform's targets send it."""
+        self.sequence += 1
         said = {
             "address": self.public or self.address,
             "info": {
@@ -517,7 +521,7 @@
             },
             "status": {
                 "state": "draining" if self.leaving else "ready",
-                "sequence": sequence,
+                "sequence": self.sequence,
                 "cold-remaining-ms": 0,
             },
         }
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -76,6 +76,10 @@
 LARGE_ANSWERS_FROM = 80_000
 # Seeds from this one on send long bodies to targets that are slow at times.
 UPLOADS_FROM = 90_000
+# Seeds from this one on let targets deregister and serve on, or fill them while
+# callers leave. They draw these troubles and planned ones alone, as others
+# would excuse what these are to show.
+DEPARTURES_FROM = 100_000
 # Callers for each process that send long bodies.
 UPLOADERS = 2.0
 LARGE_PATHS = tuple(f"/{name}/ ".encode() for name in records.LARGE_KINDS)
@@ -152,13 +156,15 @@
             heartbeats.TargetIncarnation, float
         ] = {}
         self._asks_large = LARGE_ANSWERS_FROM <= seed < UPLOADS_FROM
-        self._uploads = seed >= UPLOADS_FROM
+        self._uploads = UPLOADS_FROM <= seed < DEPARTURES_FROM
         self._returning = _adds(seed, RETURNS_FROM)
         themes = (*THEMES, RETURNS) if self._returning else THEMES
         if self._asks_large:
             themes = (LARGE_ANSWERS,)
         if self._uploads:
             themes = (UPLOADS,)
+        if seed >= DEPARTURES_FROM:
+            themes = (DEPARTURES, FULL)
         self.theme = self.rng.choice(themes)
         self._troubles = list(names_by_theme[self.theme])
         if self._returning and self.theme != RETURNS:
@@ -169,6 +175,10 @@
         if self._uploads:
             self._troubles *= UPLOADS_SHARE
             self._troubles += names_by_theme[ALL]
+        if seed >= DEPARTURES_FROM:
+            self._uploads = self.theme == FULL
+            self._troubles *= DEPARTURES_SHARE
+            self._troubles += names_by_theme[PLANNED]
         self._deadly = _adds(seed, DEADLY_FROM)
         if self._deadly:
             self._troubles += names_by_theme[CRASHES] * DEADLY_SHARE
@@ -247,6 +257,8 @@
             record = records.with_many_organisations(record)
         if self._asks_large:
             record = records.with_large_answers(record)
+        if self.theme == FULL:
+            record = records.with_long_objectives(record)
         return record
 
     def due(self, at: float, within: float) -> int:
@@ -480,6 +492,9 @@
             for target in self.running.target_by_name.values():
                 target.large_for = LARGE_PATHS
                 target.slots = LARGE_SLOTS
+        if self.theme == FULL:
+            for target in self.running.target_by_name.values():
+                target.slots = 1
         await self.recovered()
         self.tell(f"{count} processes, theme {self.theme}")
         callers = [
@@ -658,6 +673,11 @@
 # Targets that are slow while long bodies are sent, and how often that is drawn.
 UPLOADS = "uploads"
 UPLOADS_SHARE = 8
+# Targets that deregister and serve on, or that are full while callers leave,
+# and how often that is drawn.
+DEPARTURES = "departures"
+FULL = "full"
+DEPARTURES_SHARE = 8
 # Themes whose troubles only later seeds draw.
 _OWN_THEMES = {
     RETURNS,
@@ -667,6 +687,8 @@
     LARGE,
     LARGE_ANSWERS,
     UPLOADS,
+    DEPARTURES,
+    FULL,
 }
 names_by_theme: dict[str, list[str]] = collections.defaultdict(list)
 
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+from forklift.shell import client
 from forklift.shell import shutdown
 from forklift_lab import kept
 from forklift_lab import observations
@@ -56,6 +57,8 @@
 # Seconds from a signal to stop in which the processes that still read from the
 # one that stops are paused: about when it ends its connections.
 READERS_PAUSE = (shutdown.LAME_DUCK_SECONDS - 0.8, 4.5)
+# Seconds by which a heartbeat is late that was sent before its target left.
+LATE_HEARTBEAT = 3.0
 # Seconds between two resets of the control connections of a process.
 RESET_PAUSE = (0.002, 0.01)
 
@@ -233,6 +236,53 @@
     target.leaving = False
 
 
+@soaks.trouble("target-deregisters", soaks.DEPARTURES)
+async def _deregister(soak: soaks.Soak, place: programs.Place) -> None:
+    """A target leaves, and a heartbeat that it sent before is late.
+
+    It serves on, or another one begins at its address at once. Its process
+    alone, or all processes, may be killed after the acknowledgement.
+    """
+    target = soak.target(place)
+    if target.leaving or not await soak.running.ready(place):
+        return
+    sent_at = soak.now()
+    try:
+        send_late = await soak.running.deregister(place)
+    except client.RequestFailed:
+        _succeed(soak, place)
+        return
+    serves_on = soak.rng.random() < 0.7
+    if not serves_on:
+        _succeed(soak, place)
+        soak.returns.append((place.name, target.incarnation))
+    killed = soak.rng.choice(([], [place], soak.running.places))
+    soak.tell(f"{len(killed)} killed, the target serves on: {serves_on}")
+    async with asyncio.TaskGroup() as group:
+        for one in killed:
+            group.create_task(_kill(soak, one))
+        await asyncio.sleep(sent_at + LATE_HEARTBEAT - soak.now())
+        await send_late()
+    await asyncio.sleep(soaks.WORK_WITHIN + soaks.DRAIN_WITHIN)
+    if serves_on:
+        _succeed(soak, place)
+
+
+def _succeed(soak: soaks.Soak, place: programs.Place) -> None:
+    """Another target begins at the address of one that deregistered."""
+    soak.rename(place)
+    target = soak.target(place)
+    target.leaving = target.silent = False
+
+
+@soaks.trouble("targets-are-full", soaks.FULL)
+async def _fill(soak: soaks.Soak, place: programs.Place) -> None:
+    """All targets are slow, so that requests wait while their callers leave."""
+    for one in soak.running.places:
+        soak.target(one).script += ["late"] * soak.rng.randint(3, 8)
+    await asyncio.sleep(0)
+
+
 async def _limit_target(
     soak: soaks.Soak, place: programs.Place, rate: float, seconds: float
 ) -> None:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -44,6 +44,8 @@
 # Seeds that show what fails without it:
 #   40000: targets name limits; 40001: targets say in answers that they leave.
 #   90000: long bodies are sent while targets are slow.
+#   100003: callers leave while their requests wait; 100007: targets deregister
+#      and serve on while processes are killed.
 SEEDS = (
     2,
     4001,
@@ -63,6 +65,8 @@
     80_000,
     80_003,
     90_000,
+    100_003,
+    100_007,
 )
 
 
@@ -530,6 +534,41 @@
             assert not own & set(before._troubles)
 
 
+def test_old_seeds_deregister_and_fill_no_targets():
+    later = (soak.Soak(soak.DEPARTURES_FROM + n, None) for n in range(20))
+    soak_by_theme = {one.theme: one for one in later}
+    assert set(soak_by_theme) == {soak.DEPARTURES, soak.FULL}
+    for theme, one in soak_by_theme.items():
+        assert set(soak.names_by_theme[theme]) <= set(one._troubles)
+        assert one._uploads is (theme == soak.FULL)
+    own = {
+        name
+        for theme in (soak.DEPARTURES, soak.FULL)
+        for name in soak.names_by_theme[theme]
+    }
+    for seed in SEEDS:
+        if seed < soak.DEPARTURES_FROM:
+            assert not own & set(soak.Soak(seed, None)._troubles)
+
+
+def test_late_heartbeat_of_a_target_that_deregistered_is_from_before():
+    async def work():
+        async with programs.Programs() as running:
+            place = await running.add("one", "plateau", records.SERVICE)
+            target = running.target_by_name["one"]
+            await helper.until(
+                lambda: target.sequence > programs.FIRST_SEQUENCE
+            )
+            send_late = await running.deregister(place)
+            last = target.sequence
+            await asyncio.sleep(2 * programs.HEARTBEAT_EVERY)
+            await send_late()
+            assert target.sequence == last
+            assert target.incarnation in target.left_at_by_incarnation
+
+    helper.run(work())
+
+
 def test_old_seeds_ask_for_no_large_answers():
     own = set(soak.names_by_theme[soak.LARGE_ANSWERS])
     later = soak.Soak(soak.LARGE_ANSWERS_FROM, None)
