What a seed of the soak plays has a module of its own

soak.py had grown to 730 lines, and drew the theme and the troubles of a seed among the state of the play.

Tests changed in names only.

--- a/forklift_lab/play.py
+++ b/forklift_lab/play.py
@@ -8,6 +8,7 @@
 
 from forklift_lab import programs
 from forklift_lab import promises
+from forklift_lab import seed_plan
 from forklift_lab import soak as soaks
 from forklift_lab import troubles
 
@@ -18,9 +19,9 @@
 async def play(seed: int) -> soaks.Soak:
     """Plays one seed and reports it; the breaches are in `told`."""
     heartbeat_ms = programs.HEARTBEAT_MS
-    if seed >= soaks.RETURNS_FROM:
+    if seed >= seed_plan.RETURNS_FROM:
         heartbeat_ms = soaks.HEARTBEAT_MS
-    overload = "on" if seed >= soaks.OVERLOAD_FROM else "auto"
+    overload = "on" if seed >= seed_plan.OVERLOAD_FROM else "auto"
     async with programs.Programs(True, heartbeat_ms, overload) as running:
         soak = soaks.Soak(seed, running)
         soak.breaches = await soak.run()
--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -12,7 +12,6 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable
 from collections.abc import Callable
 
 from forklift import heartbeats
@@ -26,6 +25,7 @@
 from forklift_lab import records
 from forklift_lab import relay
 from forklift_lab import scripted
+from forklift_lab import seed_plan
 from forklift_lab import uploads
 
 DOMAINS = ("plateau", "almadies")
@@ -54,32 +54,6 @@
 # Seconds within which a target that returned has work after its first heartbeat
 # was taken: its process sends it some after 0.7 s without any.
 WORK_WITHIN = 4.0
-# Seeds from this one on also let targets return; those before stay what they
-# were when they were kept.
-RETURNS_FROM = 10_000
-# Seeds from this one on also let a request come that crashes targets.
-DEADLY_FROM = 20_000
-# Seeds from this one on also let the store go back in time, and an organisation
-# send more than it may.
-LIMITED_FROM = 30_000
-# Seeds from this one on also let targets name limits, and say in their answers
-# that they leave.
-NOTICES_FROM = 40_000
-# Seeds from this one on also switch overload control on.
-OVERLOAD_FROM = 50_000
-# Seeds from this one on also hand on configurations that need large control
-# messages, while processes end.
-LARGE_FROM = 70_000
-# Seeds from this one on ask for large answers while processes pause and links
-# are slow or held back. They draw these troubles and planned ones alone, as
-# others would excuse an answer that was cut off.
-LARGE_ANSWERS_FROM = 80_000
-# Seeds from this one on send long bodies to targets that are slow at times.
-UPLOADS_FROM = 90_000
-# Seeds from this one on let targets deregister and serve on, or fill them while
-# callers leave. They draw these troubles and planned ones alone, as others
-# would excuse what these are to show.
-DEPARTURES_FROM = 100_000
 # Callers for each process that send long bodies.
 UPLOADERS = 2.0
 LARGE_PATHS = tuple(f"/{name}/ ".encode() for name in records.LARGE_KINDS)
@@ -155,47 +129,13 @@
         self.ended_at_by_incarnation: dict[
             heartbeats.TargetIncarnation, float
         ] = {}
-        self._asks_large = LARGE_ANSWERS_FROM <= seed < UPLOADS_FROM
-        self._uploads = UPLOADS_FROM <= seed < DEPARTURES_FROM
-        self._returning = _adds(seed, RETURNS_FROM)
-        themes = (*THEMES, RETURNS) if self._returning else THEMES
-        if self._asks_large:
-            themes = (LARGE_ANSWERS,)
-        if self._uploads:
-            themes = (UPLOADS,)
-        if seed >= DEPARTURES_FROM:
-            themes = (DEPARTURES, FULL)
-        self.theme = self.rng.choice(themes)
-        self._troubles = list(names_by_theme[self.theme])
-        if self._returning and self.theme != RETURNS:
-            self._troubles += names_by_theme[RETURNS]
-        if self._asks_large:
-            self._troubles *= LARGE_ANSWERS_SHARE
-            self._troubles += names_by_theme[PLANNED]
-        if self._uploads:
-            self._troubles *= UPLOADS_SHARE
-            self._troubles += names_by_theme[ALL]
-        if seed >= DEPARTURES_FROM:
-            self._uploads = self.theme == FULL
-            self._troubles *= DEPARTURES_SHARE
-            self._troubles += names_by_theme[PLANNED]
-        self._deadly = _adds(seed, DEADLY_FROM)
-        if self._deadly:
-            self._troubles += names_by_theme[CRASHES] * DEADLY_SHARE
-        self._limited = _adds(seed, LIMITED_FROM)
-        if self._limited:
-            self._troubles += names_by_theme[GOES_BACK] * GOES_BACK_SHARE
+        self.plan = seed_plan.draw(seed, self.rng)
         # When runs of targets began to say in their answers that they leave.
         self.said_leaving_at_by_incarnation: dict[
             heartbeats.TargetIncarnation, float
         ] = {}
         # Limits that targets named, once they are over.
         self.limits: list[observations.NamedLimit] = []
-        if _adds(seed, NOTICES_FROM):
-            self._troubles += names_by_theme[NOTICES] * NOTICES_SHARE
-        self._large = _adds(seed, LARGE_FROM)
-        if self._large:
-            self._troubles += names_by_theme[LARGE] * LARGE_SHARE
         self._number = 0
 
     def now(self) -> float:
@@ -251,13 +191,13 @@
     def configuration(self) -> dict:
         """The newest record of the operator."""
         record = records.configuration(self.version)
-        if self._limited:
+        if self.plan.limited:
             record = records.with_limited_organisation(record)
-        if self._large:
+        if self.plan.large:
             record = records.with_many_organisations(record)
-        if self._asks_large:
+        if self.plan.asks_large:
             record = records.with_large_answers(record)
-        if self.theme == FULL:
+        if self.plan.theme == seed_plan.FULL:
             record = records.with_long_objectives(record)
         return record
 
@@ -488,30 +428,30 @@
             await self.running.add(
                 f"{domain}-{number}", domain, records.SERVICE
             )
-        if self._asks_large:
+        if self.plan.asks_large:
             for target in self.running.target_by_name.values():
                 target.large_for = LARGE_PATHS
                 target.slots = LARGE_SLOTS
-        if self.theme == FULL:
+        if self.plan.theme == seed_plan.FULL:
             for target in self.running.target_by_name.values():
                 target.slots = 1
         await self.recovered()
-        self.tell(f"{count} processes, theme {self.theme}")
+        self.tell(f"{count} processes, theme {self.plan.theme}")
         callers = [
             asyncio.create_task(self.call(random.Random(self.rng.random())))
             for _ in range(int(count * CALLERS))
         ]
-        if self._limited:
+        if self.plan.limited:
             callers += [
                 asyncio.create_task(self.press(random.Random(number)))
                 for number in range(PRESSING)
             ]
-        if self._asks_large:
+        if self.plan.asks_large:
             callers += [
                 asyncio.create_task(self.download(random.Random(number)))
                 for number in range(int(count * DOWNLOADERS))
             ]
-        if self._uploads:
+        if self.plan.uploads:
             callers += [
                 asyncio.create_task(self.upload(random.Random(number)))
                 for number in range(int(count * UPLOADERS))
@@ -524,9 +464,9 @@
         breaches = []
         if not await self.recovered():
             breaches.append("not all processes served again")
-        if self._returning:
+        if self.plan.returning:
             await asyncio.sleep(OUTLIVES)
-        if self._deadly:
+        if self.plan.deadly:
             await self._come_again()
         self.over_at = self.now()
         self.over = True
@@ -536,10 +476,10 @@
     async def trouble(self) -> None:
         """Waits a while, then makes one trouble."""
         await asyncio.sleep(self.rng.uniform(0.0, SECONDS))
-        name = self.rng.choice(self._troubles)
+        name = self.rng.choice(self.plan.troubles)
         place = self.rng.choice(self.running.places)
         self.tell(f"{name} at {place.name}")
-        await trouble_by_name[name](self, place)
+        await seed_plan.trouble_by_name[name](self, place)
 
     async def recovered(self) -> bool:
         """Waits until each process is ready and serves what may repeat."""
@@ -630,11 +570,6 @@
         return self.running.relays_by_name[place.name]
 
 
-def _adds(seed: int, first: int) -> bool:
-    """Whether a seed plays what seeds from a first one on add."""
-    return first <= seed < LARGE_ANSWERS_FROM
-
-
 def _spans() -> dict[str, list[tuple[float, float]]]:
     return collections.defaultdict(list)
 
@@ -647,66 +582,6 @@
     return own and answer.body == scripted.BODY
 
 
-Trouble = Callable[[Soak, programs.Place], Awaitable[None]]
-trouble_by_name: dict[str, Trouble] = {}
-# What a seed draws from: all troubles, or such as leave processes alone, or
-# planned work alone. Others would excuse what these are to show.
-ALL, NEWS, PLANNED = THEMES = ("all", "news", "planned")
-# Targets that start again under their names.
-RETURNS = "returns"
-# A request that crashes targets, and how often it is drawn before another.
-CRASHES = "crashes"
-DEADLY_SHARE = 4
-# The store loses what it acknowledged, and how often that is drawn.
-GOES_BACK = "goes back"
-GOES_BACK_SHARE = 6
-# Targets name limits and say that they leave, and how often that is drawn.
-NOTICES = "notices"
-NOTICES_SHARE = 8
-# Large configurations while processes end, and how often that is drawn.
-LARGE = "large"
-LARGE_SHARE = 40
-# Pauses, slow links and ends while large answers pass, and how often that is
-# drawn.
-LARGE_ANSWERS = "large answers"
-LARGE_ANSWERS_SHARE = 3
-# Targets that are slow while long bodies are sent, and how often that is drawn.
-UPLOADS = "uploads"
-UPLOADS_SHARE = 8
-# Targets that deregister and serve on, or that are full while callers leave,
-# and how often that is drawn.
-DEPARTURES = "departures"
-FULL = "full"
-DEPARTURES_SHARE = 8
-# Themes whose troubles only later seeds draw.
-_OWN_THEMES = {
-    RETURNS,
-    CRASHES,
-    GOES_BACK,
-    NOTICES,
-    LARGE,
-    LARGE_ANSWERS,
-    UPLOADS,
-    DEPARTURES,
-    FULL,
-}
-names_by_theme: dict[str, list[str]] = collections.defaultdict(list)
-
-
-def trouble(name: str, *themes: str) -> Callable[[Trouble], Trouble]:
-    """Registers a kind of trouble, and the themes that it is part of."""
-
-    def register(function: Trouble) -> Trouble:
-        trouble_by_name[name] = function
-        for theme in themes:
-            names_by_theme[theme].append(name)
-        if not _OWN_THEMES & set(themes):
-            names_by_theme[ALL].append(name)
-        return function
-
-    return register
-
-
 Promise = Callable[[Soak], list[str]]
 promise_by_name: dict[str, Promise] = {}
 
--- a/forklift_lab/troubles.py
+++ b/forklift_lab/troubles.py
@@ -11,6 +11,7 @@
 from forklift_lab import observations
 from forklift_lab import programs
 from forklift_lab import relay
+from forklift_lab import seed_plan
 from forklift_lab import soak as soaks
 from forklift_lab import store as stores
 
@@ -76,7 +77,7 @@
         soak.busy.discard(place.name)
 
 
-@soaks.trouble("pause")
+@seed_plan.trouble("pause")
 async def _pause(soak: soaks.Soak, place: programs.Place) -> None:
     with _alone(soak, place) as alone:
         if not alone:
@@ -89,7 +90,7 @@
             await asyncio.sleep(0.5)
 
 
-@soaks.trouble("kill")
+@seed_plan.trouble("kill")
 async def _kill(soak: soaks.Soak, place: programs.Place) -> None:
     with _alone(soak, place) as alone:
         if alone:
@@ -97,13 +98,13 @@
                 await soak.restart(place, signal.SIGKILL)
 
 
-@soaks.trouble("kill-many")
+@seed_plan.trouble("kill-many")
 async def _kill_many(soak: soaks.Soak, place: programs.Place) -> None:
     soak.configure()
     await asyncio.gather(*(_kill(soak, one) for one in soak.running.places))
 
 
-@soaks.trouble("stop", soaks.PLANNED)
+@seed_plan.trouble("stop", seed_plan.PLANNED)
 async def _stop(soak: soaks.Soak, place: programs.Place) -> None:
     with _alone(soak, place) as alone:
         # One that is still loading has nothing to end, and just dies.
@@ -113,13 +114,13 @@
         soak.stopped.append((place.name, status))
 
 
-@soaks.trouble("roll")
+@seed_plan.trouble("roll")
 async def _roll(soak: soaks.Soak, place: programs.Place) -> None:
     for one in soak.running.places[:3]:
         await _stop(soak, one)
 
 
-@soaks.trouble("hang-up", soaks.PLANNED)
+@seed_plan.trouble("hang-up", seed_plan.PLANNED)
 async def _hang_up(soak: soaks.Soak, place: programs.Place) -> None:
     for _ in range(soak.rng.randint(1, 5)):
         await _tell_to_read(soak, place)
@@ -134,7 +135,7 @@
             process.send_signal(signal.SIGHUP)
 
 
-@soaks.trouble("relay")
+@seed_plan.trouble("relay")
 async def _relay(soak: soaks.Soak, place: programs.Place) -> None:
     """Delays, resets or silences one way of a process."""
     with soak.cut(place.name):
@@ -155,7 +156,7 @@
     chosen.heal()
 
 
-@soaks.trouble("store")
+@seed_plan.trouble("store")
 async def _store(soak: soaks.Soak, place: programs.Place) -> None:
     """The store is away, busy, slow, forgetful or loses answers."""
     with soak.cut():
@@ -181,14 +182,14 @@
     store.losing = False
 
 
-@soaks.trouble("configure", soaks.PLANNED)
+@seed_plan.trouble("configure", seed_plan.PLANNED)
 async def _configure(soak: soaks.Soak, place: programs.Place) -> None:
     for _ in range(soak.rng.randint(1, 3)):
         soak.configure()
         await asyncio.sleep(soak.rng.uniform(0.0, 0.3))
 
 
-@soaks.trouble("store-goes-back", soaks.GOES_BACK)
+@seed_plan.trouble("store-goes-back", seed_plan.GOES_BACK)
 async def _store_goes_back(soak: soaks.Soak, place: programs.Place) -> None:
     """The store is away for a moment, and back from a copy some seconds old.
 
@@ -206,21 +207,21 @@
         store.configure(soak.configuration())
 
 
-@soaks.trouble("target-fails")
+@seed_plan.trouble("target-fails")
 async def _target_fails(soak: soaks.Soak, place: programs.Place) -> None:
     kind = soak.rng.choice(TARGET_FAULTS)
     soak.target(place).script += [kind] * soak.rng.randint(1, 20)
     await asyncio.sleep(0)
 
 
-@soaks.trouble("target-late", soaks.UPLOADS)
+@seed_plan.trouble("target-late", seed_plan.UPLOADS)
 async def _target_late(soak: soaks.Soak, place: programs.Place) -> None:
     """A target is slow, so that requests which may be repeated are hedged."""
     soak.target(place).script += ["late"] * soak.rng.randint(5, 40)
     await asyncio.sleep(0)
 
 
-@soaks.trouble("target-leaves", soaks.PLANNED)
+@seed_plan.trouble("target-leaves", seed_plan.PLANNED)
 async def _target_leaves(soak: soaks.Soak, place: programs.Place) -> None:
     """A target drains, and another begins at its address."""
     target = soak.target(place)
@@ -236,7 +237,7 @@
     target.leaving = False
 
 
-@soaks.trouble("target-deregisters", soaks.DEPARTURES)
+@seed_plan.trouble("target-deregisters", seed_plan.DEPARTURES)
 async def _deregister(soak: soaks.Soak, place: programs.Place) -> None:
     """A target leaves, and a heartbeat that it sent before is late.
 
@@ -275,7 +276,7 @@
     target.leaving = target.silent = False
 
 
-@soaks.trouble("targets-are-full", soaks.FULL)
+@seed_plan.trouble("targets-are-full", seed_plan.FULL)
 async def _fill(soak: soaks.Soak, place: programs.Place) -> None:
     """All targets are slow, so that requests wait while their callers leave."""
     for one in soak.running.places:
@@ -306,7 +307,7 @@
     )
 
 
-@soaks.trouble("target-names-a-limit", soaks.NOTICES)
+@seed_plan.trouble("target-names-a-limit", seed_plan.NOTICES)
 async def _name_limit(soak: soaks.Soak, place: programs.Place) -> None:
     """A target names a limit, then another one, then none."""
     for _ in range(soak.rng.randint(1, 2)):
@@ -314,7 +315,7 @@
         await _limit_target(soak, place, rate, soak.rng.uniform(4.0, 9.0))
 
 
-@soaks.trouble("all-targets-name-limits", soaks.NOTICES)
+@seed_plan.trouble("all-targets-name-limits", seed_plan.NOTICES)
 async def _all_name_limits(soak: soaks.Soak, place: programs.Place) -> None:
     rate = soak.rng.choice(LIMITS)
     seconds = soak.rng.uniform(4.0, 8.0)
@@ -326,14 +327,14 @@
     )
 
 
-@soaks.trouble("limit-and-restart", soaks.NOTICES)
+@seed_plan.trouble("limit-and-restart", seed_plan.NOTICES)
 async def _limit_and_restart(soak: soaks.Soak, place: programs.Place) -> None:
     """The process beside a limited target is killed meanwhile."""
     limit = _limit_target(soak, place, soak.rng.choice(LIMITS), 9.0)
     await asyncio.gather(limit, _kill_within(soak, place, 6.0))
 
 
-@soaks.trouble("target-says-that-it-leaves", soaks.NOTICES)
+@seed_plan.trouble("target-says-that-it-leaves", seed_plan.NOTICES)
 async def _says_leaving(soak: soaks.Soak, place: programs.Place) -> None:
     """Only its answers say it; its process may be killed meanwhile."""
     target = soak.target(place)
@@ -361,7 +362,7 @@
     await _kill(soak, place)
 
 
-@soaks.trouble("target-returns", soaks.RETURNS)
+@seed_plan.trouble("target-returns", seed_plan.RETURNS)
 async def _target_returns(soak: soaks.Soak, place: programs.Place) -> None:
     """A target crashes and starts again under its name, some times in a row."""
     for _ in range(soak.rng.randint(1, 3)):
@@ -369,7 +370,7 @@
         await asyncio.sleep(soak.rng.uniform(0.1, 3.0))
 
 
-@soaks.trouble("target-returns-behind-a-cut", soaks.RETURNS)
+@seed_plan.trouble("target-returns-behind-a-cut", seed_plan.RETURNS)
 async def _target_returns_unseen(
     soak: soaks.Soak, place: programs.Place
 ) -> None:
@@ -383,20 +384,20 @@
         way.heal()
 
 
-@soaks.trouble("target-returns-as-its-process-does", soaks.RETURNS)
+@seed_plan.trouble("target-returns-as-its-process-does", seed_plan.RETURNS)
 async def _both_return(soak: soaks.Soak, place: programs.Place) -> None:
     soak.bring_back(place)
     await _kill(soak, place)
 
 
-@soaks.trouble("targets-return", soaks.RETURNS)
+@seed_plan.trouble("targets-return", seed_plan.RETURNS)
 async def _targets_return(soak: soaks.Soak, place: programs.Place) -> None:
     for one in _part(soak):
         soak.bring_back(one)
         await asyncio.sleep(soak.rng.uniform(0.0, 0.5))
 
 
-@soaks.trouble("deadly", soaks.CRASHES)
+@seed_plan.trouble("deadly", seed_plan.CRASHES)
 async def _deadly(soak: soaks.Soak, place: programs.Place) -> None:
     """A request crashes each target that runs it, and comes again anywhere."""
     for _ in range(soak.rng.randint(2, 8)):
@@ -412,7 +413,7 @@
     return soak.rng.sample(places, max(1, count))
 
 
-@soaks.trouble("store-serves-some", soaks.NEWS)
+@seed_plan.trouble("store-serves-some", seed_plan.NEWS)
 async def _store_serves_some(soak: soaks.Soak, place: programs.Place) -> None:
     """The store answers nothing to a part, also reads that wait already."""
     part = [p for p in _part(soak) if not soak.relays(p).store.dropping]
@@ -429,7 +430,7 @@
             soak.relays(one).store.dropping = frozenset()
 
 
-@soaks.trouble("open-connections-die", soaks.NEWS)
+@seed_plan.trouble("open-connections-die", seed_plan.NEWS)
 async def _open_connections_die(
     soak: soaks.Soak, place: programs.Place
 ) -> None:
@@ -444,7 +445,7 @@
     await asyncio.sleep(0)
 
 
-@soaks.trouble("versions", soaks.NEWS)
+@seed_plan.trouble("versions", seed_plan.NEWS)
 async def _versions(soak: soaks.Soak, place: programs.Place) -> None:
     """A version about each 0.5 to 2 s, for several seconds."""
     until = soak.now() + soak.rng.uniform(6.0, 10.0)
@@ -453,7 +454,7 @@
         await asyncio.sleep(soak.rng.uniform(0.5, 2.0))
 
 
-@soaks.trouble("large-versions-amid-ends", soaks.LARGE)
+@seed_plan.trouble("large-versions-amid-ends", seed_plan.LARGE)
 async def _large_versions(soak: soaks.Soak, place: programs.Place) -> None:
     """Processes hand large configurations on while some stop or are killed."""
 
@@ -465,7 +466,7 @@
     await asyncio.gather(_hand_on_often(soak, place), *ends)
 
 
-@soaks.trouble("large-versions-amid-resets", soaks.LARGE)
+@seed_plan.trouble("large-versions-amid-resets", seed_plan.LARGE)
 async def _large_versions_reset(
     soak: soaks.Soak, place: programs.Place
 ) -> None:
@@ -509,7 +510,7 @@
             process.send_signal(signal.SIGCONT)
 
 
-@soaks.trouble("pauses-amid-large-answers", soaks.LARGE_ANSWERS)
+@seed_plan.trouble("pauses-amid-large-answers", seed_plan.LARGE_ANSWERS)
 async def _pauses(soak: soaks.Soak, place: programs.Place) -> None:
     """Processes pause one after the other while configurations come."""
 
@@ -521,7 +522,7 @@
     await asyncio.gather(pause(), _configure_often(soak))
 
 
-@soaks.trouble("held-links-amid-large-answers", soaks.LARGE_ANSWERS)
+@seed_plan.trouble("held-links-amid-large-answers", seed_plan.LARGE_ANSWERS)
 async def _held_links(soak: soaks.Soak, place: programs.Place) -> None:
     """The ways of peers to some processes hold bytes back for moments."""
 
@@ -542,7 +543,7 @@
         way.heal()
 
 
-@soaks.trouble("slow-links-amid-large-answers", soaks.LARGE_ANSWERS)
+@seed_plan.trouble("slow-links-amid-large-answers", seed_plan.LARGE_ANSWERS)
 async def _slow_links(soak: soaks.Soak, place: programs.Place) -> None:
     """The ways of peers to some processes are slow, and pause meanwhile."""
 
@@ -557,7 +558,7 @@
     await asyncio.gather(*links, _pauses(soak, place))
 
 
-@soaks.trouble("stop-while-readers-pause", soaks.LARGE_ANSWERS)
+@seed_plan.trouble("stop-while-readers-pause", seed_plan.LARGE_ANSWERS)
 async def _stop_while_readers_pause(
     soak: soaks.Soak, place: programs.Place
 ) -> None:
@@ -571,7 +572,7 @@
     await asyncio.gather(_stop(soak, place), *(pause(one) for one in others))
 
 
-@soaks.trouble("ends-amid-large-answers", soaks.LARGE_ANSWERS)
+@seed_plan.trouble("ends-amid-large-answers", seed_plan.LARGE_ANSWERS)
 async def _ends_amid_large_answers(
     soak: soaks.Soak, place: programs.Place
 ) -> None:
@@ -591,7 +592,7 @@
         await asyncio.sleep(soak.rng.uniform(*SILENCE_PAUSE))
 
 
-@soaks.trouble("news-in-the-dark", soaks.NEWS)
+@seed_plan.trouble("news-in-the-dark", seed_plan.NEWS)
 async def _news_in_the_dark(soak: soaks.Soak, place: programs.Place) -> None:
     """Versions come while the store serves some and connections die."""
 
@@ -605,7 +606,7 @@
     )
 
 
-@soaks.trouble("restarts", soaks.PLANNED)
+@seed_plan.trouble("restarts", seed_plan.PLANNED)
 async def _restarts(soak: soaks.Soak, place: programs.Place) -> None:
     """All stop and start again in overlapping series, amid SIGHUPs."""
     step = OVERLAP / len(soak.running.places)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -21,6 +21,7 @@
 from forklift_lab import records
 from forklift_lab import relay
 from forklift_lab import scripted
+from forklift_lab import seed_plan
 from forklift_lab import soak
 from forklift_lab import uploads
 from test import helper
@@ -525,30 +526,30 @@
 
 
 def test_old_seeds_send_no_uploads():
-    own = set(soak.names_by_theme[soak.UPLOADS])
-    assert own <= set(soak.Soak(soak.UPLOADS_FROM, None)._troubles)
+    own = set(seed_plan.names_by_theme[seed_plan.UPLOADS])
+    assert own <= set(soak.Soak(seed_plan.UPLOADS_FROM, None).plan.troubles)
     for seed in SEEDS:
-        if seed < soak.UPLOADS_FROM:
+        if seed < seed_plan.UPLOADS_FROM:
             before = soak.Soak(seed, None)
-            assert not before._uploads
-            assert not own & set(before._troubles)
+            assert not before.plan.uploads
+            assert not own & set(before.plan.troubles)
 
 
 def test_old_seeds_deregister_and_fill_no_targets():
-    later = (soak.Soak(soak.DEPARTURES_FROM + n, None) for n in range(20))
-    soak_by_theme = {one.theme: one for one in later}
-    assert set(soak_by_theme) == {soak.DEPARTURES, soak.FULL}
+    later = (soak.Soak(seed_plan.DEPARTURES_FROM + n, None) for n in range(20))
+    soak_by_theme = {one.plan.theme: one for one in later}
+    assert set(soak_by_theme) == {seed_plan.DEPARTURES, seed_plan.FULL}
     for theme, one in soak_by_theme.items():
-        assert set(soak.names_by_theme[theme]) <= set(one._troubles)
-        assert one._uploads is (theme == soak.FULL)
+        assert set(seed_plan.names_by_theme[theme]) <= set(one.plan.troubles)
+        assert one.plan.uploads is (theme == seed_plan.FULL)
     own = {
         name
-        for theme in (soak.DEPARTURES, soak.FULL)
-        for name in soak.names_by_theme[theme]
+        for theme in (seed_plan.DEPARTURES, seed_plan.FULL)
+        for name in seed_plan.names_by_theme[theme]
     }
     for seed in SEEDS:
-        if seed < soak.DEPARTURES_FROM:
-            assert not own & set(soak.Soak(seed, None)._troubles)
+        if seed < seed_plan.DEPARTURES_FROM:
+            assert not own & set(soak.Soak(seed, None).plan.troubles)
 
 
 def test_late_heartbeat_of_a_target_that_deregistered_is_from_before():
@@ -570,16 +571,16 @@
 
 
 def test_old_seeds_ask_for_no_large_answers():
-    own = set(soak.names_by_theme[soak.LARGE_ANSWERS])
-    later = soak.Soak(soak.LARGE_ANSWERS_FROM, None)
-    assert own <= set(later._troubles)
+    own = set(seed_plan.names_by_theme[seed_plan.LARGE_ANSWERS])
+    later = soak.Soak(seed_plan.LARGE_ANSWERS_FROM, None)
+    assert own <= set(later.plan.troubles)
     assert set(records.LARGE_KINDS) <= set(later.configuration()["routes"])
-    assert not own & set(soak.Soak(soak.UPLOADS_FROM, None)._troubles)
+    assert not own & set(soak.Soak(seed_plan.UPLOADS_FROM, None).plan.troubles)
     for seed in SEEDS:
-        if seed >= soak.LARGE_ANSWERS_FROM:
+        if seed >= seed_plan.LARGE_ANSWERS_FROM:
             continue
         before = soak.Soak(seed, None)
-        assert not own & set(before._troubles)
+        assert not own & set(before.plan.troubles)
         assert not set(records.LARGE_KINDS) & set(
             before.configuration()["routes"]
         )
@@ -660,23 +661,26 @@
 
 
 def test_old_seeds_draw_no_notices_of_targets():
-    notices = set(soak.names_by_theme[soak.NOTICES])
-    assert notices <= set(soak.Soak(soak.NOTICES_FROM, None)._troubles)
+    notices = set(seed_plan.names_by_theme[seed_plan.NOTICES])
+    assert notices <= set(soak.Soak(seed_plan.NOTICES_FROM, None).plan.troubles)
     for seed in SEEDS:
-        if seed < soak.NOTICES_FROM:
-            assert not notices & set(soak.Soak(seed, None)._troubles)
+        if seed < seed_plan.NOTICES_FROM:
+            assert not notices & set(soak.Soak(seed, None).plan.troubles)
 
 
 def test_old_seeds_draw_no_returning_targets():
     for seed in SEEDS:
-        if seed >= soak.RETURNS_FROM:
+        if seed >= seed_plan.RETURNS_FROM:
             continue
         soak_run = soak.Soak(seed, None)
-        assert not set(soak_run._troubles) & set(
-            soak.names_by_theme[soak.RETURNS]
+        assert not set(soak_run.plan.troubles) & set(
+            seed_plan.names_by_theme[seed_plan.RETURNS]
         )
-    drawn = {soak.Soak(soak.RETURNS_FROM + n, None).theme for n in range(50)}
-    assert drawn == {*soak.THEMES, soak.RETURNS}
+    drawn = {
+        soak.Soak(seed_plan.RETURNS_FROM + n, None).plan.theme
+        for n in range(50)
+    }
+    assert drawn == {*seed_plan.THEMES, seed_plan.RETURNS}
 
 
 def test_request_that_keeps_crashing_targets_is_a_violation():
@@ -693,23 +697,25 @@
 
 
 def test_old_seeds_hand_on_no_large_configurations():
-    large = set(soak.names_by_theme[soak.LARGE])
-    later = soak.Soak(soak.LARGE_FROM, None)
-    assert large <= set(later._troubles)
+    large = set(seed_plan.names_by_theme[seed_plan.LARGE])
+    later = soak.Soak(seed_plan.LARGE_FROM, None)
+    assert large <= set(later.plan.troubles)
     organisations = later.configuration()["tenants"]
     assert len(organisations) > records.MANY_ORGANISATIONS
     for seed in SEEDS:
-        if seed < soak.LARGE_FROM:
-            assert not large & set(soak.Soak(seed, None)._troubles)
+        if seed < seed_plan.LARGE_FROM:
+            assert not large & set(soak.Soak(seed, None).plan.troubles)
 
 
 def test_old_seeds_draw_no_crashing_requests():
-    drawn = soak.Soak(soak.DEADLY_FROM, None)._troubles
-    assert set(soak.names_by_theme[soak.CRASHES]) <= set(drawn)
+    drawn = soak.Soak(seed_plan.DEADLY_FROM, None).plan.troubles
+    assert set(seed_plan.names_by_theme[seed_plan.CRASHES]) <= set(drawn)
     for seed in SEEDS:
-        if seed < soak.DEADLY_FROM:
-            drawn = soak.Soak(seed, None)._troubles
-            assert not set(drawn) & set(soak.names_by_theme[soak.CRASHES])
+        if seed < seed_plan.DEADLY_FROM:
+            drawn = soak.Soak(seed, None).plan.troubles
+            assert not set(drawn) & set(
+                seed_plan.names_by_theme[seed_plan.CRASHES]
+            )
 
 
 @pytest.mark.parametrize("later", [[], [("few", 9.0)]])
@@ -718,15 +724,15 @@
 
 
 def test_old_seeds_have_no_limits_and_no_store_rollback():
-    goes_back = set(soak.names_by_theme[soak.GOES_BACK])
-    later = soak.Soak(soak.LIMITED_FROM, None)
-    assert goes_back <= set(later._troubles)
+    goes_back = set(seed_plan.names_by_theme[seed_plan.GOES_BACK])
+    later = soak.Soak(seed_plan.LIMITED_FROM, None)
+    assert goes_back <= set(later.plan.troubles)
     assert "tenants" in later.configuration()
     for seed in SEEDS:
-        if seed >= soak.LIMITED_FROM:
+        if seed >= seed_plan.LIMITED_FROM:
             continue
         before = soak.Soak(seed, None)
-        assert not goes_back & set(before._troubles)
+        assert not goes_back & set(before.plan.troubles)
         assert "tenants" not in before.configuration()
 
 
