Late bodies that a peer's first estimate ends early: a known failure

Nothing was cut off; the later ones got a 502.

Cause, by printing each change of the estimate: a load report holds the peer's estimate of the route's latency, also where that peer has no response yet. It is blended like a learned one; 22 of them after 24 responses of 1.5 s made the usual time of the route 3.6 s, so the latest start fell to 3.4 s after the signal.

Both assertions are as they were.

--- a/test/test_late_requests_processes.py
+++ b/test/test_late_requests_processes.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 
 import pytest
 
@@ -129,15 +130,24 @@
         return seen, ran
 
 
+@functools.cache
+def seen_and_ran(size: int) -> tuple[list[Seen], set[str]]:
+    return helper.run(stop_in_calm("copies", size))
+
+
 @pytest.mark.parametrize("size", [SMALL, LARGE])
 def test_request_whose_body_ends_late_is_served_or_did_not_run(size):
-    seen, ran = helper.run(stop_in_calm("copies", size))
+    seen, ran = seen_and_ran(size)
     cut_off = [one for one in seen if one.id in ran and one.status != 200]
     assert cut_off == []
     statuses = collections.Counter(one.status for one in seen)
     # What has begun to arrive is served, or told at once what became of it.
     unsent = {503} if size == SMALL else {502}
     assert set(statuses) == {200} | unsent
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+def test_request_whose_body_ends_before_half_of_the_grace_is_served(size):
+    seen, _ = seen_and_ran(size)
     served = [one.body_end for one in seen if one.status == 200]
-    # Half of the grace period is left to be served in.
     assert max(served) >= programs.GRACE / 2 - 0.5
