The soak counts only closes of callers that have arrived

A caller that closes while the process does not read its body leaves up to 64 KB in its own socket, and its close waits behind them, so the process can't know of it.

Change: a close counts only if nothing that the caller sent is unacknowledged.

The new test fails without the change, where each close counts.

--- a/forklift_lab/soak.py
+++ b/forklift_lab/soak.py
@@ -357,19 +357,19 @@
             self.upload_by_id[upload.id] = upload
             incarnation = self.runs_by_place[place.name]
             began = self.now()
-            status, own = await uploads.send(place.caller, upload)
-            if upload.is_left:
+            outcome = await uploads.send(place.caller, upload)
+            if outcome.close_arrived:
                 self.left_at_by_id[upload.id] = (place.name, self.now())
-            else:
+            if not upload.is_left:
                 self.seen.append(
                     observations.Seen(
                         upload.id,
                         place.name,
                         began,
                         self.now(),
-                        status,
-                        own,
-                        hung=not status
+                        outcome.status,
+                        outcome.own,
+                        hung=not outcome.status
                         and self.now() - began >= uploads.HANGS_AFTER,
                         incarnation=incarnation,
                     )
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -525,6 +525,31 @@
     assert any(one.parts_sent is not None for one in drawn)
 
 
+@pytest.mark.parametrize("reads", [True, False])
+def test_close_that_waits_behind_unread_bytes_has_not_arrived(reads):
+    """The soak took it for a request sent long after its caller had left."""
+    body = b"x" * uploads.WAITING_BYTES
+    upload = uploads.Upload("u-1", "/copies/", body, False, None, 0.0, 0.1)
+
+    async def serve(reader, writer):
+        while await reader.read(1 << 20):
+            pass
+        writer.close()
+
+    async def work():
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            host, port = listener.getsockname()
+            if reads:
+                await asyncio.start_server(serve, sock=listener)
+            outcome = await uploads.send(f"{host}:{port}", upload)
+            return outcome.close_arrived
+
+    assert helper.run(work()) is reads
+
+
 def test_old_seeds_send_no_uploads():
     own = set(seed_plan.names_by_theme[seed_plan.UPLOADS])
     assert own <= set(soak.Soak(seed_plan.UPLOADS_FROM, None).plan.troubles)
