An upload whose connection was reset no longer ends the soak

Cause, since: a caller that leaves asks its socket how many bytes are not acknowledged. If the other side has reset the connection meanwhile, the socket is closed, and the question raises ValueError, which ended the caller's task and with it the play.

Change: a closed connection is not asked, and its close counts as not arrived. The test fails before with that error.

--- a/forklift_lab/uploads.py
+++ b/forklift_lab/uploads.py
@@ -121,7 +121,9 @@
                 if upload.waits is not None:
                     await asyncio.wait((answer,), timeout=upload.waits)
                 if upload.is_left:
-                    return Outcome(0, close_arrived=not unacknowledged(writer))
+                    is_open = not writer.transport.is_closing()
+                    arrived = is_open and not unacknowledged(writer)
+                    return Outcome(0, close_arrived=arrived)
                 head = await answer
                 status = int(head.split(b" ", 2)[1])
                 if status != 200:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import socket
+import struct
 import types
 
 import pytest
@@ -550,6 +551,30 @@
     assert helper.run(work()) is reads
 
 
+# A close is then a reset.
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def test_upload_whose_connection_was_reset_ends_without_an_error():
+    """Its socket was asked for bytes after it was closed."""
+    upload = uploads.Upload("u-1", "/copies/", b"x", False, None, 0.0, 0.5)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        own = writer.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        writer.transport.abort()
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        outcome = await uploads.send(f"{host}:{port}", upload)
+        server.close()
+        return outcome
+
+    assert not helper.run(work()).close_arrived
+
+
 def test_old_seeds_send_no_uploads():
     own = set(seed_plan.names_by_theme[seed_plan.UPLOADS])
     assert own <= set(soak.Soak(seed_plan.UPLOADS_FROM, None).plan.troubles)
